--- /dev/null
+++ b/agent/group/group.go
@@ -0,0 +1,215 @@
+// Package group runs an agent's part in the expert-parallel groups that its VM
+// is a rank of: it serves the orders of the group's coordinator and becomes
+// coordinator itself when none is heard.
+//
+// A rank that hears no coordinator for a time, which grows with its rank
+// number, takes the lead with a larger fencing number; so normally the lowest
+// live rank leads. Two leaders at a time are harmless (package mapswitch). The
+// leader collects token counts, smooths them, plans, and switches when the plan
+// moves anything.
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"baywall.example/agent/engine"
+	"baywall.example/agent/mapswitch"
+	"baywall.example/core/configuration"
+	"baywall.example/core/expertmap"
+	"baywall.example/core/link"
+	"baywall.example/core/resource"
+	"baywall.example/core/timeline"
+	"baywall.example/core/vm"
+	"baywall.example/core/wire"
+)
+
+const (
+	// orderLifetime is the longest time that an order to an engine may be on
+	// its way; a restarted agent waits it out before it promises anything.
+	orderLifetime = 2500 * time.Millisecond
+	// electionTimeout is how long rank 0 waits for a coordinator; each further
+	// rank waits electionStagger longer.
+	electionTimeout = 1500 * time.Millisecond
+	electionStagger = 300 * time.Millisecond
+	// tickInterval drives a coordinator.
+	tickInterval = 50 * time.Millisecond
+	// pollInterval is the time between two collections of counts, which are
+	// also the coordinator's heartbeat.
+	pollInterval = 500 * time.Millisecond
+	// callTimeout bounds one order to one rank.
+	callTimeout = 2 * time.Second
+	// countsWeight is the weight of the newest counts in the smoothed ones.
+	countsWeight = 0.4
+)
+
+// Environment is what groups need of their agent.
+type Environment struct {
+	VM          vm.ID
+	Incarnation vm.Incarnation
+	Engine      *engine.Client
+	Pool        *link.Pool
+	Config      *configuration.Store
+	VMs         *configuration.VMs
+	Recorder    *timeline.Recorder
+	Log         zerolog.Logger
+}
+
+// Set holds the groups of one agent.
+type Set struct {
+	env    Environment
+	member *mapswitch.Member
+
+	mu    sync.Mutex
+	heard map[string]time.Time // of a group's coordinator
+}
+
+// NewSet returns the groups of an agent; Run drives them.
+func NewSet(env Environment) *Set {
+	return &Set{
+		env:    env,
+		member: mapswitch.NewMember(env.Engine, env.Incarnation),
+		heard:  make(map[string]time.Time),
+	}
+}
+
+// Run takes part in the groups until the context ends.
+func (s *Set) Run(ctx context.Context) {
+	if !sleep(ctx, orderLifetime) {
+		return
+	}
+	s.member.Recovered()
+	for ctx.Err() == nil {
+		name, rank, ok := s.ledGroup(time.Now())
+		if ok {
+			s.lead(ctx, name, rank)
+		}
+		sleep(ctx, tickInterval)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// ledGroup returns a group of this VM whose coordinator has been silent for
+// longer than this rank waits.
+func (s *Set) ledGroup(now time.Time) (name string, rank int, ok bool) {
+	for name, g := range s.env.Config.View().Groups {
+		rank := s.rankIn(g)
+		if rank < 0 {
+			continue
+		}
+		wait := electionTimeout + time.Duration(rank)*electionStagger
+		s.mu.Lock()
+		last, known := s.heard[name]
+		if !known {
+			s.heard[name] = now
+			last = now
+		}
+		s.mu.Unlock()
+		if now.Sub(last) > wait {
+			return name, rank, true
+		}
+	}
+	return "", 0, false
+}
+
+func (s *Set) rankIn(g *resource.Group) int {
+	for i, id := range g.Ranks {
+		if id == s.env.VM {
+			return i
+		}
+	}
+	return -1
+}
+
+// Handle serves an order of a coordinator.
+func (s *Set) Handle(ctx context.Context, w *wire.SwitchOrder) *wire.SwitchReply {
+	if w.GetPhase() == wire.SwitchPhase_SWITCH_COUNTS {
+		return s.handleCounts(ctx, w)
+	}
+	o := orderFromWire(w)
+	r := s.member.Handle(ctx, o)
+	if r.OK {
+		s.hear(w.GetGroup())
+	}
+	if r.OK && o.Phase != mapswitch.PhaseRead {
+		s.env.Recorder.Record(timeline.Event{
+			Kind: timeline.KindSwitch, Group: w.GetGroup(), Subject: w.GetCoordinator(), Choice: o.Phase.String(),
+		})
+	}
+	return replyToWire(r)
+}
+
+func (s *Set) hear(group string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard[group] = time.Now()
+}
+
+func (s *Set) handleCounts(ctx context.Context, w *wire.SwitchOrder) *wire.SwitchReply {
+	if w.GetFence() < s.member.Promised() {
+		return &wire.SwitchReply{Superseded: true, Fence: s.member.Promised()}
+	}
+	state, err := s.env.Engine.Experts(ctx, true)
+	if err != nil {
+		return &wire.SwitchReply{Reason: err.Error(), Fence: s.member.Promised()}
+	}
+	s.hear(w.GetGroup())
+	out := replyToWire(mapswitch.Reply{OK: true, Fence: s.member.Promised(), Incarnation: s.env.Incarnation, State: state})
+	for _, layer := range state.Counts {
+		out.Counts = append(out.Counts, &wire.LayerCounts{Tokens: layer})
+	}
+	out.Map = expertmap.Map{Version: state.Active, Layers: state.ActiveMap}.Wire()
+	return out
+}
+
+func orderFromWire(w *wire.SwitchOrder) mapswitch.Order {
+	return mapswitch.Order{
+		Phase:       mapswitch.Phase(w.GetPhase()),
+		Fence:       w.GetFence(),
+		Incarnation: vm.Incarnation(w.GetIncarnation()),
+		Version:     w.GetMap().GetVersion(),
+		Step:        w.GetStep(),
+		Map:         expertmap.FromWire(w.GetMap()),
+	}
+}
+
+func orderToWire(group string, from vm.ID, o mapswitch.Order) *wire.SwitchOrder {
+	m := o.Map
+	m.Version = o.Version
+	return &wire.SwitchOrder{
+		Group: group, Fence: o.Fence, Phase: wire.SwitchPhase(o.Phase), Map: m.Wire(),
+		Step: o.Step, Coordinator: string(from), Incarnation: uint64(o.Incarnation),
+	}
+}
+
+func replyToWire(r mapswitch.Reply) *wire.SwitchReply {
+	return &wire.SwitchReply{
+		Ok: r.OK, Superseded: r.Superseded, Reason: r.Reason, Fence: r.Fence, Incarnation: uint64(r.Incarnation),
+		Step: r.State.Step, Active: r.State.Active, Armed: r.State.Loaded, ArmedStep: r.State.Hold,
+		Committed: r.State.Activate, Speed: r.State.Speed,
+	}
+}
+
+func replyFromWire(w *wire.SwitchReply) mapswitch.Reply {
+	return mapswitch.Reply{
+		OK: w.GetOk(), Superseded: w.GetSuperseded(), Reason: w.GetReason(), Fence: w.GetFence(),
+		Incarnation: vm.Incarnation(w.GetIncarnation()),
+		State: engine.ExpertState{
+			Step: w.GetStep(), Active: w.GetActive(), Loaded: w.GetArmed(), Hold: w.GetArmedStep(),
+			Activate: w.GetCommitted(), Speed: w.GetSpeed(),
+		},
+	}
+}
--- /dev/null
+++ b/agent/group/lead.go
@@ -0,0 +1,224 @@
+package group
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"baywall.example/agent/mapswitch"
+	"baywall.example/core/expertmap"
+	"baywall.example/core/resource"
+	"baywall.example/core/timeline"
+	"baywall.example/core/vm"
+	"baywall.example/core/wire"
+)
+
+// leadership is the time during which this rank coordinates one group.
+type leadership struct {
+	set     *Set
+	name    string
+	rank    int
+	spec    resource.Group
+	coord   *mapswitch.Coordinator
+	answers chan answer
+	counts  expertmap.Counts
+	rounds  int
+	planned time.Time
+	polled  time.Time
+	calls   conc.WaitGroup
+}
+
+// answer is one rank's reply to one order.
+type answer struct {
+	rank  int
+	order mapswitch.Order
+	reply mapswitch.Reply
+}
+
+// lead coordinates the group until another coordinator supersedes this one,
+// the group's resource changes, or the context ends.
+func (s *Set) lead(ctx context.Context, name string, rank int) {
+	spec := s.env.Config.View().Groups[name]
+	if spec == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	fence := mapswitch.NextFence(s.member.Promised(), rank)
+	l := &leadership{
+		set: s, name: name, rank: rank, spec: *spec,
+		coord:   mapswitch.NewCoordinator(len(spec.Ranks), fence, mapswitch.Timing{}, time.Now()),
+		answers: make(chan answer, 4*len(spec.Ranks)),
+		counts:  expertmap.NewCounts(shapeOf(spec)),
+		planned: time.Now(),
+	}
+	defer l.calls.Wait()
+	defer cancel()
+	l.record(timeline.KindEpoch, "lead", fmt.Sprintf("no coordinator heard; fence %d", fence))
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	stage := l.coord.Stage()
+	for l.coord.Stage() != mapswitch.StageSuperseded && s.env.Config.View().Groups[name] == spec {
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-l.answers:
+			l.send(ctx, l.coord.Receive(a.rank, a.order, a.reply, time.Now()))
+		case now := <-ticker.C:
+			l.send(ctx, l.coord.Tick(now))
+			l.whenIdle(ctx, now)
+		}
+		if l.coord.Stage() != stage {
+			stage = l.coord.Stage()
+			l.record(timeline.KindSwitch, stage.String(), fmt.Sprintf("step %d", l.coord.Step()))
+		}
+	}
+	s.hear(name)
+}
+
+func shapeOf(g *resource.Group) expertmap.Shape {
+	return expertmap.Shape{Ranks: len(g.Ranks), Slots: g.SlotsPerRank, Layers: g.Layers, Experts: g.Experts}
+}
+
+func (l *leadership) record(kind timeline.Kind, choice, reason string) {
+	l.set.env.Recorder.Record(timeline.Event{Kind: kind, Group: l.name, Choice: choice, Reason: reason})
+}
+
+// send gives orders to ranks, each in its own goroutine.
+func (l *leadership) send(ctx context.Context, orders []mapswitch.Outgoing) {
+	for _, o := range orders {
+		l.calls.Go(func() {
+			reply, err := l.call(ctx, o.Rank, orderToWire(l.name, l.set.env.VM, o.Order))
+			if err != nil {
+				return // sent again after a while
+			}
+			select {
+			case l.answers <- answer{rank: o.Rank, order: o.Order, reply: replyFromWire(reply)}:
+			case <-ctx.Done():
+			}
+		})
+	}
+}
+
+// call gives one order to one rank, over a link unless the rank is this one.
+func (l *leadership) call(ctx context.Context, rank int, order *wire.SwitchOrder) (*wire.SwitchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if rank == l.rank {
+		return l.set.Handle(ctx, order), nil
+	}
+	target, _ := l.set.env.VMs.List().Find(l.spec.Ranks[rank])
+	if target.ID == "" {
+		target = vm.VM{ID: l.spec.Ranks[rank]}
+	}
+	conn, err := l.set.env.Pool.Get(ctx, target)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := conn.Call(ctx, &wire.Call{Body: &wire.Call_SwitchOrder{SwitchOrder: order}})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetSwitchReply(), nil
+}
+
+// whenIdle collects counts, and plans a new map once the period is over.
+func (l *leadership) whenIdle(ctx context.Context, now time.Time) {
+	if l.coord.Stage() != mapswitch.StageIdle || now.Sub(l.polled) < pollInterval {
+		return
+	}
+	l.polled = now
+	poll, ok := l.collect(ctx)
+	if !ok {
+		return
+	}
+	l.counts.Smooth(poll.counts, l.weight())
+	l.rounds++
+	intent := l.intent()
+	if now.Sub(l.planned) < intent.PeriodMS.Duration() {
+		return
+	}
+	l.planned = now
+	l.plan(poll, intent, now)
+}
+
+// weight gives the first counts full weight, as there is nothing to smooth.
+func (l *leadership) weight() float64 {
+	if l.rounds == 0 {
+		return 1
+	}
+	return countsWeight
+}
+
+func (l *leadership) intent() resource.Intent {
+	if i := l.set.env.Config.View().Intents[l.spec.Service]; i != nil {
+		return *i
+	}
+	var i resource.Intent
+	i.Provision()
+	return i
+}
+
+// collection is what all ranks said in one poll.
+type collection struct {
+	counts expertmap.Counts
+	active expertmap.Map
+	speeds []float64
+}
+
+// collect polls every rank. It fails unless all of them answered and run the
+// same map.
+func (l *leadership) collect(ctx context.Context) (collection, bool) {
+	shape := shapeOf(&l.spec)
+	replies := make([]*wire.SwitchReply, shape.Ranks)
+	var wg conc.WaitGroup
+	for rank := range shape.Ranks {
+		wg.Go(func() {
+			order := &wire.SwitchOrder{Group: l.name, Fence: l.coord.Fence(), Phase: wire.SwitchPhase_SWITCH_COUNTS, Coordinator: string(l.set.env.VM)}
+			if r, err := l.call(ctx, rank, order); err == nil && r.GetOk() {
+				replies[rank] = r
+			}
+		})
+	}
+	wg.Wait()
+	out := collection{counts: expertmap.NewCounts(shape), speeds: make([]float64, shape.Ranks)}
+	for rank, r := range replies {
+		if r == nil || r.GetActive() != replies[0].GetActive() || len(r.GetCounts()) != shape.Layers {
+			return collection{}, false
+		}
+		out.speeds[rank] = r.GetSpeed()
+		addCounts(out.counts, r.GetCounts())
+	}
+	out.active = expertmap.FromWire(replies[0].GetMap())
+	return out, true
+}
+
+func addCounts(sum expertmap.Counts, layers []*wire.LayerCounts) {
+	for l, layer := range layers {
+		for e, n := range layer.GetTokens() {
+			if e < len(sum[l]) {
+				sum[l][e] += float64(n)
+			}
+		}
+	}
+}
+
+// plan proposes a better map if there is one that pays for its moves.
+func (l *leadership) plan(poll collection, intent resource.Intent, now time.Time) {
+	res, err := expertmap.Plan(expertmap.Input{
+		Shape: shapeOf(&l.spec), Counts: l.counts, Speeds: poll.speeds, Current: poll.active, Price: intent.MoveCost,
+	})
+	if err != nil {
+		l.record(timeline.KindPlan, "none", err.Error())
+		return
+	}
+	reason := fmt.Sprintf("predicted skew %.4f -> %.4f with %d moves at price %g", res.SkewBefore, res.SkewAfter, res.Moves, intent.MoveCost)
+	if res.Moves == 0 {
+		l.record(timeline.KindPlan, "keep", reason)
+		return
+	}
+	l.record(timeline.KindPlan, "switch", reason)
+	l.coord.Propose(res.Map, now)
+}
--- /dev/null
+++ b/agent/mapswitch/coordinator.go
@@ -0,0 +1,312 @@
+package mapswitch
+
+import (
+	"time"
+
+	"baywall.example/agent/engine"
+	"baywall.example/core/expertmap"
+	"baywall.example/core/vm"
+)
+
+// fenceRankBits is the width of the rank in a fencing number. The rank makes
+// the numbers of two coordinators differ.
+const fenceRankBits = 16
+
+// NextFence returns the smallest fencing number of a rank's coordinator that
+// is larger than the highest one heard.
+func NextFence(highest uint64, rank int) uint64 {
+	return (highest>>fenceRankBits+1)<<fenceRankBits | uint64(rank)
+}
+
+// Stage is where a Coordinator stands.
+type Stage int
+
+// Stages of a Coordinator.
+const (
+	StageReading Stage = iota + 1
+	StageIdle          // every rank runs the same map and none is armed
+	StagePreparing
+	StageArming
+	StageCommitting
+	StageAborting
+	StageSuperseded // another coordinator has a larger number; start over
+)
+
+// String returns the stage's name.
+func (s Stage) String() string {
+	return [...]string{"", "reading", "idle", "preparing", "arming", "committing", "aborting", "superseded"}[s]
+}
+
+// Timing holds a Coordinator's times. Zero fields get the defaults.
+type Timing struct {
+	// Prepare is how long loading may take before it is given up. Default 30s.
+	Prepare time.Duration
+	// Arm is how long arming may take before it is aborted. Default 500ms.
+	Arm time.Duration
+	// Resend is the time after which an unanswered order is sent again.
+	// Default 200ms.
+	Resend time.Duration
+	// Lead is how many steps ahead of the furthest rank the switch happens.
+	// Default 40.
+	Lead uint64
+}
+
+// Defaults of Timing.
+const (
+	DefaultPrepare = 30 * time.Second
+	DefaultArm     = 500 * time.Millisecond
+	DefaultResend  = 200 * time.Millisecond
+	DefaultLead    = 40
+)
+
+func (t *Timing) provision() {
+	if t.Prepare == 0 {
+		t.Prepare = DefaultPrepare
+	}
+	if t.Arm == 0 {
+		t.Arm = DefaultArm
+	}
+	if t.Resend == 0 {
+		t.Resend = DefaultResend
+	}
+	if t.Lead == 0 {
+		t.Lead = DefaultLead
+	}
+}
+
+// Outgoing is an order to one rank.
+type Outgoing struct {
+	Rank  int
+	Order Order
+}
+
+// Coordinator drives the ranks of one group. It is not safe for concurrent
+// use: the owner feeds it proposals, replies and ticks one at a time and sends
+// what it returns.
+type Coordinator struct {
+	timing  Timing
+	fence   uint64
+	highest uint64
+	stage   Stage
+	since   time.Time // of the stage
+	ranks   []rankState
+	target  expertmap.Map
+	step    uint64
+	version uint64 // largest version seen on any rank
+}
+
+type rankState struct {
+	incarnation vm.Incarnation
+	state       engine.ExpertState
+	done        bool // answered the order of this stage
+	sent        time.Time
+}
+
+// NewCoordinator returns a coordinator with the fencing number that reads all
+// ranks first.
+func NewCoordinator(ranks int, fence uint64, timing Timing, now time.Time) *Coordinator {
+	timing.provision()
+	c := &Coordinator{timing: timing, fence: fence, highest: fence, ranks: make([]rankState, ranks)}
+	c.enter(StageReading, now)
+	return c
+}
+
+// Stage returns where the coordinator stands.
+func (c *Coordinator) Stage() Stage { return c.stage }
+
+// Fence returns the coordinator's fencing number.
+func (c *Coordinator) Fence() uint64 { return c.fence }
+
+// Highest returns the largest fencing number heard.
+func (c *Coordinator) Highest() uint64 { return c.highest }
+
+// Step returns the step of the latest switch.
+func (c *Coordinator) Step() uint64 { return c.step }
+
+// Pending returns the ranks that have not answered in this stage.
+func (c *Coordinator) Pending() []int {
+	var out []int
+	for i := range c.ranks {
+		if !c.ranks[i].done {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// States returns what the ranks last said.
+func (c *Coordinator) States() []engine.ExpertState {
+	out := make([]engine.ExpertState, len(c.ranks))
+	for i, r := range c.ranks {
+		out[i] = r.state
+	}
+	return out
+}
+
+func (c *Coordinator) enter(s Stage, now time.Time) {
+	c.stage, c.since = s, now
+	for i := range c.ranks {
+		c.ranks[i].done = false
+		c.ranks[i].sent = time.Time{}
+	}
+}
+
+// Propose starts a switch to the map, whose version it sets. It reports false
+// unless the coordinator is idle.
+func (c *Coordinator) Propose(m expertmap.Map, now time.Time) bool {
+	if c.stage != StageIdle {
+		return false
+	}
+	c.version++
+	m.Version = c.version
+	c.target = m
+	c.enter(StagePreparing, now)
+	return true
+}
+
+// Tick applies timeouts and returns the orders that are due.
+func (c *Coordinator) Tick(now time.Time) []Outgoing {
+	switch {
+	case c.stage == StagePreparing && now.Sub(c.since) > c.timing.Prepare:
+		c.enter(StageAborting, now)
+	case c.stage == StageArming && now.Sub(c.since) > c.timing.Arm:
+		c.enter(StageAborting, now)
+	}
+	return c.due(now)
+}
+
+func (c *Coordinator) due(now time.Time) []Outgoing {
+	if c.stage == StageIdle || c.stage == StageSuperseded {
+		return nil
+	}
+	var out []Outgoing
+	for i := range c.ranks {
+		r := &c.ranks[i]
+		if r.done || !r.sent.IsZero() && now.Sub(r.sent) < c.timing.Resend {
+			continue
+		}
+		r.sent = now
+		out = append(out, Outgoing{Rank: i, Order: c.order(i)})
+	}
+	return out
+}
+
+func (c *Coordinator) order(rank int) Order {
+	o := Order{Fence: c.fence, Incarnation: c.ranks[rank].incarnation, Version: c.target.Version, Step: c.step}
+	switch c.stage {
+	case StageReading:
+		o.Phase, o.Incarnation = PhaseRead, 0
+	case StagePreparing:
+		o.Phase, o.Map = PhasePrepare, c.target
+	case StageArming:
+		o.Phase = PhaseArm
+	case StageCommitting:
+		o.Phase = PhaseCommit
+	default:
+		o.Phase = PhaseAbort
+	}
+	return o
+}
+
+// phase returns the phase whose replies count in the present stage.
+func (c *Coordinator) phase() Phase {
+	switch c.stage {
+	case StageReading:
+		return PhaseRead
+	case StagePreparing:
+		return PhasePrepare
+	case StageArming:
+		return PhaseArm
+	case StageCommitting:
+		return PhaseCommit
+	case StageAborting:
+		return PhaseAbort
+	default:
+		return 0
+	}
+}
+
+// Receive takes a rank's reply to an order and returns the orders that are due.
+func (c *Coordinator) Receive(rank int, to Order, r Reply, now time.Time) []Outgoing {
+	c.highest = max(c.highest, r.Fence)
+	if to.Fence != c.fence || to.Phase != c.phase() || c.late(to) {
+		return nil
+	}
+	if r.Superseded {
+		c.enter(StageSuperseded, now)
+		return nil
+	}
+	if !r.OK {
+		if c.stage == StageArming {
+			c.enter(StageAborting, now) // the step was too close, or the load was lost
+		}
+		return c.due(now)
+	}
+	c.ranks[rank].incarnation = r.Incarnation
+	c.ranks[rank].state = r.State
+	c.ranks[rank].done = true
+	if len(c.Pending()) == 0 {
+		c.advance(now)
+	}
+	return c.due(now)
+}
+
+// late reports whether a reply belongs to an earlier switch of this
+// coordinator.
+func (c *Coordinator) late(to Order) bool {
+	switch to.Phase {
+	case PhaseRead:
+		return false
+	case PhasePrepare:
+		return to.Version != c.target.Version
+	default:
+		return to.Version != c.target.Version || to.Step != c.step
+	}
+}
+
+// advance leaves a stage in which every rank has answered.
+func (c *Coordinator) advance(now time.Time) {
+	switch c.stage {
+	case StageReading:
+		c.recover(now)
+	case StagePreparing:
+		c.step = c.furthest() + c.timing.Lead
+		c.enter(StageArming, now)
+	case StageArming:
+		c.enter(StageCommitting, now)
+	case StageCommitting, StageAborting:
+		c.enter(StageIdle, now)
+	}
+}
+
+// recover finishes what an earlier coordinator may have begun.
+func (c *Coordinator) recover(now time.Time) {
+	armed := false
+	for _, r := range c.ranks {
+		c.version = max(c.version, r.state.Active, r.state.Loaded)
+		if r.state.Hold != 0 {
+			armed = true
+		}
+	}
+	for _, r := range c.ranks {
+		if r.state.Activate != 0 {
+			c.target = expertmap.Map{Version: r.state.Loaded}
+			c.step = r.state.Activate
+			c.enter(StageCommitting, now)
+			return
+		}
+	}
+	if armed {
+		c.enter(StageAborting, now)
+		return
+	}
+	c.enter(StageIdle, now)
+}
+
+func (c *Coordinator) furthest() uint64 {
+	step := uint64(0)
+	for _, r := range c.ranks {
+		step = max(step, r.state.Step)
+	}
+	return step
+}
--- /dev/null
+++ b/agent/mapswitch/member.go
@@ -0,0 +1,177 @@
+package mapswitch
+
+import (
+	"context"
+	"sync"
+
+	"baywall.example/agent/engine"
+	"baywall.example/core/expertmap"
+	"baywall.example/core/vm"
+)
+
+// Phase is the type of an order to a rank.
+type Phase int
+
+// Phases, in the order in which a switch goes through them.
+const (
+	PhaseRead Phase = iota + 1
+	PhasePrepare
+	PhaseArm
+	PhaseCommit
+	PhaseAbort
+)
+
+// String returns the phase's name.
+func (p Phase) String() string {
+	return [...]string{"", "read", "prepare", "arm", "commit", "abort"}[p]
+}
+
+// Order is what a coordinator asks of one rank.
+type Order struct {
+	Phase       Phase
+	Fence       uint64
+	Incarnation vm.Incarnation // of the member, 0 only with PhaseRead
+	Version     uint64
+	Step        uint64
+	Map         expertmap.Map // only with PhasePrepare
+}
+
+// Reply is a rank's answer.
+type Reply struct {
+	OK          bool
+	Superseded  bool // the order's fence or incarnation is out of date
+	Reason      string
+	Fence       uint64 // promised
+	Incarnation vm.Incarnation
+	State       engine.ExpertState
+}
+
+// Engine is what a Member needs of its engine.
+type Engine interface {
+	Experts(ctx context.Context, counts bool) (engine.ExpertState, error)
+	Order(ctx context.Context, o engine.Order) (engine.ExpertState, error)
+}
+
+// Member is the switch's participant on one rank. It is safe for concurrent
+// use; orders are handled one at a time.
+type Member struct {
+	mu          sync.Mutex
+	engine      Engine
+	incarnation vm.Incarnation
+	promised    uint64
+	recovered   bool
+}
+
+// NewMember returns a member that promises nothing until Recovered is called.
+func NewMember(e Engine, incarnation vm.Incarnation) *Member {
+	return &Member{engine: e, incarnation: incarnation}
+}
+
+// Recovered allows the member to promise. It is called once every order that
+// an earlier incarnation may have given has expired.
+func (m *Member) Recovered() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recovered = true
+}
+
+// Promised returns the largest fencing number heard.
+func (m *Member) Promised() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.promised
+}
+
+// Handle carries out an order.
+func (m *Member) Handle(ctx context.Context, o Order) Reply {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.recovered {
+		return m.refuse("recovering after a restart")
+	}
+	if reply, ok := m.checkFence(o); !ok {
+		return reply
+	}
+	state, err := m.engine.Experts(ctx, false)
+	if err != nil {
+		return m.refuse(err.Error())
+	}
+	m.promised = max(m.promised, o.Fence)
+	return m.carryOut(ctx, o, state)
+}
+
+func (m *Member) checkFence(o Order) (Reply, bool) {
+	if o.Phase != PhaseRead && o.Incarnation != m.incarnation {
+		return m.supersede("another incarnation of this member was read"), false
+	}
+	if o.Phase == PhaseRead && o.Fence >= m.promised {
+		return Reply{}, true
+	}
+	if o.Phase != PhaseRead && o.Fence == m.promised {
+		return Reply{}, true
+	}
+	return m.supersede("a larger fencing number is promised"), false
+}
+
+func (m *Member) carryOut(ctx context.Context, o Order, s engine.ExpertState) Reply {
+	switch o.Phase {
+	case PhaseRead:
+		return m.accept(s)
+	case PhasePrepare:
+		if s.Loaded == o.Version {
+			return m.accept(s)
+		}
+		return m.order(ctx, engine.Order{Kind: engine.OrderLoad, Fence: o.Fence, Version: o.Version, Map: o.Map.Layers})
+	case PhaseArm:
+		if s.Hold == o.Step && s.Loaded == o.Version {
+			return m.accept(s)
+		}
+		return m.order(ctx, engine.Order{Kind: engine.OrderHold, Fence: o.Fence, Version: o.Version, Step: o.Step})
+	case PhaseCommit:
+		if s.Active == o.Version || s.Activate == o.Step && s.Loaded == o.Version {
+			return m.accept(s)
+		}
+		if s.Hold != o.Step || s.Loaded != o.Version {
+			return m.refuseIn(s, "not armed for this step")
+		}
+		return m.order(ctx, engine.Order{Kind: engine.OrderActivate, Fence: o.Fence, Version: o.Version, Step: o.Step})
+	case PhaseAbort:
+		if s.Hold == 0 {
+			return m.accept(s)
+		}
+		if s.Activate != 0 {
+			return m.refuseIn(s, "already committed")
+		}
+		return m.order(ctx, engine.Order{Kind: engine.OrderRelease, Fence: o.Fence, Version: s.Loaded, Step: s.Hold})
+	default:
+		return m.refuseIn(s, "unknown phase")
+	}
+}
+
+func (m *Member) order(ctx context.Context, o engine.Order) Reply {
+	s, err := m.engine.Order(ctx, o)
+	if err != nil {
+		return m.refuse(err.Error())
+	}
+	return m.accept(s)
+}
+
+func (m *Member) accept(s engine.ExpertState) Reply {
+	return Reply{OK: true, Fence: m.promised, Incarnation: m.incarnation, State: s}
+}
+
+func (m *Member) refuse(reason string) Reply {
+	return Reply{Reason: reason, Fence: m.promised, Incarnation: m.incarnation}
+}
+
+func (m *Member) refuseIn(s engine.ExpertState, reason string) Reply {
+	r := m.refuse(reason)
+	r.State = s
+	return r
+}
+
+func (m *Member) supersede(reason string) Reply {
+	r := m.refuse(reason)
+	r.Superseded = true
+	return r
+}
--- /dev/null
+++ b/agent/server/attempts.go
@@ -0,0 +1,326 @@
+package server
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"baywall.example/agent/engine"
+	"baywall.example/agent/record"
+	"baywall.example/core/configuration"
+	"baywall.example/core/contract"
+	"baywall.example/core/link"
+	"baywall.example/core/resource"
+	"baywall.example/core/timeline"
+	"baywall.example/core/vm"
+	"baywall.example/core/wire"
+)
+
+const (
+	// resumeGrace is how long an idempotent attempt goes on without a reader.
+	resumeGrace = 10 * time.Second
+	// chunkSize is the largest piece of an answer in one message, in bytes.
+	chunkSize = 32 << 10
+	// drainRetryAfter is when callers of a draining agent may come back.
+	drainRetryAfter = 100 * time.Millisecond
+)
+
+// serveAttempt decides on an attempt, runs it if it may run, and streams the
+// answer.
+func (a *Server) serveAttempt(ctx context.Context, s *link.Stream, w *wire.Attempt) {
+	id := contract.AttemptID{Request: contract.RequestID(w.GetRequestId()), Number: w.GetNumber()}
+	now := time.Now()
+	if r := a.admit(w, now); r != nil {
+		a.refuse(s, id, r, w)
+		return
+	}
+	var ticket *contract.Ticket
+	if w.GetTicket() != nil {
+		t := contract.TicketFromWire(w.GetTicket())
+		ticket = &t
+	}
+	verdict := a.table.Accept(id, ticket, now)
+	switch verdict.Action {
+	case record.ActionRefuse:
+		a.refuse(s, id, verdict.Refusal, w)
+	case record.ActionJoin:
+		a.stream(ctx, s, id, verdict.Attempt, 0)
+	default:
+		a.run(ctx, s, verdict.Attempt, w)
+	}
+}
+
+// admit checks what must hold before an attempt is recorded. All refusals are
+// not-run: an attempt that carries a ticket is not refused here unless the
+// ticket cannot have been used, since an earlier presentation may have run.
+func (a *Server) admit(w *wire.Attempt, now time.Time) *contract.Refusal {
+	if w.GetTicket() != nil {
+		return nil // the record knows, draining or not
+	}
+	deadline := time.UnixMilli(w.GetDeadlineUnixMs())
+	if now.After(deadline.Add(a.settings.Record.ClockSkew)) {
+		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonDeadline}
+	}
+	if a.draining.Load() {
+		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonDraining, RetryAfter: drainRetryAfter}
+	}
+	key := resource.Key{Kind: resource.KindService, Name: w.GetService()}
+	if w.GetServiceRevision() < a.config.View().Versions[key] {
+		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonStaleConfig}
+	}
+	if a.inFlight.Load() >= int64(a.settings.Engine.MaxInFlight) {
+		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonOverload, RetryAfter: drainRetryAfter}
+	}
+	return nil
+}
+
+func (a *Server) refuse(s *link.Stream, id contract.AttemptID, r *contract.Refusal, w *wire.Attempt) {
+	a.metrics.refused.Add(string(r.Reason), 1)
+	out := refusal(id, r)
+	if r.Reason == contract.ReasonStaleConfig {
+		key := resource.Key{Kind: resource.KindService, Name: w.GetService()}
+		if rec, ok := a.config.Resource(key); ok {
+			out.Newer = append(out.Newer, configuration.RecordToWire(rec))
+		}
+	}
+	a.recorder.Record(timeline.Event{
+		Kind: timeline.KindRefused, Request: id.String(),
+		Choice: string(r.Outcome), Reason: string(r.Reason), Subject: w.GetService(),
+	})
+	_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Refusal{Refusal: out}})
+}
+
+// run hands the attempt over and streams its answer. Before the hand-over it
+// makes sure that the stream still stands, so that an attempt which waited
+// while this process was paused, and was given up meanwhile, does not run.
+func (a *Server) run(ctx context.Context, s *link.Stream, at *record.Attempt, w *wire.Attempt) {
+	until := time.UnixMilli(w.GetDeadlineUnixMs()).Add(2 * a.settings.Record.ClockSkew)
+	if w.GetTicket() != nil && a.draining.Load() {
+		a.withdraw(s, at, w, until, contract.ReasonDraining)
+		return
+	}
+	engineCtx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(w.GetDeadlineUnixMs()))
+	gone := a.follow(s, cancel, w.GetIdempotent())
+	if !a.table.HandOver(at) {
+		cancel()
+		a.refuse(s, at.ID, &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonTombstoned}, w)
+		return
+	}
+	a.active.enter()
+	a.inFlight.Add(1)
+	a.metrics.handedOver.Add(1)
+	failed := make(chan error, 1)
+	a.workers.Go(func() {
+		defer cancel()
+		defer a.active.leave()
+		defer a.inFlight.Add(-1)
+		failed <- a.produce(engineCtx, at, w, until)
+	})
+	streamCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	a.workers.Go(func() {
+		select {
+		case <-gone:
+			stop()
+		case <-streamCtx.Done():
+		}
+	})
+	if a.stream(streamCtx, s, at.ID, at, 0) {
+		return
+	}
+	a.abandon(at, cancel, w.GetIdempotent(), failed)
+}
+
+// withdraw refuses an accepted attempt that was not handed over.
+func (a *Server) withdraw(s *link.Stream, at *record.Attempt, w *wire.Attempt, until time.Time, reason contract.Reason) {
+	a.table.Withdraw(at, until)
+	a.refuse(s, at.ID, &contract.Refusal{Outcome: contract.NotRun, Reason: reason, RetryAfter: drainRetryAfter}, w)
+}
+
+// follow watches the stream for the entry VM's Cancel and for its end. The
+// returned channel is closed when nobody reads the answer any more.
+func (a *Server) follow(s *link.Stream, cancel context.CancelFunc, idempotent bool) <-chan struct{} {
+	gone := make(chan struct{})
+	a.workers.Go(func() {
+		defer close(gone)
+		call, err := s.RecvCall()
+		if err == nil && call.GetCancel() != nil && idempotent {
+			cancel()
+		}
+	})
+	return gone
+}
+
+// abandon decides what happens to an attempt whose reader has gone: one that
+// may not run twice goes on to its end; another one has a time of grace in
+// which it can be resumed.
+func (a *Server) abandon(at *record.Attempt, cancel context.CancelFunc, idempotent bool, ended <-chan error) {
+	if !idempotent {
+		return
+	}
+	timer := time.NewTimer(resumeGrace)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+		if at.Answer.Readers() == 0 {
+			cancel()
+		}
+	}
+}
+
+// produce gives the attempt to the backend server and collects its answer.
+func (a *Server) produce(ctx context.Context, at *record.Attempt, w *wire.Attempt, until time.Time) error {
+	resp, err := a.engine.Do(ctx, engine.Request{
+		ID: at.ID.String(), Method: w.GetMethod(), Path: w.GetPath(), Headers: w.GetHeaders(),
+		Body: w.GetBody(), Idempotent: w.GetIdempotent(), Priority: int(w.GetPriority()),
+	})
+	if err != nil {
+		at.Answer.Finish(err)
+		if eris.Is(err, engine.ErrDial) {
+			a.table.Withdraw(at, until)
+		} else {
+			a.table.Finish(at, time.Now())
+		}
+		return err
+	}
+	defer resp.Body.Close()
+	at.Answer.SetHead(record.Head{Status: resp.StatusCode, Headers: answerHeaders(resp.Header)})
+	err = copyAnswer(ctx, at.Answer, resp.Body)
+	at.Answer.Finish(err)
+	a.table.Finish(at, time.Now())
+	return err
+}
+
+func copyAnswer(ctx context.Context, answer *record.Answer, body io.Reader) error {
+	buf := make([]byte, chunkSize)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if err := answer.Append(ctx, buf[:n]); err != nil {
+				return eris.Wrapf(record.ErrAborted, "%v", err)
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrapf(record.ErrAborted, "%v", err)
+		}
+	}
+}
+
+// answerHeaders returns the end-to-end headers of an answer.
+func answerHeaders(h http.Header) []*wire.Header {
+	out := make([]*wire.Header, 0, len(h))
+	for name, values := range h {
+		if contract.HopByHop(name) {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// stream sends an attempt's answer from the offset to an entry VM. It reports
+// false if the entry VM did not get all of it, and may come back for more.
+func (a *Server) stream(ctx context.Context, s *link.Stream, to contract.AttemptID, at *record.Attempt, offset int64) bool {
+	reader := at.Answer.Attach(offset)
+	defer reader.Detach()
+	head, err := reader.Head(ctx)
+	if err != nil {
+		return a.sendFailure(ctx, s, to, err)
+	}
+	err = s.SendReply(&wire.Reply{Body: &wire.Reply_Head{Head: &wire.AnswerHead{
+		RequestId: string(to.Request), Number: to.Number, Status: int32(head.Status), Headers: head.Headers,
+	}}})
+	if err != nil {
+		return false
+	}
+	buf := make([]byte, chunkSize)
+	for {
+		n, done, err := reader.Next(ctx, buf)
+		if err != nil {
+			return a.sendFailure(ctx, s, to, err)
+		}
+		if done {
+			end := &wire.AnswerEnd{RequestId: string(to.Request), Number: to.Number, Size: reader.Offset()}
+			return s.SendReply(&wire.Reply{Body: &wire.Reply_End{End: end}}) == nil
+		}
+		chunk := &wire.AnswerChunk{RequestId: string(to.Request), Number: to.Number, Offset: reader.Offset() - int64(n), Data: buf[:n]}
+		if s.SendReply(&wire.Reply{Body: &wire.Reply_Chunk{Chunk: chunk}}) != nil {
+			return false
+		}
+	}
+}
+
+// sendFailure ends a stream whose answer will not become whole. It reports
+// false if the reader, not the answer, is at fault.
+func (a *Server) sendFailure(ctx context.Context, s *link.Stream, to contract.AttemptID, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	r := &contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonEngineFailed}
+	switch {
+	case eris.Is(err, engine.ErrDial):
+		r = &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonEngineDial}
+	case eris.Is(err, record.ErrTombstoned):
+		r = &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonTombstoned}
+	case eris.Is(err, record.ErrEvicted):
+		r.Reason = contract.ReasonAnswerEvicted
+	}
+	a.metrics.refused.Add(string(r.Reason), 1)
+	a.recorder.Record(timeline.Event{
+		Kind: timeline.KindRefused, Request: to.String(), Choice: string(r.Outcome), Reason: err.Error(),
+	})
+	_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Refusal{Refusal: refusal(to, r)}})
+	return true
+}
+
+// serveResume streams the rest of an answer to an entry VM that lost its link
+// or took over from another one.
+func (a *Server) serveResume(ctx context.Context, s *link.Stream, w *wire.Resume) {
+	id := contract.AttemptID{Request: contract.RequestID(w.GetRequestId()), Number: w.GetNumber()}
+	at, ok := a.table.Find(id, vm.Incarnation(w.GetIncarnation()))
+	if !ok {
+		r := &contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonUnknownAttempt}
+		_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Refusal{Refusal: refusal(id, r)}})
+		return
+	}
+	a.recorder.Record(timeline.Event{Kind: timeline.KindResume, Request: id.String()})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	gone := a.follow(s, func() {}, false)
+	a.workers.Go(func() {
+		select {
+		case <-gone:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	a.stream(ctx, s, id, at, w.GetOffset())
+}
+
+// serveFate answers what became of an attempt.
+func (a *Server) serveFate(s *link.Stream, w *wire.FateQuery) {
+	q := record.Query{
+		ID:          contract.AttemptID{Request: contract.RequestID(w.GetRequestId()), Number: w.GetNumber()},
+		Incarnation: vm.Incarnation(w.GetIncarnation()),
+		Sent:        time.UnixMilli(w.GetSentUnixMs()),
+		Deadline:    time.UnixMilli(w.GetDeadlineUnixMs()),
+	}
+	fate := a.table.Fate(q, time.Now())
+	names := map[record.Fate]wire.Fate{
+		record.FateTombstoned: wire.Fate_FATE_TOMBSTONED,
+		record.FateRunning:    wire.Fate_FATE_RUNNING,
+		record.FateAnswered:   wire.Fate_FATE_ANSWERED,
+		record.FateLost:       wire.Fate_FATE_LOST,
+	}
+	a.recorder.Record(timeline.Event{Kind: timeline.KindFate, Request: q.ID.String(), Choice: names[fate].String()})
+	_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Fate{Fate: &wire.FateReply{Fate: names[fate]}}})
+}
--- /dev/null
+++ b/agent/server/server.go
@@ -0,0 +1,245 @@
+// Package server is the agent: the one process on a backend server's VM that
+// gives the backend server requests and orders.
+//
+// It accepts links from entry VMs and other agents, runs attempts through the
+// record, reports load, spreads configuration to itself from the entry VMs
+// that link to it, and takes part in the switch of its group's expert map.
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"baywall.example/agent/engine"
+	"baywall.example/agent/group"
+	"baywall.example/agent/record"
+	"baywall.example/core/configuration"
+	"baywall.example/core/contract"
+	"baywall.example/core/link"
+	"baywall.example/core/timeline"
+	"baywall.example/core/vm"
+	"baywall.example/core/wire"
+	"baywall.example/core/zone"
+)
+
+// ErrStart means that the agent could not start.
+var ErrStart = eris.New("agent: start")
+
+// Server is one agent process.
+type Server struct {
+	settings    Settings
+	log         zerolog.Logger
+	incarnation vm.Incarnation
+	recorder    *timeline.Recorder
+	local       *link.Local
+	config      *configuration.Store
+	vms         *configuration.VMs
+	table       *record.Table
+	engine      *engine.Client
+	pool        *link.Pool
+	groups      *group.Set
+	metrics     *metrics
+
+	inFlight atomic.Int64
+	draining atomic.Bool
+	load     atomic.Pointer[engine.Load]
+	active   inFlightGate
+	workers  conc.WaitGroup
+	stop     context.CancelFunc
+	listener net.Listener
+	debug    *http.Server
+}
+
+// inFlightGate counts running attempts and lets a drain wait for the last.
+type inFlightGate struct {
+	mu    sync.Mutex
+	count int
+	idle  chan struct{} // closed when count is 0, nil if nobody waits
+}
+
+func (g *inFlightGate) enter() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.count++
+}
+
+func (g *inFlightGate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.count--
+	if g.count == 0 && g.idle != nil {
+		close(g.idle)
+		g.idle = nil
+	}
+}
+
+func (g *inFlightGate) wait(ctx context.Context) error {
+	g.mu.Lock()
+	if g.count == 0 {
+		g.mu.Unlock()
+		return nil
+	}
+	if g.idle == nil {
+		g.idle = make(chan struct{})
+	}
+	idle := g.idle
+	g.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// New returns an agent with validated settings; Start runs it.
+func New(s Settings, log zerolog.Logger, now time.Time) *Server {
+	id := vm.ID(s.VM)
+	a := &Server{
+		settings:    s,
+		log:         log,
+		incarnation: vm.NewIncarnation(now),
+		recorder:    timeline.NewRecorder(id, timeline.DefaultCapacity, log),
+		config:      configuration.NewStore(true),
+		vms:         configuration.NewVMs(),
+		engine:      engine.New(s.Engine.Address),
+	}
+	a.table = record.NewTable(id, a.incarnation, record.Limits{
+		Retention:   s.Record.Retention,
+		TicketGrace: s.Record.TicketGrace,
+		ClockSkew:   s.Record.ClockSkew,
+		AnswerBytes: int64(s.Record.AnswerBytes),
+	})
+	host, _, _ := net.SplitHostPort(s.Link.Listen)
+	a.local = &link.Local{
+		VM: id, Incarnation: a.incarnation, Role: vm.RoleBackend, Zone: zone.ID(s.Zone),
+		BindIP: host, Clock: a.recorder.Clock(), Log: log, Revisions: a.revisions,
+	}
+	a.pool = link.NewPool(a.local, a, nil, nil)
+	a.groups = group.NewSet(group.Environment{
+		VM: id, Incarnation: a.incarnation, Engine: a.engine, Pool: a.pool,
+		Config: a.config, VMs: a.vms, Recorder: a.recorder, Log: log,
+	})
+	a.metrics = newMetrics(a)
+	a.load.Store(&engine.Load{})
+	return a
+}
+
+func (a *Server) revisions() (config, vms uint64) {
+	return a.config.Revision(), a.vms.List().Revision
+}
+
+// Start opens the listeners and begins to serve.
+func (a *Server) Start() error {
+	ln, err := net.Listen("tcp", a.settings.Link.Listen)
+	if err != nil {
+		return eris.Wrapf(ErrStart, "link.listen: %v", err)
+	}
+	a.listener = ln
+	ctx, cancel := context.WithCancel(context.Background())
+	a.stop = cancel
+	a.workers.Go(func() { _ = link.Accept(ln, a.local, a.authorize, a) })
+	if a.settings.Engine.Kind == KindEngine {
+		a.workers.Go(func() { a.pollLoad(ctx) })
+		a.workers.Go(func() { a.groups.Run(ctx) })
+	}
+	if a.settings.Debug.Listen != "" {
+		if err := a.serveDebug(); err != nil {
+			cancel()
+			ln.Close()
+			return err
+		}
+	}
+	a.recorder.Record(timeline.Event{Kind: timeline.KindStart, Subject: a.settings.Link.Listen})
+	return nil
+}
+
+// Stop refuses new attempts, waits for those in flight up to the drain timeout
+// and ends.
+func (a *Server) Stop(ctx context.Context) error {
+	a.draining.Store(true)
+	a.recorder.Record(timeline.Event{Kind: timeline.KindDrain})
+	ctx, cancel := context.WithTimeout(ctx, a.settings.Drain.Timeout)
+	defer cancel()
+	err := a.active.wait(ctx)
+	a.recorder.Record(timeline.Event{Kind: timeline.KindStop})
+	a.stop()
+	a.listener.Close()
+	if a.debug != nil {
+		_ = a.debug.Close()
+	}
+	a.pool.Close()
+	a.workers.Wait()
+	if err != nil {
+		return eris.Wrap(err, "agent: drain timeout")
+	}
+	return nil
+}
+
+// authorize accepts links only from VMs on the list, from their own address.
+// Before the first list has come, nobody can be checked and all may link.
+func (a *Server) authorize(h *wire.Hello, remote net.Addr) error {
+	return configuration.Authorize(a.vms.List(), h, remote)
+}
+
+// ServeStream handles one call from another VM.
+func (a *Server) ServeStream(ctx context.Context, from *link.Link, s *link.Stream, call *wire.Call) {
+	switch body := call.GetBody().(type) {
+	case *wire.Call_Attempt:
+		a.serveAttempt(ctx, s, body.Attempt)
+	case *wire.Call_Resume:
+		a.serveResume(ctx, s, body.Resume)
+	case *wire.Call_Fate:
+		a.serveFate(s, body.Fate)
+	case *wire.Call_Watch:
+		a.serveReports(ctx, s)
+	case *wire.Call_Announce:
+		a.pull(ctx, from, body.Announce)
+	case *wire.Call_Pull:
+		reply := configuration.AnswerPull(body.Pull, a.config, a.vms)
+		_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Pull{Pull: reply}})
+	case *wire.Call_SwitchOrder:
+		reply := a.groups.Handle(ctx, body.SwitchOrder)
+		_ = s.SendReply(&wire.Reply{Body: &wire.Reply_SwitchReply{SwitchReply: reply}})
+	case *wire.Call_Timeline:
+		events := a.recorder.Select(timeline.FilterFromWire(body.Timeline))
+		_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Timeline{Timeline: timeline.EventsToWire(events)}})
+	default:
+		a.log.Warn().Str("vm", string(from.Remote)).Msg("unexpected call")
+	}
+}
+
+// pull fetches what an entry VM announced, over the link it came by.
+func (a *Server) pull(ctx context.Context, from *link.Link, n *wire.Announce) {
+	config, vms := a.revisions()
+	if n.GetConfigRevision() <= config && n.GetVmsRevision() <= vms {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	reply, err := from.Call(ctx, &wire.Call{Body: &wire.Call_Pull{Pull: configuration.NewPull(a.config, a.vms)}})
+	if err != nil {
+		a.log.Warn().Str("vm", string(from.Remote)).Err(err).Msg("pull failed")
+		return
+	}
+	changes, _ := configuration.ApplyPull(reply.GetPull(), a.config, a.vms)
+	configuration.RecordChanges(a.recorder, changes)
+}
+
+// pullTimeout bounds one exchange of configuration.
+const pullTimeout = 3 * time.Second
+
+func refusal(id contract.AttemptID, r *contract.Refusal) *wire.Refusal {
+	return &wire.Refusal{
+		RequestId: string(id.Request), Number: id.Number, Outcome: r.Outcome.Wire(),
+		Reason: string(r.Reason), RetryAfterMs: r.RetryAfter.Milliseconds(),
+	}
+}
--- /dev/null
+++ b/core/configuration/store.go
@@ -0,0 +1,365 @@
+package configuration
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"baywall.example/core/rendezvous"
+	"baywall.example/core/resource"
+	"baywall.example/core/vm"
+)
+
+// maxTombstones bounds the deletions that a Store remembers.
+const maxTombstones = 4096
+
+// Record is one version of one resource as the platform or a peer tells it.
+type Record struct {
+	Key      resource.Key
+	Revision uint64 // of Spec
+	Spec     []byte // JSON, nil if there never was a good version
+	Deleted  bool
+	// RejectedRevision is that of a newer version which did not validate.
+	RejectedRevision uint64
+	RejectedReason   string
+}
+
+// latest returns the largest revision the record speaks of.
+func (r Record) latest() uint64 { return max(r.Revision, r.RejectedRevision) }
+
+// Batch is a set of records known at one revision of the whole.
+type Batch struct {
+	Revision uint64
+	Full     bool // Records is everything; what is missing was deleted
+	Records  []Record
+}
+
+// Status tells how far one resource got in this process.
+type Status struct {
+	Key              resource.Key
+	Revision         uint64 // in force, 0 if none
+	RejectedRevision uint64 // newer than Revision, 0 if none
+	RejectedReason   string
+}
+
+// View is the configuration in force at one moment. It is never changed after
+// it was published, so readers need no lock.
+type View struct {
+	Revision uint64
+	Services map[string]*resource.Service
+	Teams    map[string]*resource.Team
+	Intents  map[string]*resource.Intent // by service
+	Groups   map[string]*resource.Group
+	Versions map[resource.Key]uint64
+}
+
+// Digests summarise every version in force, so that peers find differences.
+type Digests struct {
+	Core  uint64 // services, intents and groups
+	Teams uint64
+}
+
+// Store holds the configuration of one process. It is safe for concurrent use.
+type Store struct {
+	withoutTeams bool
+	view         atomic.Pointer[View]
+
+	mu         sync.Mutex
+	revision   uint64
+	records    map[resource.Key]*entry
+	tombstones int
+	floor      uint64 // deletions up to this revision may be forgotten
+	digests    Digests
+	changed    chan struct{}
+}
+
+type entry struct {
+	Record
+	spec resource.Spec // decoded Spec, nil if deleted or never good
+}
+
+// NewStore returns an empty store. One without teams ignores team records,
+// for agents, which have no use for them.
+func NewStore(withoutTeams bool) *Store {
+	s := &Store{
+		withoutTeams: withoutTeams,
+		records:      make(map[resource.Key]*entry),
+		changed:      make(chan struct{}),
+	}
+	s.view.Store(emptyView())
+	return s
+}
+
+func emptyView() *View {
+	return &View{
+		Services: make(map[string]*resource.Service),
+		Teams:    make(map[string]*resource.Team),
+		Intents:  make(map[string]*resource.Intent),
+		Groups:   make(map[string]*resource.Group),
+		Versions: make(map[resource.Key]uint64),
+	}
+}
+
+// View returns the configuration in force.
+func (s *Store) View() *View { return s.view.Load() }
+
+// Revision returns the largest revision of the whole that was applied.
+func (s *Store) Revision() uint64 { return s.View().Revision }
+
+// Digest returns the digests of the versions in force.
+func (s *Store) Digest() Digests {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.digests
+}
+
+// Changed returns a channel that is closed at the next change.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Apply folds a batch into the store. It returns the statuses of the resources
+// whose version or rejection changed; an empty result means nothing did.
+func (s *Store) Apply(b Batch) []Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var changes []Status
+	for _, rec := range b.Records {
+		if s.withoutTeams && rec.Key.Kind == resource.KindTeam {
+			continue
+		}
+		if s.fold(rec) {
+			changes = append(changes, s.statusOf(rec.Key))
+		}
+	}
+	if b.Full && b.Revision > s.revision {
+		changes = append(changes, s.deleteMissing(b)...)
+	}
+	if b.Revision <= s.revision && len(changes) == 0 {
+		return nil
+	}
+	s.revision = max(s.revision, b.Revision)
+	s.publish()
+	return changes
+}
+
+// fold merges one record and reports whether anything changed.
+func (s *Store) fold(rec Record) bool {
+	old := s.records[rec.Key]
+	if old == nil {
+		old = &entry{Record: Record{Key: rec.Key}}
+	}
+	next := *old
+	if rec.Revision > old.Revision {
+		s.foldVersion(&next, rec)
+	}
+	if rec.RejectedRevision > next.latest() {
+		next.RejectedRevision = rec.RejectedRevision
+		next.RejectedReason = rec.RejectedReason
+	}
+	if next.RejectedRevision <= next.Revision {
+		next.RejectedRevision = 0
+		next.RejectedReason = ""
+	}
+	if next.Revision == old.Revision && next.RejectedRevision == old.RejectedRevision {
+		return false
+	}
+	s.replace(old, &next)
+	return true
+}
+
+func (s *Store) foldVersion(next *entry, rec Record) {
+	if rec.Deleted {
+		next.Revision, next.Spec, next.spec, next.Deleted = rec.Revision, nil, nil, true
+		return
+	}
+	if rec.Spec == nil {
+		return
+	}
+	spec, err := resource.Decode(rec.Key, rec.Spec)
+	if err != nil {
+		if rec.Revision > next.RejectedRevision {
+			next.RejectedRevision = rec.Revision
+			next.RejectedReason = err.Error()
+		}
+		return
+	}
+	next.Revision, next.Spec, next.spec, next.Deleted = rec.Revision, rec.Spec, spec, false
+}
+
+// replace swaps an entry and keeps digests and the tombstone count in step.
+func (s *Store) replace(old, next *entry) {
+	digest := &s.digests.Core
+	if next.Key.Kind == resource.KindTeam {
+		digest = &s.digests.Teams
+	}
+	*digest ^= versionHash(old.Record) ^ versionHash(next.Record)
+	if next.Deleted && !old.Deleted {
+		s.tombstones++
+	}
+	if old.Deleted && !next.Deleted {
+		s.tombstones--
+	}
+	s.records[next.Key] = next
+	if s.tombstones > maxTombstones {
+		s.forgetTombstones()
+	}
+}
+
+// versionHash hashes a resource and its version in force; a resource without
+// one, and a deleted one, hash to 0, so that forgotten tombstones do not count.
+func versionHash(r Record) uint64 {
+	if r.Revision == 0 || r.Deleted {
+		return 0
+	}
+	return rendezvous.Weight(rendezvous.Hash(r.Key.String()), r.Revision)
+}
+
+func (s *Store) forgetTombstones() {
+	for key, e := range s.records {
+		if e.Deleted && e.RejectedRevision == 0 {
+			s.floor = max(s.floor, e.Revision)
+			delete(s.records, key)
+		}
+	}
+	s.tombstones = 0
+}
+
+func (s *Store) deleteMissing(b Batch) []Status {
+	present := make(map[resource.Key]struct{}, len(b.Records))
+	for _, rec := range b.Records {
+		present[rec.Key] = struct{}{}
+	}
+	var changes []Status
+	for key, e := range s.records {
+		_, ok := present[key]
+		if ok || e.Deleted || e.latest() > b.Revision {
+			continue
+		}
+		s.fold(Record{Key: key, Revision: b.Revision, Deleted: true})
+		changes = append(changes, s.statusOf(key))
+	}
+	return changes
+}
+
+// publish builds a new View and wakes those who wait for a change.
+func (s *Store) publish() {
+	v := emptyView()
+	v.Revision = s.revision
+	for key, e := range s.records {
+		if e.spec == nil {
+			continue
+		}
+		v.Versions[key] = e.Revision
+		switch spec := e.spec.(type) {
+		case *resource.Service:
+			v.Services[key.Name] = spec
+		case *resource.Team:
+			v.Teams[key.Name] = spec
+		case *resource.Intent:
+			v.Intents[spec.Service] = spec
+		case *resource.Group:
+			v.Groups[key.Name] = spec
+		}
+	}
+	s.view.Store(v)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) statusOf(key resource.Key) Status {
+	e := s.records[key]
+	if e == nil {
+		return Status{Key: key}
+	}
+	revision := e.Revision
+	if e.Deleted {
+		revision = 0
+	}
+	return Status{Key: key, Revision: revision, RejectedRevision: e.RejectedRevision, RejectedReason: e.RejectedReason}
+}
+
+// Resource returns one resource's record, and false if there is none.
+func (s *Store) Resource(key resource.Key) (Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.records[key]
+	if e == nil || e.Deleted {
+		return Record{}, false
+	}
+	return e.Record, true
+}
+
+// Select returns the records of one kind that are not deleted, in no order.
+func (s *Store) Select(kind resource.Kind) []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Record
+	for key, e := range s.records {
+		if key.Kind == kind && !e.Deleted {
+			out = append(out, e.Record)
+		}
+	}
+	return out
+}
+
+// Since returns what changed after the revision, as a batch for a peer. With
+// full set, or if deletions since then were forgotten, it returns everything.
+func (s *Store) Since(revision uint64, full, withoutTeams bool) Batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	full = full || revision < s.floor || revision == 0
+	b := Batch{Revision: s.revision, Full: full}
+	for key, e := range s.records {
+		if withoutTeams && key.Kind == resource.KindTeam {
+			continue
+		}
+		if e.Deleted && full {
+			continue
+		}
+		if full || e.latest() > revision {
+			b.Records = append(b.Records, e.Record)
+		}
+	}
+	return b
+}
+
+// VMs holds the newest list of VMs seen. It is safe for concurrent use.
+type VMs struct {
+	list atomic.Pointer[vm.List]
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// NewVMs returns a holder of an empty list at revision 0.
+func NewVMs() *VMs {
+	v := &VMs{changed: make(chan struct{})}
+	v.list.Store(&vm.List{})
+	return v
+}
+
+// List returns the newest list.
+func (v *VMs) List() vm.List { return *v.list.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (v *VMs) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// Apply keeps the list if it is newer than the one held, and reports whether
+// it did.
+func (v *VMs) Apply(l vm.List) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if l.Revision <= v.list.Load().Revision {
+		return false
+	}
+	v.list.Store(&l)
+	close(v.changed)
+	v.changed = make(chan struct{})
+	return true
+}
--- /dev/null
+++ b/core/link/link.go
@@ -0,0 +1,373 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"baywall.example/core/timeline"
+	"baywall.example/core/vm"
+	"baywall.example/core/wire"
+	"baywall.example/core/zone"
+)
+
+// Errors of the link layer.
+var (
+	// ErrUnreachable means that no link could be made.
+	ErrUnreachable = eris.New("link: unreachable")
+	// ErrLost means that the link or the stream broke.
+	ErrLost = eris.New("link: lost")
+	// ErrProtocol means that the other side sent something unexpected.
+	ErrProtocol = eris.New("link: protocol violation")
+	// ErrUnauthorized means that the other side is not on the live list.
+	ErrUnauthorized = eris.New("link: unauthorized")
+	// ErrReplaced means that the VM runs another incarnation than asked for.
+	ErrReplaced = eris.New("link: incarnation replaced")
+)
+
+const (
+	// MaxMessage is the largest message, in bytes.
+	MaxMessage = 6 << 20
+	// helloTimeout bounds dialing and the exchange of Hello messages.
+	helloTimeout = 2 * time.Second
+	// keepAlive is the interval of the session's keep-alive pings.
+	keepAlive = time.Second
+	// writeTimeout bounds a write to a peer that does not read.
+	writeTimeout = 3 * time.Second
+	// streamBuffer is the size of a stream's read buffer, in bytes.
+	streamBuffer = 4096
+)
+
+// Local is what a process tells about itself when a link opens.
+type Local struct {
+	VM          vm.ID
+	Incarnation vm.Incarnation
+	Role        vm.Role
+	Zone        zone.ID
+	BindIP      string // source IP of outgoing links, empty = any
+	Clock       *timeline.Clock
+	Revisions   func() (config, vms uint64)
+	Log         zerolog.Logger
+}
+
+func (l *Local) hello() *wire.Hello {
+	config, vms := l.Revisions()
+	return &wire.Hello{
+		Vm: string(l.VM), Incarnation: uint64(l.Incarnation), Role: string(l.Role),
+		Zone: string(l.Zone), ConfigRevision: config, VmsRevision: vms,
+	}
+}
+
+// Handler serves the streams that the other side of a link opens.
+type Handler interface {
+	// ServeStream handles one call. The stream is closed when it returns.
+	ServeStream(ctx context.Context, from *Link, s *Stream, call *wire.Call)
+}
+
+// Link is one session with another VM.
+type Link struct {
+	local       *Local
+	session     *yamux.Session
+	Remote      vm.ID
+	Incarnation vm.Incarnation
+	Role        vm.Role
+	Zone        zone.ID
+	sent        atomic.Int64
+	received    atomic.Int64
+}
+
+func sessionConfig(log zerolog.Logger) *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.KeepAliveInterval = keepAlive
+	c.ConnectionWriteTimeout = writeTimeout
+	c.StreamOpenTimeout = 0
+	c.AcceptBacklog = 4096
+	c.LogOutput = nil
+	c.Logger = sessionLogger{log}
+	return c
+}
+
+// sessionLogger turns the session library's log lines into ours.
+type sessionLogger struct{ log zerolog.Logger }
+
+func (l sessionLogger) Print(v ...any)            { l.log.Debug().Msg("session") }
+func (l sessionLogger) Println(v ...any)          { l.log.Debug().Msg("session") }
+func (l sessionLogger) Printf(f string, v ...any) { l.log.Debug().Msgf(f, v...) }
+
+// Dial opens a link to the address and serves streams that the other side
+// opens with the handler, which may be nil.
+func Dial(ctx context.Context, local *Local, address string, handler Handler) (*Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	var d net.Dialer
+	if local.BindIP != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(local.BindIP)}
+	}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
+	}
+	l := &Link{local: local}
+	l.session, err = yamux.Client(countingConn{Conn: conn, link: l}, sessionConfig(local.Log))
+	if err != nil {
+		conn.Close()
+		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
+	}
+	if err := l.greet(ctx); err != nil {
+		l.Close()
+		return nil, err
+	}
+	go l.serve(handler)
+	return l, nil
+}
+
+func (l *Link) greet(ctx context.Context) error {
+	s, err := l.Open(ctx)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if err := s.SendCall(&wire.Call{Body: &wire.Call_Hello{Hello: l.local.hello()}}); err != nil {
+		return err
+	}
+	reply, err := s.RecvReply()
+	if err != nil {
+		return err
+	}
+	return l.identify(reply.GetHello())
+}
+
+func (l *Link) identify(h *wire.Hello) error {
+	if h.GetVm() == "" {
+		return eris.Wrap(ErrProtocol, "no hello")
+	}
+	l.Remote = vm.ID(h.GetVm())
+	l.Incarnation = vm.Incarnation(h.GetIncarnation())
+	l.Role = vm.Role(h.GetRole())
+	l.Zone = zone.ID(h.GetZone())
+	return nil
+}
+
+// Authorizer decides whether a VM may open a link; an error refuses it.
+type Authorizer func(h *wire.Hello, remote net.Addr) error
+
+// Accept serves links on the listener until it is closed.
+func Accept(ln net.Listener, local *Local, authorize Authorizer, handler Handler) error {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return eris.Wrapf(ErrLost, "accept: %v", err)
+		}
+		go accept(conn, local, authorize, handler)
+	}
+}
+
+func accept(conn net.Conn, local *Local, authorize Authorizer, handler Handler) {
+	l := &Link{local: local}
+	session, err := yamux.Server(countingConn{Conn: conn, link: l}, sessionConfig(local.Log))
+	if err != nil {
+		conn.Close()
+		return
+	}
+	l.session = session
+	if err := l.welcome(conn.RemoteAddr(), authorize); err != nil {
+		local.Log.Warn().Str("remote", conn.RemoteAddr().String()).Err(err).Msg("link refused")
+		l.Close()
+		return
+	}
+	l.serve(handler)
+}
+
+func (l *Link) welcome(remote net.Addr, authorize Authorizer) error {
+	timer := time.AfterFunc(helloTimeout, func() { l.Close() })
+	defer timer.Stop()
+	raw, err := l.session.AcceptStream()
+	if err != nil {
+		return eris.Wrapf(ErrLost, "hello: %v", err)
+	}
+	s := l.wrap(raw)
+	defer s.Close()
+	call, err := s.RecvCall()
+	if err != nil {
+		return err
+	}
+	if err := l.identify(call.GetHello()); err != nil {
+		return err
+	}
+	if authorize != nil {
+		if err := authorize(call.GetHello(), remote); err != nil {
+			return err
+		}
+	}
+	return s.SendReply(&wire.Reply{Body: &wire.Reply_Hello{Hello: l.local.hello()}})
+}
+
+// serve handles streams until the session ends.
+func (l *Link) serve(handler Handler) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for {
+		raw, err := l.session.AcceptStream()
+		if err != nil {
+			return
+		}
+		if handler == nil {
+			raw.Close()
+			continue
+		}
+		go l.serveStream(ctx, handler, l.wrap(raw))
+	}
+}
+
+func (l *Link) serveStream(ctx context.Context, handler Handler, s *Stream) {
+	defer s.Close()
+	call, err := s.RecvCall()
+	if err != nil {
+		if eris.Is(err, ErrProtocol) {
+			l.local.Log.Warn().Str("vm", string(l.Remote)).Err(err).Msg("link closed: bad message")
+			l.Close()
+		}
+		return
+	}
+	handler.ServeStream(ctx, l, s, call)
+}
+
+// Close ends the session and all its streams.
+func (l *Link) Close() { _ = l.session.Close() }
+
+// Closed reports whether the session has ended.
+func (l *Link) Closed() bool { return l.session.IsClosed() }
+
+// Done returns a channel that is closed when the session ends.
+func (l *Link) Done() <-chan struct{} { return l.session.CloseChan() }
+
+// Traffic returns the bytes sent and received so far.
+func (l *Link) Traffic() (sent, received int64) { return l.sent.Load(), l.received.Load() }
+
+// Open opens a stream.
+func (l *Link) Open(ctx context.Context) (*Stream, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, eris.Wrapf(ErrLost, "open: %v", err)
+	}
+	raw, err := l.session.OpenStream()
+	if err != nil {
+		return nil, eris.Wrapf(ErrLost, "open: %v", err)
+	}
+	return l.wrap(raw), nil
+}
+
+// Call opens a stream, sends the call and waits for a single reply, until the
+// context ends.
+func (l *Link) Call(ctx context.Context, call *wire.Call) (*wire.Reply, error) {
+	s, err := l.Open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	stop := context.AfterFunc(ctx, func() { _ = s.raw.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := s.SendCall(call); err != nil {
+		return nil, err
+	}
+	return s.RecvReply()
+}
+
+// Stream carries one call and its replies. Sending and receiving may each be
+// done by one goroutine at a time.
+type Stream struct {
+	raw    *yamux.Stream
+	reader *bufio.Reader
+	link   *Link
+}
+
+func (l *Link) wrap(raw *yamux.Stream) *Stream {
+	return &Stream{raw: raw, reader: bufio.NewReaderSize(raw, streamBuffer), link: l}
+}
+
+// Close ends the stream in both directions.
+func (s *Stream) Close() { _ = s.raw.Close() }
+
+// SetReadDeadline bounds later receives; the zero time removes the bound.
+func (s *Stream) SetReadDeadline(t time.Time) { _ = s.raw.SetReadDeadline(t) }
+
+// SendCall sends a call stamped with the local clock.
+func (s *Stream) SendCall(c *wire.Call) error {
+	c.Clock = uint64(s.link.local.Clock.Now(time.Now()))
+	return s.send(c)
+}
+
+// SendReply sends a reply stamped with the local clock.
+func (s *Stream) SendReply(r *wire.Reply) error {
+	r.Clock = uint64(s.link.local.Clock.Now(time.Now()))
+	return s.send(r)
+}
+
+func (s *Stream) send(m proto.Message) error {
+	_ = s.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := protodelim.MarshalTo(s.raw, m); err != nil {
+		return eris.Wrapf(ErrLost, "send: %v", err)
+	}
+	return nil
+}
+
+// RecvCall receives a call and merges its clock.
+func (s *Stream) RecvCall() (*wire.Call, error) {
+	var c wire.Call
+	if err := s.recv(&c); err != nil {
+		return nil, err
+	}
+	s.link.local.Clock.Observe(timeline.Stamp(c.GetClock()), time.Now())
+	return &c, nil
+}
+
+// RecvReply receives a reply and merges its clock.
+func (s *Stream) RecvReply() (*wire.Reply, error) {
+	var r wire.Reply
+	if err := s.recv(&r); err != nil {
+		return nil, err
+	}
+	s.link.local.Clock.Observe(timeline.Stamp(r.GetClock()), time.Now())
+	return &r, nil
+}
+
+func (s *Stream) recv(m proto.Message) error {
+	err := protodelim.UnmarshalOptions{MaxSize: MaxMessage}.UnmarshalFrom(s.reader, m)
+	if err == nil {
+		return nil
+	}
+	var tooLarge *protodelim.SizeTooLargeError
+	if eris.As(err, &tooLarge) || eris.Is(err, proto.Error) {
+		return eris.Wrapf(ErrProtocol, "receive: %v", err)
+	}
+	if eris.Is(err, io.EOF) {
+		return eris.Wrap(ErrLost, "receive: end of stream")
+	}
+	return eris.Wrapf(ErrLost, "receive: %v", err)
+}
+
+// countingConn counts a link's bytes.
+type countingConn struct {
+	net.Conn
+	link *Link
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.link.received.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.link.sent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/core/link/pool.go
@@ -0,0 +1,159 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"baywall.example/core/vm"
+)
+
+const (
+	// firstBackoff and lastBackoff bound the pause after a failed dial.
+	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = time.Second
+)
+
+// Pool keeps at most one outgoing link per VM. It is safe for concurrent use;
+// each VM's link has its own lock, so that a slow dial delays nobody else.
+type Pool struct {
+	local   *Local
+	handler Handler
+	onUp    func(*Link)
+	onDown  func(*Link)
+
+	mu    sync.Mutex
+	slots map[vm.ID]*slot
+}
+
+type slot struct {
+	mu      sync.Mutex
+	link    *Link
+	address string
+	backoff time.Duration
+	retryAt time.Time
+}
+
+// NewPool returns an empty pool. The callbacks, which may be nil, run once for
+// each link made and lost.
+func NewPool(local *Local, handler Handler, onUp, onDown func(*Link)) *Pool {
+	return &Pool{local: local, handler: handler, onUp: onUp, onDown: onDown, slots: make(map[vm.ID]*slot)}
+}
+
+// Get returns the link to the VM, dialing if there is none. While a failed
+// dial's backoff lasts it fails at once.
+func (p *Pool) Get(ctx context.Context, v vm.VM) (*Link, error) {
+	s := p.slot(v.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.link != nil && !s.link.Closed() && s.address == v.Link {
+		return s.link, nil
+	}
+	if s.address == v.Link && time.Now().Before(s.retryAt) {
+		return nil, eris.Wrapf(ErrUnreachable, "%s: waiting after a failed dial", v.ID)
+	}
+	return p.dial(ctx, s, v)
+}
+
+func (p *Pool) dial(ctx context.Context, s *slot, v vm.VM) (*Link, error) {
+	if s.link != nil {
+		s.link.Close()
+		s.link = nil
+	}
+	s.address = v.Link
+	l, err := Dial(ctx, p.local, v.Link, p.handler)
+	if err == nil && l.Remote != v.ID {
+		l.Close()
+		err = eris.Wrapf(ErrProtocol, "%s answered as %s", v.ID, l.Remote)
+	}
+	if err != nil {
+		s.backoff = min(max(2*s.backoff, firstBackoff), lastBackoff)
+		s.retryAt = time.Now().Add(s.backoff)
+		return nil, err
+	}
+	s.link, s.backoff, s.retryAt = l, 0, time.Time{}
+	p.watch(l)
+	return l, nil
+}
+
+func (p *Pool) watch(l *Link) {
+	if p.onUp != nil {
+		p.onUp(l)
+	}
+	go func() {
+		<-l.Done()
+		if p.onDown != nil {
+			p.onDown(l)
+		}
+	}()
+}
+
+// Open returns the live link to a VM if there is one, without dialing.
+func (p *Pool) Open(id vm.ID) (*Link, bool) {
+	s := p.slot(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.link == nil || s.link.Closed() {
+		return nil, false
+	}
+	return s.link, true
+}
+
+// Retain closes the links to VMs for which keep returns false.
+func (p *Pool) Retain(keep func(vm.ID) bool) {
+	p.mu.Lock()
+	var drop []*slot
+	for id, s := range p.slots {
+		if !keep(id) {
+			drop = append(drop, s)
+			delete(p.slots, id)
+		}
+	}
+	p.mu.Unlock()
+	for _, s := range drop {
+		s.close()
+	}
+}
+
+// Links returns the live links.
+func (p *Pool) Links() []*Link {
+	p.mu.Lock()
+	slots := make([]*slot, 0, len(p.slots))
+	for _, s := range p.slots {
+		slots = append(slots, s)
+	}
+	p.mu.Unlock()
+	var out []*Link
+	for _, s := range slots {
+		s.mu.Lock()
+		if s.link != nil && !s.link.Closed() {
+			out = append(out, s.link)
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// Close closes every link.
+func (p *Pool) Close() { p.Retain(func(vm.ID) bool { return false }) }
+
+func (s *slot) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.link != nil {
+		s.link.Close()
+	}
+}
+
+func (p *Pool) slot(id vm.ID) *slot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.slots[id]
+	if s == nil {
+		s = &slot{}
+		p.slots[id] = s
+	}
+	return s
+}
--- /dev/null
+++ b/core/platform/platform.go
@@ -0,0 +1,210 @@
+// Package platform reads what the operators' platform publishes: configuration
+// resources and the list of VMs. Nothing is ever written there.
+//
+// The protocol is HTTP: GET /v1/values/{key}?after=N&wait=D answers 200 with a
+// Value newer than revision N as soon as there is one, or 304 once the wait is
+// over. Values hold up to a megabyte, so configuration is published in shards:
+// the value "index" lists the shards and their revisions, and each shard lists
+// resources with the revision at which each last changed. A change costs its
+// reader two calls, whatever the size of the whole. The list of VMs is the
+// value "vms". A real platform with another protocol replaces this file.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"baywall.example/core/configuration"
+	"baywall.example/core/resource"
+	"baywall.example/core/vm"
+)
+
+// Errors of the platform layer.
+var (
+	// ErrUnavailable means that the platform did not answer, or not in time.
+	ErrUnavailable = eris.New("platform: unavailable")
+	// ErrUnchanged means that the wait ended without a newer revision.
+	ErrUnchanged = eris.New("platform: unchanged")
+	// ErrMalformed means that the platform's answer could not be read.
+	ErrMalformed = eris.New("platform: malformed answer")
+	// ErrStale means that a shard was older than the index said.
+	ErrStale = eris.New("platform: stale shard")
+)
+
+// Names of the published values.
+const (
+	KeyIndex = "index"
+	KeyVMs   = "vms"
+)
+
+// maxValueBytes is the largest value the platform holds, with some room for
+// the envelope.
+const maxValueBytes = 1<<20 + 1<<12
+
+// Value is one published value.
+type Value struct {
+	Revision uint64          `json:"revision"`
+	Data     json.RawMessage `json:"data"`
+}
+
+// Index lists the shards of the configuration with their revisions.
+type Index struct {
+	Shards map[string]uint64 `json:"shards"`
+}
+
+// Shard is a part of the configuration.
+type Shard struct {
+	Resources []Resource `json:"resources"`
+}
+
+// Resource is one published resource.
+type Resource struct {
+	Kind     resource.Kind   `json:"kind"`
+	Name     string          `json:"name"`
+	Revision uint64          `json:"revision"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+// Source is what a process needs of the platform.
+type Source interface {
+	// Configuration waits for a revision larger than after.
+	Configuration(ctx context.Context, after uint64) (configuration.Batch, error)
+	// VMs waits for a list with a revision larger than after.
+	VMs(ctx context.Context, after uint64) (vm.List, error)
+}
+
+// Client is the Source over HTTP. Its methods may run concurrently with each
+// other, but each of them in one goroutine only.
+type Client struct {
+	base   string
+	http   *http.Client
+	wait   time.Duration
+	shards map[string]shardState
+}
+
+type shardState struct {
+	revision uint64
+	keys     map[resource.Key]struct{}
+}
+
+// NewClient returns a client of the platform at the base URL. Watches wait up
+// to the given time before they ask again.
+func NewClient(base string, wait time.Duration) *Client {
+	return &Client{
+		base:   base,
+		wait:   wait,
+		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		shards: make(map[string]shardState),
+	}
+}
+
+// VMs waits for a list with a revision larger than after.
+func (c *Client) VMs(ctx context.Context, after uint64) (vm.List, error) {
+	value, err := c.get(ctx, KeyVMs, after, c.wait)
+	if err != nil {
+		return vm.List{}, err
+	}
+	var list vm.List
+	if err := json.Unmarshal(value.Data, &list); err != nil {
+		return vm.List{}, eris.Wrapf(ErrMalformed, "vms: %v", err)
+	}
+	list.Revision = value.Revision
+	return list, nil
+}
+
+// Configuration waits for a revision larger than after. The first batch, and
+// the first one after an error, is full; later ones hold what changed.
+func (c *Client) Configuration(ctx context.Context, after uint64) (configuration.Batch, error) {
+	value, err := c.get(ctx, KeyIndex, after, c.wait)
+	if err != nil {
+		return configuration.Batch{}, err
+	}
+	var index Index
+	if err := json.Unmarshal(value.Data, &index); err != nil {
+		return configuration.Batch{}, eris.Wrapf(ErrMalformed, "index: %v", err)
+	}
+	batch := configuration.Batch{Revision: value.Revision, Full: len(c.shards) == 0}
+	for name, revision := range index.Shards {
+		if err := c.readShard(ctx, name, revision, &batch); err != nil {
+			clear(c.shards)
+			return configuration.Batch{}, err
+		}
+	}
+	return batch, nil
+}
+
+// readShard adds a shard's resources to the batch, if the shard changed.
+func (c *Client) readShard(ctx context.Context, name string, revision uint64, batch *configuration.Batch) error {
+	old := c.shards[name]
+	if old.revision >= revision {
+		return nil
+	}
+	value, err := c.get(ctx, name, 0, 0)
+	if err != nil {
+		return err
+	}
+	if value.Revision < revision {
+		return eris.Wrapf(ErrStale, "%s: revision %d, index says %d", name, value.Revision, revision)
+	}
+	var shard Shard
+	if err := json.Unmarshal(value.Data, &shard); err != nil {
+		return eris.Wrapf(ErrMalformed, "%s: %v", name, err)
+	}
+	keys := make(map[resource.Key]struct{}, len(shard.Resources))
+	for _, r := range shard.Resources {
+		key := resource.Key{Kind: r.Kind, Name: r.Name}
+		keys[key] = struct{}{}
+		batch.Records = append(batch.Records, configuration.Record{Key: key, Revision: r.Revision, Spec: r.Spec})
+	}
+	for key := range old.keys {
+		if _, ok := keys[key]; !ok {
+			batch.Records = append(batch.Records, configuration.Record{Key: key, Revision: value.Revision, Deleted: true})
+		}
+	}
+	c.shards[name] = shardState{revision: value.Revision, keys: keys}
+	return nil
+}
+
+// answerSlack is how much longer than the wait an answer may take.
+const answerSlack = 5 * time.Second
+
+func (c *Client) get(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	u := fmt.Sprintf("%s/v1/values/%s?after=%d&wait=%s", c.base, url.PathEscape(key), after, wait)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return Value{}, eris.Wrapf(ErrUnavailable, "%s: %v", key, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Value{}, eris.Wrapf(ErrUnavailable, "%s: %v", key, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxValueBytes))
+	if err != nil {
+		return Value{}, eris.Wrapf(ErrUnavailable, "%s: %v", key, err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return Value{}, ErrUnchanged
+	default:
+		return Value{}, eris.Wrapf(ErrUnavailable, "%s: status %d", key, resp.StatusCode)
+	}
+	var value Value
+	if err := json.Unmarshal(raw, &value); err != nil {
+		return Value{}, eris.Wrapf(ErrMalformed, "%s: %v", key, err)
+	}
+	if value.Revision <= after {
+		return Value{}, ErrUnchanged // a stale replica of the platform
+	}
+	return value, nil
+}
--- /dev/null
+++ b/core/settings/settings.go
@@ -0,0 +1,199 @@
+// Package settings loads a process's static settings from a YAML file.
+//
+// Loading is strict: an unknown field or a value of the wrong type is an error
+// that names file, line and field. After decoding, the settings' own Validate
+// method returns Problems, each with the path of a field; Load adds the line.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+	"github.com/rotisserie/eris"
+)
+
+// ErrInvalid is the root of every error about the content of a file.
+var ErrInvalid = eris.New("settings: invalid")
+
+// Problem is one wrong value: where it stands, what it is, what is allowed.
+type Problem struct {
+	File    string
+	Line    int    // 1-based, 0 where the field is absent
+	Field   string // dotted path, as in link.listen
+	Value   string
+	Allowed string
+}
+
+// Error formats the problem as file:line: field: value, allowed range.
+func (p Problem) Error() string {
+	return fmt.Sprintf("%s:%d: %s: value %q, allowed: %s", p.File, p.Line, p.Field, p.Value, p.Allowed)
+}
+
+// Validator is implemented by settings structs.
+type Validator interface {
+	// Validate returns every problem found; an empty result means valid.
+	Validate() []Problem
+}
+
+// Load reads the file into out and validates it.
+func Load(path string, out Validator) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "settings: read")
+	}
+	return Parse(path, raw, out)
+}
+
+// Parse decodes raw, which came from the named file, into out and validates it.
+func Parse(path string, raw []byte, out Validator) error {
+	if err := yaml.UnmarshalWithOptions(raw, out, yaml.Strict()); err != nil {
+		return decodeError(path, raw, err)
+	}
+	problems := out.Validate()
+	if len(problems) == 0 {
+		return nil
+	}
+	file, _ := parser.ParseBytes(raw, 0)
+	errs := make([]error, 0, len(problems)+1)
+	errs = append(errs, ErrInvalid)
+	for _, p := range problems {
+		p.File = path
+		p.Line = lineOf(file, p.Field)
+		errs = append(errs, p)
+	}
+	return errors.Join(errs...)
+}
+
+func decodeError(path string, raw []byte, err error) error {
+	tok, allowed := (*token.Token)(nil), err.Error()
+	var syntax yaml.Error
+	if errors.As(err, &syntax) && syntax.GetToken() != nil {
+		tok, allowed = syntax.GetToken(), syntax.GetMessage()
+	} else {
+		tok = scalarIn(raw, err)
+	}
+	if tok == nil {
+		return eris.Wrapf(ErrInvalid, "%s: %v", path, err)
+	}
+	problem := Problem{File: path, Line: tok.Position.Line, Field: fieldName(tok.Value, tok.Prev), Value: tok.Value, Allowed: allowed}
+	return errors.Join(ErrInvalid, problem)
+}
+
+// quoted matches the value at the end of an error of a scalar's own parser,
+// such as time.ParseDuration, which knows no position.
+var quoted = regexp.MustCompile(`"([^"]*)"$`)
+
+// scalarIn finds the scalar that such an error speaks of.
+func scalarIn(raw []byte, err error) *token.Token {
+	match := quoted.FindStringSubmatch(err.Error())
+	if match == nil {
+		return nil
+	}
+	for _, tok := range lexer.Tokenize(string(raw)) {
+		if tok.Value == match[1] {
+			return tok
+		}
+	}
+	return nil
+}
+
+// lineOf finds the line of a dotted path, or of its nearest present parent.
+func lineOf(file *ast.File, field string) int {
+	for field != "" && file != nil {
+		p, err := yaml.PathString("$." + field)
+		if err == nil {
+			if node, err := p.FilterFile(file); err == nil && node != nil {
+				return node.GetToken().Position.Line
+			}
+		}
+		cut := strings.LastIndexAny(field, ".[")
+		if cut < 0 {
+			return 0
+		}
+		field = field[:cut]
+	}
+	return 0
+}
+
+// Checks collects problems while a Validate method goes through its fields.
+type Checks struct {
+	Problems []Problem
+}
+
+func (c *Checks) add(field, value, allowed string) {
+	c.Problems = append(c.Problems, Problem{Field: field, Value: value, Allowed: allowed})
+}
+
+// Require reports an empty value.
+func (c *Checks) Require(field, value string) {
+	if value == "" {
+		c.add(field, value, "a non-empty name")
+	}
+}
+
+// Address reports a value that is not an IP number with a port from 1 to 65535.
+func (c *Checks) Address(field, value string) {
+	ap, err := netip.ParseAddrPort(value)
+	if err != nil || ap.Port() == 0 {
+		c.add(field, value, "IP:port with a port from 1 to 65535")
+	}
+}
+
+// Duration reports a value outside of [low, high].
+func (c *Checks) Duration(field string, value, low, high time.Duration) {
+	if value < low || value > high {
+		c.add(field, value.String(), fmt.Sprintf("from %s to %s", low, high))
+	}
+}
+
+// Int reports a value outside of [low, high].
+func (c *Checks) Int(field string, value, low, high int) {
+	if value < low || value > high {
+		c.add(field, fmt.Sprint(value), fmt.Sprintf("from %d to %d", low, high))
+	}
+}
+
+// Float reports a value outside of [low, high].
+func (c *Checks) Float(field string, value, low, high float64) {
+	if !(value >= low && value <= high) {
+		c.add(field, fmt.Sprint(value), fmt.Sprintf("from %g to %g", low, high))
+	}
+}
+
+// OneOf reports a value that is not among the allowed ones.
+func (c *Checks) OneOf(field, value string, allowed ...string) {
+	for _, a := range allowed {
+		if a == value {
+			return
+		}
+	}
+	c.add(field, value, "one of "+strings.Join(allowed, ", "))
+}
+
+// Distinct reports fields that share one non-empty value.
+func (c *Checks) Distinct(fields ...Field) {
+	seen := make(map[string]string, len(fields))
+	for _, f := range fields {
+		first, dup := seen[f.Value]
+		if dup && f.Value != "" {
+			c.add(f.Name, f.Value, "an address that "+first+" does not use")
+			continue
+		}
+		seen[f.Value] = f.Name
+	}
+}
+
+// Field is a named value, for checks that compare several.
+type Field struct {
+	Name, Value string
+}
--- /dev/null
+++ b/core/vm/vm.go
@@ -0,0 +1,100 @@
+// Package vm describes the virtual machines that a fleet runs on: their
+// identity, the incarnation of the process on each, and the platform's list.
+package vm
+
+import (
+	"slices"
+	"time"
+
+	"baywall.example/core/zone"
+)
+
+// ID names a VM. It is unique in a fleet and survives a process restart.
+type ID string
+
+// Incarnation numbers the process starts on one VM. A later start has a larger
+// number; it is derived from the wall clock in microseconds, so no state has
+// to survive a restart.
+type Incarnation uint64
+
+// NewIncarnation returns the incarnation of a process that starts at now.
+func NewIncarnation(now time.Time) Incarnation {
+	return Incarnation(now.UnixMicro())
+}
+
+// StartedAt returns the wall-clock time at which the incarnation began.
+func (i Incarnation) StartedAt() time.Time { return time.UnixMicro(int64(i)) }
+
+// Role tells which program runs on a VM.
+type Role string
+
+// The two roles of a fleet.
+const (
+	RoleEntry   Role = "entry"
+	RoleBackend Role = "backend"
+)
+
+// State is what the platform says about a VM.
+type State string
+
+// The states of the platform's list. A VM that is gone is not listed.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// VM is one row of the platform's list.
+type VM struct {
+	ID       ID       `json:"id"`
+	Zone     zone.ID  `json:"zone"`
+	Role     Role     `json:"role"`
+	HTTP     string   `json:"http,omitempty"`  // host:port callers connect to, entry VMs only
+	Link     string   `json:"link"`            // host:port other VMs dial
+	Probe    string   `json:"probe,omitempty"` // UDP host:port, entry VMs only
+	Services []string `json:"services,omitempty"`
+	State    State    `json:"state"`
+}
+
+// Serves reports whether the VM is a backend server of the service.
+func (v VM) Serves(service string) bool {
+	return v.Role == RoleBackend && slices.Contains(v.Services, service)
+}
+
+// List is the platform's list of live and leaving VMs at one revision. It is
+// never changed after it was made.
+type List struct {
+	Revision uint64 `json:"revision"`
+	VMs      []VM   `json:"vms"`
+}
+
+// Find returns the VM with the given id.
+func (l List) Find(id ID) (VM, bool) {
+	for _, v := range l.VMs {
+		if v.ID == id {
+			return v, true
+		}
+	}
+	return VM{}, false
+}
+
+// WithRole returns the VMs that have the role, in list order.
+func (l List) WithRole(role Role) []VM {
+	var out []VM
+	for _, v := range l.VMs {
+		if v.Role == role {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// Serving returns the backend servers of a service, leaving ones included.
+func (l List) Serving(service string) []VM {
+	var out []VM
+	for _, v := range l.VMs {
+		if v.Serves(service) {
+			out = append(out, v)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/zone/zone.go
@@ -0,0 +1,23 @@
+// Package zone names availability zones and orders things by nearness.
+package zone
+
+// ID names an availability zone.
+type ID string
+
+// Rank returns 0 for the local availability zone and 1 for any other one, so
+// that a stable sort by Rank puts the own zone first.
+func Rank(local, other ID) int {
+	if local == other {
+		return 0
+	}
+	return 1
+}
+
+// Spread counts the distinct availability zones among the given ones.
+func Spread(zones []ID) int {
+	seen := make(map[ID]struct{}, len(zones))
+	for _, z := range zones {
+		seen[z] = struct{}{}
+	}
+	return len(seen)
+}
--- /dev/null
+++ b/entry/api/api.go
@@ -0,0 +1,151 @@
+// Package api is the HTTP interface of an entry VM: requests of callers, the
+// address answer, the resource interface with its watches, the time line and
+// metrics.
+package api
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/rs/zerolog"
+
+	"baywall.example/core/configuration"
+	"baywall.example/core/contract"
+	"baywall.example/core/link"
+	"baywall.example/core/resource"
+	"baywall.example/core/timeline"
+	"baywall.example/core/vm"
+	"baywall.example/core/zone"
+	"baywall.example/entry/backend"
+	"baywall.example/entry/dispatch"
+	"baywall.example/entry/limits"
+	"baywall.example/entry/membership"
+)
+
+// Environment is what the API needs of its process.
+type Environment struct {
+	Self       vm.ID
+	Zone       zone.ID
+	Config     *configuration.Store
+	VMs        *configuration.VMs
+	Directory  *backend.Directory
+	Prober     *membership.Prober
+	Peers      *link.Pool
+	Recorder   *timeline.Recorder
+	Dispatcher *dispatch.Dispatcher
+	Limiter    *limits.Limiter
+	Draining   func() bool
+	Log        zerolog.Logger
+	AddressTTL time.Duration
+	TicketTTL  time.Duration
+	MaxBody    int64
+}
+
+// API serves HTTP. It is safe for concurrent use.
+type API struct {
+	Environment
+	router  *httprouter.Router
+	metrics *metrics
+}
+
+// New returns the API of one process.
+func New(env Environment) *API {
+	a := &API{Environment: env, router: httprouter.New()}
+	a.metrics = newMetrics(a)
+	a.router.RedirectTrailingSlash = false
+	a.router.RedirectFixedPath = false
+	a.router.HandleMethodNotAllowed = false
+	a.router.NotFound = http.HandlerFunc(a.notFound)
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
+		a.router.Handle(method, "/v1/services/:service/*path", a.serveRequest)
+	}
+	a.router.GET("/v1/resume", a.serveResume)
+	a.router.GET("/v1/entries", a.serveEntries)
+	a.router.GET("/v1/timeline", a.serveTimeline)
+	a.router.GET("/v1/ready", a.serveReady)
+	a.router.POST("/v1/check", a.serveCheck)
+	a.router.GET("/debug/vars", a.metrics.serve)
+	for _, kind := range resource.Kinds() {
+		param := ":name"
+		if kind == resource.KindService {
+			param = ":service"
+		}
+		a.router.GET("/v1/"+string(kind), a.listResources(kind))
+		a.router.GET("/v1/"+string(kind)+"/"+param, a.getResource(kind))
+	}
+	return a
+}
+
+// ServeHTTP routes one request.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if a.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	a.router.ServeHTTP(w, r)
+}
+
+func (a *API) notFound(w http.ResponseWriter, r *http.Request) {
+	a.problem(w, http.StatusNotFound, "", &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonBadRequest}, "no such path: "+r.URL.Path)
+}
+
+// serveReady answers 200 once the process can serve, 503 before and while it
+// is leaving.
+func (a *API) serveReady(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if a.Config.Revision() == 0 || a.VMs.List().Revision == 0 || a.Draining() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// metrics are the process's counters, served by expvar.
+type metrics struct {
+	vars     expvar.Map
+	requests expvar.Int
+	answered expvar.Int
+	aborted  expvar.Int
+	refused  expvar.Map // by outcome
+	reasons  expvar.Map // by reason
+}
+
+func newMetrics(a *API) *metrics {
+	m := &metrics{}
+	m.vars.Init()
+	m.refused.Init()
+	m.reasons.Init()
+	m.vars.Set("requests", &m.requests)
+	m.vars.Set("answered", &m.answered)
+	m.vars.Set("aborted", &m.aborted)
+	m.vars.Set("refused", &m.refused)
+	m.vars.Set("reasons", &m.reasons)
+	m.vars.Set("config_revision", expvar.Func(func() any { return a.Config.Revision() }))
+	m.vars.Set("vms_revision", expvar.Func(func() any { return a.VMs.List().Revision }))
+	m.vars.Set("probe_bytes", expvar.Func(func() any { sent, received := a.Prober.Traffic(); return sent + received }))
+	m.vars.Set("link_bytes", expvar.Func(func() any { return a.linkBytes() }))
+	return m
+}
+
+func (a *API) linkBytes() int64 {
+	total := int64(0)
+	for _, pool := range []*link.Pool{a.Peers, a.Directory.Pool()} {
+		for _, l := range pool.Links() {
+			sent, received := l.Traffic()
+			total += sent + received
+		}
+	}
+	return total
+}
+
+func (m *metrics) serve(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write([]byte(`{"entry":` + m.vars.String() + `,"memstats":` + expvar.Get("memstats").String() + "}\n"))
+}
--- /dev/null
+++ b/entry/api/entries.go
@@ -0,0 +1,134 @@
+package api
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"baywall.example/core/contract"
+	"baywall.example/core/rendezvous"
+	"baywall.example/core/vm"
+	"baywall.example/core/zone"
+)
+
+// maxTickets bounds the tickets in one answer.
+const maxTickets = 16
+
+// EntriesAnswer tells a caller which entry VMs to use for a service, best
+// first, and for how long. Tickets are for non-idempotent requests, one each.
+type EntriesAnswer struct {
+	Service string   `json:"service"`
+	TTLMS   int64    `json:"ttl_ms"`
+	Entries []Entry  `json:"entries"`
+	Tickets []string `json:"tickets,omitempty"`
+}
+
+// Entry is one entry VM's address.
+type Entry struct {
+	VM      vm.ID   `json:"vm"`
+	Zone    zone.ID `json:"zone"`
+	Address string  `json:"address"`
+}
+
+// serveEntries answers which entry VMs a caller should use.
+func (a *API) serveEntries(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	service := r.URL.Query().Get("service")
+	if a.Config.View().Services[service] == nil {
+		a.problem(w, http.StatusNotFound, "", notRun(contract.ReasonUnknownService), fmt.Sprintf("service: value %q is not configured", service))
+		return
+	}
+	near := zone.ID(r.URL.Query().Get("zone"))
+	if near == "" {
+		near = a.Zone
+	}
+	count := 0
+	if raw := r.URL.Query().Get("tickets"); raw != "" {
+		n, err := strconv.Atoi(raw)
+		if err != nil || n < 0 || n > maxTickets {
+			a.problem(w, http.StatusBadRequest, "", notRun(contract.ReasonBadRequest), fmt.Sprintf("tickets: value %q, allowed: from 0 to %d", raw, maxTickets))
+			return
+		}
+		count = n
+	}
+	answer := EntriesAnswer{Service: service, TTLMS: a.AddressTTL.Milliseconds(), Tickets: a.tickets(r.Context(), service, count)}
+	subset := a.subset(service)
+	slices.SortStableFunc(subset, func(x, y vm.VM) int { return zone.Rank(near, x.Zone) - zone.Rank(near, y.Zone) })
+	for _, v := range subset {
+		answer.Entries = append(answer.Entries, Entry{VM: v.ID, Zone: v.Zone, Address: v.HTTP})
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// tickets issues tickets for distinct backend servers of a service.
+func (a *API) tickets(ctx context.Context, service string, n int) []string {
+	var out []string
+	now := time.Now()
+	for _, b := range a.Dispatcher.Pick(ctx, service, n) {
+		t := contract.Ticket{
+			Service: service, VM: b.VM().ID, Incarnation: b.Incarnation(), Nonce: rand.Text(),
+			Issued: now, Expires: now.Add(a.TicketTTL),
+		}
+		out = append(out, t.String())
+	}
+	return out
+}
+
+// subset returns the entry VMs that callers of a service are told of: the
+// first usable ones in rendezvous order, from at least two availability zones
+// if there are as many.
+func (a *API) subset(service string) []vm.VM {
+	var usable []vm.VM
+	for _, v := range a.VMs.List().WithRole(vm.RoleEntry) {
+		own := v.ID == a.Self && a.Draining()
+		if !own && a.Prober.Usable(v) {
+			usable = append(usable, v)
+		}
+	}
+	size := 0
+	if s := a.Config.View().Services[service]; s != nil {
+		size = s.EntrySubset
+	}
+	return Subset(usable, service, size)
+}
+
+// Subset picks size VMs for a service in rendezvous order. If all of them are
+// in one availability zone, the last gives way to the first of another.
+func Subset(usable []vm.VM, service string, size int) []vm.VM {
+	order := rendezvous.Order(usable, service, func(v vm.VM) string { return string(v.ID) })
+	size = min(size, len(order))
+	if size < 2 {
+		return order[:size]
+	}
+	out := slices.Clone(order[:size])
+	zones := make([]zone.ID, size)
+	for i, v := range out {
+		zones[i] = v.Zone
+	}
+	if zone.Spread(zones) > 1 {
+		return out
+	}
+	for _, v := range order[size:] {
+		if v.Zone != out[0].Zone {
+			out[size-1] = v
+			break
+		}
+	}
+	return out
+}
+
+// InSubset reports whether this VM is one that callers of the service are told
+// of.
+func (a *API) InSubset(service string) bool {
+	for _, v := range a.subset(service) {
+		if v.ID == a.Self {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/entry/api/requests.go
@@ -0,0 +1,352 @@
+package api
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/rotisserie/eris"
+
+	"baywall.example/core/configuration"
+	"baywall.example/core/contract"
+	"baywall.example/core/rendezvous"
+	"baywall.example/core/resource"
+	"baywall.example/core/timeline"
+	"baywall.example/core/wire"
+	"baywall.example/entry/dispatch"
+)
+
+// Header fields of the callers' interface.
+const (
+	HeaderTeam           = "Baywall-Team"
+	HeaderTimeout        = "Baywall-Timeout-Ms"
+	HeaderNonIdempotent  = "Baywall-Non-Idempotent"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderOutcome        = "Baywall-Outcome"
+	HeaderReason         = "Baywall-Reason"
+	HeaderRequestID      = "Baywall-Request-Id"
+	HeaderAttempt        = "Baywall-Attempt"
+	HeaderOffset         = "Baywall-Offset"
+	HeaderTicket         = "Baywall-Ticket"
+)
+
+// prefixLength is how much of a body, in bytes, is its prompt prefix.
+const prefixLength = 512
+
+// serveRequest carries a caller's request to a backend server of the service.
+func (a *API) serveRequest(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	a.metrics.requests.Add(1)
+	id := contract.RequestID(rand.Text())
+	w.Header().Set(HeaderRequestID, string(id))
+	c, refusal, detail := a.contract(id, r, p.ByName("service"))
+	if refusal != nil {
+		a.refuse(r.Context(), w, c, refusal, detail)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.MaxBody))
+	if err != nil {
+		a.badBody(w, id, err)
+		return
+	}
+	release, limited := a.Limiter.Admit(c.Team, a.share(c.Team))
+	if limited != nil {
+		a.refuse(r.Context(), w, c, limited, "team "+c.Team+" has its share of requests running")
+		return
+	}
+	defer release()
+	request := dispatch.Request{
+		Method: r.Method, Path: backendPath(r, p.ByName("path")), Headers: passedHeaders(r.Header),
+		Body: body, Key: rendezvous.Hash(string(body[:min(prefixLength, len(body))])),
+	}
+	sink := &responseSink{w: w, request: id}
+	a.finish(r.Context(), w, c, a.Dispatcher.Serve(r.Context(), c, request, sink))
+}
+
+// finish ends a request as the dispatcher said.
+func (a *API) finish(ctx context.Context, w http.ResponseWriter, c contract.Contract, err error) {
+	var refusal *contract.Refusal
+	switch {
+	case err == nil:
+		a.metrics.answered.Add(1)
+	case errors.As(err, &refusal):
+		a.refuse(ctx, w, c, refusal, "")
+	default:
+		a.metrics.aborted.Add(1)
+		panic(http.ErrAbortHandler) // the caller must see that the answer is not whole
+	}
+}
+
+// contract reads from a request what is promised for it.
+func (a *API) contract(id contract.RequestID, r *http.Request, service string) (contract.Contract, *contract.Refusal, string) {
+	c := contract.Contract{Request: id, Service: service, Team: r.Header.Get(HeaderTeam)}
+	view := a.Config.View()
+	svc := view.Services[service]
+	if svc == nil {
+		return c, notRun(contract.ReasonUnknownService), fmt.Sprintf("service: value %q is not configured at revision %d", service, view.Revision)
+	}
+	team := view.Teams[c.Team]
+	if team == nil {
+		return c, notRun(contract.ReasonUnknownTeam), fmt.Sprintf("header %s: value %q is not a configured team", HeaderTeam, c.Team)
+	}
+	c.Priority = team.Priority
+	timeout, err := requestTimeout(r, svc)
+	if err != nil {
+		return c, notRun(contract.ReasonBadRequest), err.Error()
+	}
+	c.Deadline = time.Now().Add(timeout)
+	c.Idempotent = idempotent(r, svc)
+	if c.Idempotent {
+		return c, nil, ""
+	}
+	return a.withTicket(c, r)
+}
+
+func notRun(r contract.Reason) *contract.Refusal {
+	return &contract.Refusal{Outcome: contract.NotRun, Reason: r}
+}
+
+func idempotent(r *http.Request, svc *resource.Service) bool {
+	if r.Method == http.MethodGet || r.Method == http.MethodHead {
+		return r.Header.Get(HeaderNonIdempotent) == ""
+	}
+	return !svc.NonIdempotent && r.Header.Get(HeaderNonIdempotent) == ""
+}
+
+func requestTimeout(r *http.Request, svc *resource.Service) (time.Duration, error) {
+	limit := svc.DeadlineMS.Duration()
+	raw := r.Header.Get(HeaderTimeout)
+	if raw == "" {
+		return limit, nil
+	}
+	ms, err := strconv.ParseInt(raw, 10, 64)
+	if err != nil || ms < 1 {
+		return 0, fmt.Errorf("header %s: value %q, allowed: a number of milliseconds from 1 to %d", HeaderTimeout, raw, limit.Milliseconds())
+	}
+	return min(limit, time.Duration(ms)*time.Millisecond), nil
+}
+
+// withTicket reads the ticket of a non-idempotent request. One without a key
+// runs at most once for this HTTP request; one with a key must be safe to send
+// again through any entry VM, which takes a ticket: a key of the caller's own
+// making is refused before anything ran, and a ticket is offered instead.
+func (a *API) withTicket(c contract.Contract, r *http.Request) (contract.Contract, *contract.Refusal, string) {
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if key == "" {
+		return c, nil, ""
+	}
+	t, err := contract.ParseTicket(key)
+	if err != nil {
+		return c, notRun(contract.ReasonTicketRequired), "header Idempotency-Key: not a ticket; send the request again with the one in header Baywall-Ticket"
+	}
+	if t.Service != c.Service {
+		return c, notRun(contract.ReasonTicketInvalid), fmt.Sprintf("header Idempotency-Key: the ticket is for service %q", t.Service)
+	}
+	c.Ticket = &t
+	return c, nil, ""
+}
+
+func (a *API) badBody(w http.ResponseWriter, id contract.RequestID, err error) {
+	status, detail := http.StatusBadRequest, "body: "+err.Error()
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status, detail = http.StatusRequestEntityTooLarge, fmt.Sprintf("body: allowed: at most %d bytes", tooLarge.Limit)
+	}
+	a.problem(w, status, string(id), notRun(contract.ReasonBadRequest), detail)
+}
+
+// share is how many requests of a team this entry VM may have running.
+func (a *API) share(team string) int {
+	t := a.Config.View().Teams[team]
+	if t == nil {
+		return 0
+	}
+	return t.Concurrency
+}
+
+func backendPath(r *http.Request, path string) string {
+	if r.URL.RawQuery != "" {
+		return path + "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+// passedHeaders returns the header fields that go on to the backend server.
+func passedHeaders(h http.Header) []*wire.Header {
+	out := make([]*wire.Header, 0, len(h))
+	for name, values := range h {
+		if contract.HopByHop(name) || name == "Content-Length" {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// responseSink writes an answer to the caller.
+type responseSink struct {
+	w       http.ResponseWriter
+	request contract.RequestID
+	stream  bool
+	partial bool          // only the rest of the answer is written
+	skip    *eventSkipper // set when resuming after an event id
+}
+
+// Head implements dispatch.Sink.
+func (s *responseSink) Head(status int, headers []*wire.Header, at dispatch.Place) error {
+	h := s.w.Header()
+	sized := false
+	for _, f := range headers {
+		if strings.EqualFold(f.GetName(), "X-Request-Id") {
+			continue
+		}
+		if f.GetName() == "Content-Length" {
+			sized = true
+			if s.partial {
+				continue
+			}
+		}
+		h.Add(f.GetName(), f.GetValue())
+	}
+	s.stream = !sized
+	h.Set(HeaderAttempt, formatPlace(at))
+	s.w.WriteHeader(status)
+	return nil
+}
+
+// Data implements dispatch.Sink.
+func (s *responseSink) Data(p []byte) error {
+	if s.skip != nil {
+		p = s.skip.pass(p)
+	}
+	if _, err := s.w.Write(p); err != nil {
+		return eris.Wrap(err, "api: write answer")
+	}
+	if !s.stream {
+		return nil
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		return eris.Wrap(err, "api: flush answer")
+	}
+	return nil
+}
+
+// problemBody is an RFC 9457 problem document.
+type problemBody struct {
+	Type         string `json:"type"`
+	Title        string `json:"title"`
+	Status       int    `json:"status"`
+	Detail       string `json:"detail,omitempty"`
+	Outcome      string `json:"outcome"`
+	Reason       string `json:"reason"`
+	Request      string `json:"request,omitempty"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+// refuse answers a request that gets no answer of a backend server.
+func (a *API) refuse(ctx context.Context, w http.ResponseWriter, c contract.Contract, r *contract.Refusal, detail string) {
+	a.Recorder.Record(timeline.Event{
+		Kind: timeline.KindRefused, Request: string(c.Request), Subject: c.Service + " " + c.Team,
+		Choice: string(r.Outcome), Reason: strings.TrimSpace(string(r.Reason) + " " + detail),
+	})
+	if r.Reason == contract.ReasonTicketRequired {
+		if tickets := a.tickets(ctx, c.Service, 1); len(tickets) == 1 {
+			w.Header().Set(HeaderTicket, tickets[0])
+		}
+	}
+	a.problem(w, statusOf(r), string(c.Request), r, detail)
+}
+
+func statusOf(r *contract.Refusal) int {
+	switch r.Reason {
+	case contract.ReasonUnknownService:
+		return http.StatusNotFound
+	case contract.ReasonUnknownTeam:
+		return http.StatusForbidden
+	case contract.ReasonBadRequest, contract.ReasonTicketInvalid:
+		return http.StatusBadRequest
+	case contract.ReasonTicketRequired:
+		return http.StatusPreconditionRequired
+	case contract.ReasonTeamLimit:
+		return http.StatusTooManyRequests
+	}
+	if r.Outcome == contract.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	if r.Reason == contract.ReasonDeadline {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+func (a *API) problem(w http.ResponseWriter, status int, id string, r *contract.Refusal, detail string) {
+	a.metrics.refused.Add(string(r.Outcome), 1)
+	a.metrics.reasons.Add(string(r.Reason), 1)
+	h := w.Header()
+	h.Set(HeaderOutcome, string(r.Outcome))
+	h.Set(HeaderReason, string(r.Reason))
+	h.Set("Content-Type", "application/problem+json")
+	if r.RetryAfter > 0 {
+		seconds := int64((r.RetryAfter + time.Second - 1) / time.Second)
+		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(problemBody{
+		Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: detail,
+		Outcome: string(r.Outcome), Reason: string(r.Reason), Request: id, RetryAfterMS: r.RetryAfter.Milliseconds(),
+	})
+}
+
+// serveCheck validates a candidate resource without storing it.
+func (a *API) serveCheck(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.MaxBody))
+	if err != nil {
+		a.badBody(w, "", err)
+		return
+	}
+	key := resource.Key{Kind: resource.Kind(r.URL.Query().Get("kind")), Name: r.URL.Query().Get("name")}
+	if _, err := resource.Decode(key, raw); err != nil {
+		a.problem(w, http.StatusUnprocessableEntity, "", notRun(contract.ReasonBadRequest), err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, configuration.Status{Key: key})
+}
+
+// resumeTimeout bounds a resumed answer.
+const resumeTimeout = 10 * time.Minute
+
+// serveResume gives a caller the rest of an answer whose entry VM it lost. The
+// place is the Baywall-Attempt header of the first answer; the rest begins at
+// Baywall-Offset, or after the event named by Last-Event-ID.
+func (a *API) serveResume(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	place, err := parsePlace(r.Header.Get(HeaderAttempt))
+	c := contract.Contract{Request: place.Attempt.Request}
+	if err != nil {
+		a.refuse(r.Context(), w, c, &contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonBadRequest}, err.Error())
+		return
+	}
+	sink := &responseSink{w: w, request: place.Attempt.Request, partial: true}
+	if last := r.Header.Get("Last-Event-ID"); last != "" {
+		sink.skip = &eventSkipper{last: last}
+	}
+	offset := int64(0)
+	if raw := r.Header.Get(HeaderOffset); raw != "" {
+		offset, err = strconv.ParseInt(raw, 10, 64)
+		if err != nil || offset < 0 {
+			a.refuse(r.Context(), w, c, &contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonBadRequest}, fmt.Sprintf("header %s: value %q, allowed: a number of bytes", HeaderOffset, raw))
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), resumeTimeout)
+	defer cancel()
+	a.finish(ctx, w, c, a.Dispatcher.Resume(ctx, place, offset, time.Now().Add(resumeTimeout), sink))
+}
--- /dev/null
+++ b/entry/api/resume.go
@@ -0,0 +1,76 @@
+package api
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"baywall.example/core/contract"
+	"baywall.example/core/vm"
+	"baywall.example/entry/dispatch"
+)
+
+// formatPlace writes a place as vm/incarnation/request/attempt.
+func formatPlace(p dispatch.Place) string {
+	return fmt.Sprintf("%s/%d/%s/%d", p.VM, p.Incarnation, p.Attempt.Request, p.Attempt.Number)
+}
+
+// parsePlace reads what formatPlace wrote.
+func parsePlace(s string) (dispatch.Place, error) {
+	parts := strings.Split(s, "/")
+	bad := fmt.Errorf("header %s: value %q, allowed: that of the answer's head", HeaderAttempt, s)
+	if len(parts) != 4 {
+		return dispatch.Place{}, bad
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 10, 64)
+	if err != nil {
+		return dispatch.Place{}, bad
+	}
+	number, err := strconv.ParseUint(parts[3], 10, 32)
+	if err != nil {
+		return dispatch.Place{}, bad
+	}
+	return dispatch.Place{
+		VM: vm.ID(parts[0]), Incarnation: vm.Incarnation(incarnation),
+		Attempt: contract.AttemptID{Request: contract.RequestID(parts[2]), Number: uint32(number)},
+	}, nil
+}
+
+// eventSkipper drops the beginning of an answer: all server-sent events up to
+// and including the one with a given id.
+type eventSkipper struct {
+	last    string
+	pending []byte
+	found   bool
+}
+
+// pass returns the part of p that the caller has not had yet.
+func (s *eventSkipper) pass(p []byte) []byte {
+	if s.found {
+		return p
+	}
+	s.pending = append(s.pending, p...)
+	for {
+		end := bytes.Index(s.pending, []byte("\n\n"))
+		if end < 0 {
+			return nil
+		}
+		event := s.pending[:end]
+		s.pending = s.pending[end+2:]
+		if eventID(event) == s.last {
+			s.found = true
+			return s.pending
+		}
+	}
+}
+
+// eventID returns the id field of a server-sent event.
+func eventID(event []byte) string {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(rest))
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/entry/backend/directory.go
@@ -0,0 +1,232 @@
+package backend
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"baywall.example/core/link"
+	"baywall.example/core/timeline"
+	"baywall.example/core/vm"
+	"baywall.example/core/wire"
+	"baywall.example/entry/routing"
+)
+
+// relinkInterval is the time between two attempts to link suspect or new
+// backend servers.
+const relinkInterval = 200 * time.Millisecond
+
+// Directory holds the backend servers of all services. It is safe for
+// concurrent use; choosing among a service's backend servers takes no lock.
+type Directory struct {
+	pool     *link.Pool
+	recorder *timeline.Recorder
+	onReport func(vm.ID, *wire.Report)
+	workers  conc.WaitGroup
+
+	mu       sync.Mutex
+	backends map[vm.ID]*Backend
+	usable   atomic.Pointer[map[string]*Choice]
+}
+
+// Choice is the set of backend servers of one service that may get new work.
+// Both slices have the same order.
+type Choice struct {
+	Backends []*Backend
+	Runners  []*routing.Runner
+}
+
+// NewDirectory returns an empty directory. The links of the pool it makes are
+// served by the handler. The callbacks run for each link made and each report.
+func NewDirectory(local *link.Local, handler link.Handler, recorder *timeline.Recorder, onUp func(*link.Link), onReport func(vm.ID, *wire.Report)) *Directory {
+	d := &Directory{recorder: recorder, onReport: onReport, backends: make(map[vm.ID]*Backend)}
+	d.usable.Store(&map[string]*Choice{})
+	d.pool = link.NewPool(local, handler, func(l *link.Link) {
+		d.linkUp(l)
+		onUp(l)
+	}, d.linkDown)
+	return d
+}
+
+// Pool returns the links to agents.
+func (d *Directory) Pool() *link.Pool { return d.pool }
+
+// SetList takes over the platform's list.
+func (d *Directory) SetList(list vm.List) {
+	d.mu.Lock()
+	listed := make(map[vm.ID]struct{})
+	for _, v := range list.WithRole(vm.RoleBackend) {
+		listed[v.ID] = struct{}{}
+		if b := d.backends[v.ID]; b != nil {
+			if b.setVM(v) && v.State == vm.StateLeaving {
+				d.recorder.Record(timeline.Event{Kind: timeline.KindLeaving, Subject: string(v.ID), Reason: "platform list"})
+			}
+			continue
+		}
+		d.backends[v.ID] = newBackend(v)
+	}
+	for id, b := range d.backends {
+		if _, ok := listed[id]; !ok {
+			b.setSuspect(true)
+			delete(d.backends, id)
+		}
+	}
+	d.rebuild()
+	d.mu.Unlock()
+	d.pool.Retain(func(id vm.ID) bool { _, ok := listed[id]; return ok })
+}
+
+// rebuild makes the choices of all services anew; the lock is held.
+func (d *Directory) rebuild() {
+	choices := make(map[string]*Choice)
+	for _, b := range d.backends {
+		if !b.Usable() {
+			continue
+		}
+		for _, service := range b.VM().Services {
+			c := choices[service]
+			if c == nil {
+				c = &Choice{}
+				choices[service] = c
+			}
+			c.Backends = append(c.Backends, b)
+			c.Runners = append(c.Runners, b.Runner)
+		}
+	}
+	d.usable.Store(&choices)
+}
+
+func (d *Directory) refresh() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rebuild()
+}
+
+// Usable returns the backend servers of a service that may get new work.
+func (d *Directory) Usable(service string) Choice {
+	if c := (*d.usable.Load())[service]; c != nil {
+		return *c
+	}
+	return Choice{}
+}
+
+// Find returns a backend server on the list.
+func (d *Directory) Find(id vm.ID) (*Backend, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b, ok := d.backends[id]
+	return b, ok
+}
+
+// Link returns the link to a backend server's agent, dialing if needed. A
+// failure makes the backend server suspect.
+func (d *Directory) Link(ctx context.Context, b *Backend) (*link.Link, error) {
+	l, err := d.pool.Get(ctx, b.VM())
+	if err != nil {
+		d.suspect(b, "unreachable")
+		return nil, err
+	}
+	return l, nil
+}
+
+func (d *Directory) suspect(b *Backend, reason string) {
+	if !b.setSuspect(true) {
+		return
+	}
+	d.refresh()
+	d.recorder.Record(timeline.Event{Kind: timeline.KindSuspect, Subject: string(b.VM().ID), Reason: reason})
+}
+
+func (d *Directory) linkUp(l *link.Link) {
+	b, ok := d.Find(l.Remote)
+	if !ok {
+		return
+	}
+	b.linked(l)
+	d.recorder.Record(timeline.Event{Kind: timeline.KindLinkUp, Subject: string(l.Remote)})
+	d.workers.Go(func() { d.watch(b, l) })
+}
+
+func (d *Directory) linkDown(l *link.Link) {
+	d.recorder.Record(timeline.Event{Kind: timeline.KindLinkDown, Subject: string(l.Remote)})
+	if b, ok := d.Find(l.Remote); ok {
+		d.suspect(b, "link lost")
+	}
+}
+
+// watch follows the load reports of one link.
+func (d *Directory) watch(b *Backend, l *link.Link) {
+	s, err := l.Open(context.Background())
+	if err != nil {
+		return
+	}
+	defer s.Close()
+	if s.SendCall(&wire.Call{Body: &wire.Call_Watch{Watch: &wire.Watch{}}}) != nil {
+		return
+	}
+	timer := time.AfterFunc(silence, func() { d.suspect(b, "no report") })
+	defer timer.Stop()
+	for {
+		reply, err := s.RecvReply()
+		if err != nil {
+			return
+		}
+		timer.Reset(silence)
+		r := reply.GetReport()
+		changed := b.report(r)
+		recovered := b.setSuspect(false)
+		if changed || recovered {
+			d.refresh()
+		}
+		if recovered {
+			d.recorder.Record(timeline.Event{Kind: timeline.KindAlive, Subject: string(l.Remote), Reason: "reports again"})
+		}
+		d.onReport(l.Remote, r)
+	}
+}
+
+// Run keeps links to the backend servers of the services for which wanted
+// returns true, until the context ends.
+func (d *Directory) Run(ctx context.Context, wanted func(service string) bool) {
+	ticker := time.NewTicker(relinkInterval)
+	defer ticker.Stop()
+	for {
+		d.relink(ctx, wanted)
+		select {
+		case <-ctx.Done():
+			d.pool.Close()
+			d.workers.Wait()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Directory) relink(ctx context.Context, wanted func(string) bool) {
+	var wg conc.WaitGroup
+	for _, b := range d.unlinked(wanted) {
+		wg.Go(func() { _, _ = d.Link(ctx, b) })
+	}
+	wg.Wait()
+}
+
+func (d *Directory) unlinked(wanted func(string) bool) []*Backend {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []*Backend
+	for id, b := range d.backends {
+		if _, open := d.pool.Open(id); open {
+			continue
+		}
+		for _, service := range b.VM().Services {
+			if wanted(service) {
+				out = append(out, b)
+				break
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/entry/cmd/baywall/main.go
@@ -0,0 +1,26 @@
+// Command baywall runs on an entry VM, and is the operators' client of the
+// public interface of a running one.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"baywall.example/core/process"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(&checkCommand{}, "")
+	subcommands.Register(&entriesCommand{}, "client")
+	subcommands.Register(&getCommand{}, "client")
+	subcommands.Register(&watchCommand{}, "client")
+	subcommands.Register(&timelineCommand{}, "client")
+	subcommands.Register(&process.VersionCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/entry/dispatch/exchange.go
@@ -0,0 +1,422 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"baywall.example/core/configuration"
+	"baywall.example/core/contract"
+	"baywall.example/core/link"
+	"baywall.example/core/timeline"
+	"baywall.example/core/wire"
+	"baywall.example/entry/backend"
+	"baywall.example/entry/retry"
+)
+
+const (
+	// fateTimeout is how long an unreachable agent is asked for a fate before
+	// the caller is told "unknown", and how long a cut answer is tried to be
+	// resumed.
+	fateTimeout = 1500 * time.Millisecond
+	// fateInterval is the time between two such tries.
+	fateInterval = 50 * time.Millisecond
+	// overloadRetryAfter is when callers may come back after an overload.
+	overloadRetryAfter = time.Second
+)
+
+// exchange is one request while it is being served.
+type exchange struct {
+	d        *Dispatcher
+	contract contract.Contract
+	request  Request
+	sink     Sink
+	sequence retry.Sequence
+	tried    []*backend.Backend
+
+	backend *backend.Backend // of the present attempt
+	place   Place
+	sent    time.Time
+	begun   bool  // the head was passed on
+	offset  int64 // of the next byte of the answer
+}
+
+// result is how an attempt, a query or a resumption ended.
+type result struct {
+	done    bool
+	err     error // final: the caller has gone
+	event   retry.Event
+	refusal contract.Refusal
+}
+
+func (x *exchange) run(ctx context.Context) error {
+	for {
+		if !x.choose() {
+			return x.settleNoBackend(ctx)
+		}
+		err := x.settle(ctx, x.attempt(ctx))
+		if !eris.Is(err, errRetry) {
+			return err
+		}
+	}
+}
+
+// errRetry asks run for another attempt.
+var errRetry = eris.New("dispatch: retry")
+
+// settle follows the decisions after a result until the request has ended or
+// another attempt is due.
+func (x *exchange) settle(ctx context.Context, r result) error {
+	for {
+		if r.done {
+			return nil
+		}
+		if r.err != nil {
+			return r.err
+		}
+		decision := x.sequence.Next(r.event, r.refusal, time.Now())
+		switch decision.Action {
+		case retry.ActionRetry:
+			x.record(timeline.KindRetry, string(r.refusal.Reason))
+			return errRetry
+		case retry.ActionQuery:
+			r = x.queryFate(ctx)
+		case retry.ActionResume:
+			r = x.resume(ctx)
+		default:
+			if x.begun {
+				x.record(timeline.KindRefused, "answer cut: "+string(decision.Refusal.Reason))
+				return ErrAborted
+			}
+			return &decision.Refusal
+		}
+		if x.begun && !r.done && r.err == nil && r.event != retry.EventCut {
+			x.record(timeline.KindRefused, "answer cut")
+			return ErrAborted
+		}
+	}
+}
+
+func (x *exchange) settleNoBackend(ctx context.Context) error {
+	if x.contract.Ticket != nil {
+		return x.settle(ctx, result{event: retry.EventNoFate, refusal: contract.Refusal{Reason: contract.ReasonReplacedAgent}})
+	}
+	reason, after := contract.ReasonNoBackend, time.Duration(0)
+	if len(x.d.directory.Usable(x.contract.Service).Runners) > 0 {
+		reason, after = contract.ReasonOverload, overloadRetryAfter
+	}
+	x.sequence.Deadline = time.Time{} // nothing left to retry on
+	return x.settle(ctx, result{event: retry.EventRefused, refusal: contract.Refusal{Outcome: contract.NotRun, Reason: reason, RetryAfter: after}})
+}
+
+func (x *exchange) record(kind timeline.Kind, reason string) {
+	subject := ""
+	if x.backend != nil {
+		subject = string(x.backend.VM().ID)
+	}
+	x.d.recorder.Record(timeline.Event{Kind: kind, Request: string(x.contract.Request), Subject: subject, Reason: reason})
+}
+
+// choose picks the backend server of the next attempt.
+func (x *exchange) choose() bool {
+	if t := x.contract.Ticket; t != nil {
+		b, ok := x.d.directory.Find(t.VM)
+		x.backend = b
+		return ok
+	}
+	view := x.d.config.View()
+	choice := x.d.directory.Usable(x.contract.Service)
+	if len(x.tried) > 0 {
+		choice = x.untried(choice)
+	}
+	i := x.d.policy(view, x.contract.Service).Pick(choice.Runners, x.request.Key)
+	if i < 0 {
+		return false
+	}
+	limit := int64(1 << 30)
+	if svc := view.Services[x.contract.Service]; svc != nil {
+		limit = int64(svc.RunnerConcurrency)
+	}
+	if choice.Runners[i].Load() >= limit {
+		i = leastLoaded(choice)
+		if choice.Runners[i].Load() >= limit {
+			return false
+		}
+	}
+	x.backend = choice.Backends[i]
+	x.tried = append(x.tried, x.backend)
+	return true
+}
+
+func leastLoaded(c backend.Choice) int {
+	best := 0
+	for i := range c.Runners {
+		if c.Runners[i].Load() < c.Runners[best].Load() {
+			best = i
+		}
+	}
+	return best
+}
+
+// untried leaves out the backend servers tried before and, if there are
+// others, those in the availability zone of the last one.
+func (x *exchange) untried(c backend.Choice) backend.Choice {
+	last := x.tried[len(x.tried)-1].VM().Zone
+	var all, other backend.Choice
+	for i, b := range c.Backends {
+		if x.wasTried(b) {
+			continue
+		}
+		all.Backends = append(all.Backends, b)
+		all.Runners = append(all.Runners, c.Runners[i])
+		if b.VM().Zone != last {
+			other.Backends = append(other.Backends, b)
+			other.Runners = append(other.Runners, c.Runners[i])
+		}
+	}
+	if len(other.Backends) > 0 {
+		return other
+	}
+	return all
+}
+
+func (x *exchange) wasTried(b *backend.Backend) bool {
+	for _, t := range x.tried {
+		if t == b {
+			return true
+		}
+	}
+	return false
+}
+
+// attempt sends the request to the chosen backend server's agent and passes
+// the answer on.
+func (x *exchange) attempt(ctx context.Context) result {
+	number := x.sequence.Begin()
+	x.backend.Runner.Begin()
+	defer x.backend.Runner.End()
+	l, err := x.d.directory.Link(ctx, x.backend)
+	if err != nil {
+		return result{event: retry.EventNotSent, refusal: contract.Refusal{Reason: contract.ReasonNoBackend}}
+	}
+	s, err := l.Open(ctx)
+	if err != nil {
+		return result{event: retry.EventNotSent, refusal: contract.Refusal{Reason: contract.ReasonNoBackend}}
+	}
+	defer s.Close()
+	x.place = Place{
+		VM: l.Remote, Incarnation: l.Incarnation,
+		Attempt: contract.AttemptID{Request: x.contract.Request, Number: number},
+	}
+	x.sent = time.Now()
+	if s.SendCall(&wire.Call{Body: &wire.Call_Attempt{Attempt: x.message(number)}}) != nil {
+		return result{event: retry.EventLost}
+	}
+	return x.receive(ctx, s)
+}
+
+func (x *exchange) message(number uint32) *wire.Attempt {
+	c := x.contract
+	w := &wire.Attempt{
+		RequestId: string(c.Request), Number: number, Service: c.Service, Team: c.Team,
+		Idempotent: c.Idempotent, DeadlineUnixMs: c.Deadline.UnixMilli(), Priority: int32(c.Priority),
+		ServiceRevision: x.d.serviceRevision(c.Service),
+		Method:          x.request.Method, Path: x.request.Path, Headers: x.request.Headers, Body: x.request.Body,
+	}
+	if c.Ticket != nil {
+		w.Ticket = c.Ticket.Wire()
+	}
+	return w
+}
+
+// receive passes an answer on until it ends. While there is no head yet, the
+// agent's silence counts as a lost link.
+func (x *exchange) receive(ctx context.Context, s *link.Stream) result {
+	wake := func() { s.SetReadDeadline(time.Unix(1, 0)) }
+	stopCaller := context.AfterFunc(ctx, wake)
+	defer stopCaller()
+	stopAlive := context.AfterFunc(x.backend.Alive(), wake)
+	defer stopAlive()
+	for {
+		reply, err := s.RecvReply()
+		if err != nil {
+			return x.broken(ctx, s)
+		}
+		if x.begun {
+			stopAlive()
+		}
+		switch body := reply.GetBody().(type) {
+		case *wire.Reply_Head:
+			if err := x.head(ctx, s, body.Head, stopAlive); err != nil {
+				return result{err: err}
+			}
+		case *wire.Reply_Chunk:
+			if err := x.chunk(s, body.Chunk); err != nil {
+				return result{err: err}
+			}
+		case *wire.Reply_End:
+			if !x.mine(body.End.GetRequestId(), body.End.GetNumber()) || body.End.GetSize() != x.offset {
+				return x.broken(ctx, s)
+			}
+			return result{done: true}
+		case *wire.Reply_Refusal:
+			return x.refused(body.Refusal)
+		default:
+			return x.broken(ctx, s)
+		}
+	}
+}
+
+// mine reports whether a message belongs to the present attempt.
+func (x *exchange) mine(request string, number uint32) bool {
+	return request == string(x.place.Attempt.Request) && number == x.place.Attempt.Number
+}
+
+func (x *exchange) head(ctx context.Context, s *link.Stream, h *wire.AnswerHead, stopAlive func() bool) error {
+	if !x.mine(h.GetRequestId(), h.GetNumber()) {
+		return ErrAborted
+	}
+	if !stopAlive() && ctx.Err() == nil {
+		s.SetReadDeadline(time.Time{}) // silent until now, but it answers
+		context.AfterFunc(ctx, func() { s.SetReadDeadline(time.Unix(1, 0)) })
+	}
+	if x.begun {
+		return nil // resumed
+	}
+	x.begun = true
+	if err := x.sink.Head(int(h.GetStatus()), h.GetHeaders(), x.place); err != nil {
+		return x.callerGone(s, err)
+	}
+	return nil
+}
+
+func (x *exchange) chunk(s *link.Stream, c *wire.AnswerChunk) error {
+	if !x.mine(c.GetRequestId(), c.GetNumber()) || c.GetOffset() != x.offset {
+		return ErrAborted
+	}
+	x.offset += int64(len(c.GetData()))
+	if err := x.sink.Data(c.GetData()); err != nil {
+		return x.callerGone(s, err)
+	}
+	return nil
+}
+
+func (x *exchange) callerGone(s *link.Stream, err error) error {
+	_ = s.SendCall(&wire.Call{Body: &wire.Call_Cancel{Cancel: &wire.Cancel{}}})
+	return eris.Wrapf(ErrCallerGone, "%v", err)
+}
+
+// broken tells why nothing more came: the caller went, its deadline passed, or
+// the link or the agent failed.
+func (x *exchange) broken(ctx context.Context, s *link.Stream) result {
+	if eris.Is(ctx.Err(), context.DeadlineExceeded) {
+		_ = s.SendCall(&wire.Call{Body: &wire.Call_Cancel{Cancel: &wire.Cancel{}}})
+		return result{event: retry.EventNoFate, refusal: contract.Refusal{Reason: contract.ReasonDeadline}}
+	}
+	if ctx.Err() != nil {
+		return result{err: x.callerGone(s, ctx.Err())}
+	}
+	if x.begun {
+		return result{event: retry.EventCut}
+	}
+	return result{event: retry.EventLost, refusal: contract.Refusal{Reason: contract.ReasonLinkLost}}
+}
+
+func (x *exchange) refused(w *wire.Refusal) result {
+	if !x.mine(w.GetRequestId(), w.GetNumber()) {
+		return result{err: ErrAborted}
+	}
+	if len(w.GetNewer()) > 0 {
+		b := configuration.Batch{Revision: x.d.config.Revision()}
+		for _, rec := range w.GetNewer() {
+			b.Records = append(b.Records, configuration.RecordFromWire(rec))
+		}
+		configuration.RecordChanges(x.d.recorder, x.d.config.Apply(b))
+	}
+	return result{event: retry.EventRefused, refusal: contract.Refusal{
+		Outcome:    contract.OutcomeFromWire(w.GetOutcome()),
+		Reason:     contract.Reason(w.GetReason()),
+		RetryAfter: time.Duration(w.GetRetryAfterMs()) * time.Millisecond,
+	}}
+}
+
+// queryFate asks the agent what became of the attempt. The agent tombstones
+// one that was not handed over.
+func (x *exchange) queryFate(ctx context.Context) result {
+	query := &wire.FateQuery{
+		RequestId: string(x.place.Attempt.Request), Number: x.place.Attempt.Number,
+		Incarnation: uint64(x.place.Incarnation), DeadlineUnixMs: x.contract.Deadline.UnixMilli(),
+		SentUnixMs: x.sent.UnixMilli(),
+	}
+	out := result{event: retry.EventNoFate, refusal: contract.Refusal{Reason: contract.ReasonLinkLost}}
+	x.tryUntil(ctx, func(ctx context.Context, l *link.Link) bool {
+		reply, err := l.Call(ctx, &wire.Call{Body: &wire.Call_Fate{Fate: query}})
+		if err != nil {
+			return false
+		}
+		switch reply.GetFate().GetFate() {
+		case wire.Fate_FATE_TOMBSTONED:
+			out = result{event: retry.EventTombstoned, refusal: contract.Refusal{Reason: contract.ReasonLinkLost}}
+		case wire.Fate_FATE_RUNNING, wire.Fate_FATE_ANSWERED:
+			out = result{event: retry.EventHeld}
+		default:
+			out = result{event: retry.EventNoFate, refusal: contract.Refusal{Reason: contract.ReasonReplacedAgent}}
+		}
+		return true
+	})
+	x.record(timeline.KindFate, string(out.refusal.Reason))
+	return out
+}
+
+// resume attaches to the attempt again and passes the rest of its answer on.
+func (x *exchange) resume(ctx context.Context) result {
+	out := result{event: retry.EventNoFate, refusal: contract.Refusal{Reason: contract.ReasonLinkLost}}
+	x.record(timeline.KindResume, "")
+	x.tryUntil(ctx, func(_ context.Context, l *link.Link) bool {
+		s, err := l.Open(ctx)
+		if err != nil {
+			return false
+		}
+		defer s.Close()
+		call := &wire.Resume{
+			RequestId: string(x.place.Attempt.Request), Number: x.place.Attempt.Number,
+			Incarnation: uint64(x.place.Incarnation), Offset: x.offset,
+		}
+		if s.SendCall(&wire.Call{Body: &wire.Call_Resume{Resume: call}}) != nil {
+			return false
+		}
+		out = x.receive(ctx, s)
+		return out.event != retry.EventCut && out.event != retry.EventLost
+	})
+	if out.event == retry.EventLost {
+		out.event = retry.EventNoFate
+	}
+	return out
+}
+
+// tryUntil calls f with a link to the attempt's agent until it returns true or
+// the time for that is over. Another incarnation of the agent ends it too.
+func (x *exchange) tryUntil(ctx context.Context, f func(context.Context, *link.Link) bool) {
+	limited, cancel := context.WithTimeout(ctx, fateTimeout)
+	defer cancel()
+	for limited.Err() == nil {
+		l, err := x.d.directory.Link(limited, x.backend)
+		if err == nil && l.Incarnation != x.place.Incarnation {
+			return
+		}
+		if err == nil && f(limited, l) {
+			return
+		}
+		timer := time.NewTimer(fateInterval)
+		select {
+		case <-limited.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (d *Dispatcher) serviceRevision(service string) uint64 {
+	return d.config.View().Versions[serviceKey(service)]
+}
--- /dev/null
+++ b/entry/server/server.go
@@ -0,0 +1,204 @@
+// Package server is the entry VM's process: callers' HTTP, the resource
+// interface, links to agents and peers, membership and configuration spread.
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"baywall.example/core/configuration"
+	"baywall.example/core/link"
+	"baywall.example/core/platform"
+	"baywall.example/core/timeline"
+	"baywall.example/core/vm"
+	"baywall.example/core/wire"
+	"baywall.example/core/zone"
+	"baywall.example/entry/api"
+	"baywall.example/entry/backend"
+	"baywall.example/entry/dispatch"
+	"baywall.example/entry/limits"
+	"baywall.example/entry/membership"
+	"baywall.example/entry/spread"
+)
+
+// ErrStart means that the process could not start.
+var ErrStart = eris.New("entry: start")
+
+// Server is one entry VM's process.
+type Server struct {
+	settings  Settings
+	log       zerolog.Logger
+	local     *link.Local
+	recorder  *timeline.Recorder
+	config    *configuration.Store
+	vms       *configuration.VMs
+	directory *backend.Directory
+	peers     *link.Pool
+	prober    *membership.Prober
+	spreader  *spread.Spreader
+	api       *api.API
+
+	draining atomic.Bool
+	http     *http.Server
+	listener net.Listener
+	ctx      context.Context
+	stop     context.CancelFunc
+	workers  conc.WaitGroup
+
+	revisionsMu sync.Mutex
+	revisions   map[vm.ID]uint64 // last told to the membership, by agent
+}
+
+// New returns a process with validated settings; Start runs it.
+func New(s Settings, log zerolog.Logger, now time.Time) *Server {
+	id := vm.ID(s.VM)
+	e := &Server{
+		settings:  s,
+		log:       log,
+		recorder:  timeline.NewRecorder(id, timeline.DefaultCapacity, log),
+		config:    configuration.NewStore(false),
+		vms:       configuration.NewVMs(),
+		revisions: make(map[vm.ID]uint64),
+	}
+	e.ctx, e.stop = context.WithCancel(context.Background())
+	host, _, _ := net.SplitHostPort(s.Link.Listen)
+	e.local = &link.Local{
+		VM: id, Incarnation: vm.NewIncarnation(now), Role: vm.RoleEntry, Zone: zone.ID(s.Zone),
+		BindIP: host, Clock: e.recorder.Clock(), Log: log,
+		Revisions: func() (uint64, uint64) { return e.config.Revision(), e.vms.List().Revision },
+	}
+	e.directory = backend.NewDirectory(e.local, e, e.recorder, e.agentUp, e.agentReport)
+	e.peers = link.NewPool(e.local, e, nil, nil)
+	return e
+}
+
+// Start opens the listeners and begins to serve.
+func (e *Server) Start() error {
+	prober, err := membership.NewProber(e.settings.Probe.Listen, e.self, e.heard, e.recorder, e.log)
+	if err != nil {
+		return eris.Wrapf(ErrStart, "probe.listen: %v", err)
+	}
+	e.prober = prober
+	linkListener, err := net.Listen("tcp", e.settings.Link.Listen)
+	if err != nil {
+		return eris.Wrapf(ErrStart, "link.listen: %v", err)
+	}
+	e.listener = linkListener
+	httpListener, err := net.Listen("tcp", e.settings.HTTP.Listen)
+	if err != nil {
+		linkListener.Close()
+		return eris.Wrapf(ErrStart, "http.listen: %v", err)
+	}
+	e.wire()
+	e.workers.Go(func() { _ = link.Accept(linkListener, e.local, e.authorize, e) })
+	e.workers.Go(func() { e.prober.Run(e.ctx) })
+	e.workers.Go(func() { e.spreader.Run(e.ctx) })
+	e.workers.Go(func() { e.directory.Run(e.ctx, e.api.InSubset) })
+	e.workers.Go(func() { _ = e.http.Serve(httpListener) })
+	e.recorder.Record(timeline.Event{Kind: timeline.KindStart, Subject: e.settings.HTTP.Listen})
+	return nil
+}
+
+func (e *Server) wire() {
+	e.spreader = &spread.Spreader{
+		Self: e.local.VM, Zone: e.local.Zone, Config: e.config, VMs: e.vms,
+		Source: platform.NewClient(e.settings.Platform.URL, e.settings.Platform.Wait),
+		Prober: e.prober, Peers: e.peers, Agents: e.directory.Pool(), Local: e.local,
+		Seeds: e.settings.Seeds, Recorder: e.recorder, Log: e.log, OnList: e.directory.SetList,
+	}
+	e.api = api.New(api.Environment{
+		Self: e.local.VM, Zone: e.local.Zone, Config: e.config, VMs: e.vms,
+		Directory: e.directory, Prober: e.prober, Peers: e.peers, Recorder: e.recorder,
+		Dispatcher: dispatch.New(e.directory, e.config, e.recorder), Limiter: limits.New(),
+		Draining: e.draining.Load, Log: e.log,
+		AddressTTL: e.settings.Callers.AddressTTL, TicketTTL: e.settings.Callers.TicketTTL,
+		MaxBody: int64(e.settings.Callers.MaxBody),
+	})
+	e.http = &http.Server{Handler: e.api, ReadHeaderTimeout: readHeaderTimeout}
+}
+
+// readHeaderTimeout bounds how long a caller may take to send its header.
+const readHeaderTimeout = 10 * time.Second
+
+// Stop says that this VM is leaving, goes on serving for the linger time,
+// waits for the requests in flight and ends.
+func (e *Server) Stop(ctx context.Context) error {
+	e.draining.Store(true)
+	e.recorder.Record(timeline.Event{Kind: timeline.KindDrain})
+	e.prober.Rumor()
+	ctx, cancel := context.WithTimeout(ctx, e.settings.Drain.Timeout)
+	defer cancel()
+	timer := time.NewTimer(*e.settings.Drain.Linger)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	err := e.http.Shutdown(ctx)
+	if err != nil {
+		_ = e.http.Close()
+	}
+	e.recorder.Record(timeline.Event{Kind: timeline.KindStop})
+	e.listener.Close()
+	e.stop()
+	e.peers.Close()
+	e.workers.Wait()
+	if err != nil {
+		return eris.Wrap(err, "entry: drain timeout")
+	}
+	return nil
+}
+
+func (e *Server) self() membership.Self {
+	d := e.config.Digest()
+	return membership.Self{
+		VM: e.local.VM, Incarnation: e.local.Incarnation, ConfigRevision: e.config.Revision(),
+		ConfigDigest: d.Core ^ d.Teams, VMsRevision: e.vms.List().Revision, Draining: e.draining.Load(),
+	}
+}
+
+func (e *Server) heard(from vm.ID, p *wire.Probe) { e.spreader.Heard(e.ctx, from, p) }
+
+func (e *Server) agentUp(l *link.Link) { e.spreader.Announce(l) }
+
+// agentReport passes an agent's revision on to the other entry VMs and brings
+// an agent that lags behind up to date.
+func (e *Server) agentReport(id vm.ID, r *wire.Report) {
+	e.revisionsMu.Lock()
+	told := e.revisions[id]
+	e.revisions[id] = r.GetConfigRevision()
+	e.revisionsMu.Unlock()
+	if told != r.GetConfigRevision() {
+		e.prober.Learn(&wire.News{Vm: string(id), Incarnation: r.GetIncarnation(), ConfigRevision: r.GetConfigRevision()})
+	}
+	behind := r.GetConfigRevision() < e.config.Revision() || r.GetVmsRevision() < e.vms.List().Revision
+	if l, ok := e.directory.Pool().Open(id); ok && behind {
+		e.spreader.Announce(l)
+	}
+}
+
+func (e *Server) authorize(h *wire.Hello, remote net.Addr) error {
+	return configuration.Authorize(e.vms.List(), h, remote)
+}
+
+// ServeStream handles one call from another VM.
+func (e *Server) ServeStream(_ context.Context, from *link.Link, s *link.Stream, call *wire.Call) {
+	switch body := call.GetBody().(type) {
+	case *wire.Call_Pull:
+		reply := configuration.AnswerPull(body.Pull, e.config, e.vms)
+		_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Pull{Pull: reply}})
+	case *wire.Call_Timeline:
+		events := e.recorder.Select(timeline.FilterFromWire(body.Timeline))
+		_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Timeline{Timeline: timeline.EventsToWire(events)}})
+	default:
+		e.log.Warn().Str("vm", string(from.Remote)).Msg("unexpected call")
+	}
+}
--- /dev/null
+++ b/entry/server/settings.go
@@ -0,0 +1,142 @@
+package server
+
+import (
+	"fmt"
+	"net/url"
+	"time"
+
+	"baywall.example/core/settings"
+)
+
+// Settings are an entry VM's static settings.
+type Settings struct {
+	// VM is the id of this VM. Required.
+	VM string `yaml:"vm"`
+	// Zone is the availability zone of this VM. Required.
+	Zone string `yaml:"zone"`
+	// HTTP is where callers and operators connect.
+	HTTP HTTPSettings `yaml:"http"`
+	// Link is where other VMs of the fleet connect.
+	Link LinkSettings `yaml:"link"`
+	// Probe is where other entry VMs send their probes.
+	Probe ProbeSettings `yaml:"probe"`
+	// Platform is where configuration and the list of VMs are published.
+	Platform PlatformSettings `yaml:"platform"`
+	// Seeds are link addresses (IP:port) of entry VMs that a new process asks
+	// before the platform has answered. Default: none.
+	Seeds []string `yaml:"seeds"`
+	// Callers are the settings that concern callers.
+	Callers CallerSettings `yaml:"callers"`
+	// Drain tells how the process leaves.
+	Drain DrainSettings `yaml:"drain"`
+	// LogLevel is one of debug, info, warn, error. Default info.
+	LogLevel string `yaml:"log_level"`
+}
+
+// HTTPSettings are the settings of the callers' listener.
+type HTTPSettings struct {
+	// Listen is the IP:port that the process listens on. Required.
+	Listen string `yaml:"listen"`
+}
+
+// LinkSettings are the settings of the link listener.
+type LinkSettings struct {
+	// Listen is the IP:port that the process listens on. Required. Its IP is
+	// also the source of outgoing links.
+	Listen string `yaml:"listen"`
+}
+
+// ProbeSettings are the settings of the probe socket.
+type ProbeSettings struct {
+	// Listen is the UDP IP:port. Required.
+	Listen string `yaml:"listen"`
+}
+
+// PlatformSettings tell how to read the platform.
+type PlatformSettings struct {
+	// URL is the base URL, http only. Required.
+	URL string `yaml:"url"`
+	// Wait is how long one watch waits for a change. From 1s to 10m, default
+	// 30s.
+	Wait time.Duration `yaml:"wait"`
+}
+
+// CallerSettings are the settings that concern callers.
+type CallerSettings struct {
+	// AddressTTL is how long callers may keep an answer of /v1/entries. From
+	// 100ms to 1h, default 5s.
+	AddressTTL time.Duration `yaml:"address_ttl"`
+	// TicketTTL is how long a ticket can be presented. From 1s to 1h, default
+	// 30s.
+	TicketTTL time.Duration `yaml:"ticket_ttl"`
+	// MaxBody bounds a request's body, in bytes. From 1024 to 4194304, default
+	// 4194304.
+	MaxBody int `yaml:"max_body"`
+}
+
+// DrainSettings tell how a process leaves.
+type DrainSettings struct {
+	// Linger is how long new requests are still served after the process said
+	// that it is leaving. From 0 to 10m, default 6s: a little more than
+	// callers.address_ttl.
+	Linger *time.Duration `yaml:"linger"`
+	// Timeout is how long requests in flight may take before the process stops
+	// all the same. From 1s to 24h, default 15m.
+	Timeout time.Duration `yaml:"timeout"`
+}
+
+const (
+	defaultWait         = 30 * time.Second
+	defaultAddressTTL   = 5 * time.Second
+	defaultTicketTTL    = 30 * time.Second
+	defaultMaxBody      = 4 << 20
+	defaultLinger       = 6 * time.Second
+	defaultDrainTimeout = 15 * time.Minute
+)
+
+// Provision fills in the defaults.
+func (s *Settings) Provision() {
+	s.Platform.Wait = settings.Or(s.Platform.Wait, defaultWait)
+	s.Callers.AddressTTL = settings.Or(s.Callers.AddressTTL, defaultAddressTTL)
+	s.Callers.TicketTTL = settings.Or(s.Callers.TicketTTL, defaultTicketTTL)
+	s.Callers.MaxBody = settings.Or(s.Callers.MaxBody, defaultMaxBody)
+	if s.Drain.Linger == nil {
+		linger := defaultLinger
+		s.Drain.Linger = &linger
+	}
+	s.Drain.Timeout = settings.Or(s.Drain.Timeout, defaultDrainTimeout)
+	s.LogLevel = settings.Or(s.LogLevel, "info")
+}
+
+// Validate fills in the defaults and returns every wrong value.
+func (s *Settings) Validate() []settings.Problem {
+	s.Provision()
+	var c settings.Checks
+	c.Require("vm", s.VM)
+	c.Require("zone", s.Zone)
+	c.Address("http.listen", s.HTTP.Listen)
+	c.Address("link.listen", s.Link.Listen)
+	c.Address("probe.listen", s.Probe.Listen)
+	if u, err := url.Parse(s.Platform.URL); err != nil || u.Scheme != "http" || u.Host == "" {
+		c.OneOf("platform.url", s.Platform.URL, "an http://IP:port URL")
+	}
+	c.Duration("platform.wait", s.Platform.Wait, time.Second, 10*time.Minute)
+	c.Duration("callers.address_ttl", s.Callers.AddressTTL, 100*time.Millisecond, time.Hour)
+	c.Duration("callers.ticket_ttl", s.Callers.TicketTTL, time.Second, time.Hour)
+	c.Int("callers.max_body", s.Callers.MaxBody, 1024, 4<<20)
+	c.Duration("drain.linger", *s.Drain.Linger, 0, 10*time.Minute)
+	c.Duration("drain.timeout", s.Drain.Timeout, time.Second, 24*time.Hour)
+	c.OneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
+	seeds := make([]settings.Field, 0, len(s.Seeds))
+	for i, seed := range s.Seeds {
+		name := fmt.Sprintf("seeds[%d]", i)
+		c.Address(name, seed)
+		seeds = append(seeds, settings.Field{Name: name, Value: seed})
+	}
+	c.Distinct(seeds...)
+	c.Distinct(
+		settings.Field{Name: "http.listen", Value: s.HTTP.Listen},
+		settings.Field{Name: "link.listen", Value: s.Link.Listen},
+	)
+	return c.Problems
+}
--- /dev/null
+++ b/standin/cmd/experiment/main.go
@@ -0,0 +1,19 @@
+// Command experiment starts whole sites on this machine, with the real
+// programs and stand-ins for everything around them, and measures them. It is
+// not part of the product.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&quickstartCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,361 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	agentserver "baywall.example/agent/server"
+	"baywall.example/core/expertmap"
+	"baywall.example/core/resource"
+	"baywall.example/core/vm"
+	"baywall.example/core/zone"
+	entryserver "baywall.example/entry/server"
+	"baywall.example/standin/engine"
+	"baywall.example/standin/faults"
+	"baywall.example/standin/ledger"
+	"baywall.example/standin/plain"
+	"baywall.example/standin/platform"
+)
+
+// Ports on each VM's address. Published ones belong to the proxy.
+const (
+	portHTTP        = 8080
+	portLink        = 7000
+	portProbe       = 7001
+	portRealHTTP    = 18080
+	portRealLink    = 17000
+	portRealProbe   = 17001
+	portEngine      = 9000
+	portDebug       = 9090
+	callerAddress   = "200.1"
+	platformAddress = "254.1:9000"
+)
+
+// Fleet is a running site.
+type Fleet struct {
+	Site     Site
+	Platform *platform.Platform
+	Network  *faults.Network
+	Ledger   *ledger.Ledger
+	Groups   map[string]*engine.Group
+
+	dir       string
+	binaries  Binaries
+	mu        sync.Mutex
+	list      []vm.VM
+	processes map[vm.ID]*Process
+	addresses map[vm.ID]string
+	zones     map[string]string // by IP
+	closers   []func()
+}
+
+// Options change how a fleet is started.
+type Options struct {
+	Binaries Binaries
+	Dir      string // for settings and logs
+	// Direct leaves the proxy out: processes publish their real addresses.
+	Direct bool
+	// Hook runs at each execution on a backend server.
+	Hook func(work string)
+}
+
+// Start starts the whole site and waits until every entry VM is ready.
+func Start(site Site, opts Options) (*Fleet, error) {
+	f := &Fleet{
+		Site: site, Platform: platform.New(), Ledger: ledger.New(opts.Hook), Groups: make(map[string]*engine.Group),
+		dir: opts.Dir, binaries: opts.Binaries, processes: make(map[vm.ID]*Process),
+		addresses: make(map[vm.ID]string), zones: make(map[string]string),
+	}
+	f.Network = faults.New(f.delay)
+	if err := f.start(opts.Direct); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+// start brings everything up in the order in which it is needed.
+func (f *Fleet) start(direct bool) error {
+	address, err := f.Platform.Serve(f.Site.Network + "." + platformAddress)
+	if err != nil {
+		return err
+	}
+	f.closers = append(f.closers, f.Platform.Close)
+	f.publishResources()
+	for i := range f.Site.EntryVMs {
+		if err := f.addEntry(i, "http://"+address, direct); err != nil {
+			return err
+		}
+	}
+	host := 0
+	for _, svc := range f.Site.Services {
+		if err := f.addService(svc, &host, direct); err != nil {
+			return err
+		}
+	}
+	f.Platform.SetVMs(f.list)
+	for _, p := range f.processes {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return f.awaitReady()
+}
+
+func (f *Fleet) publishResources() {
+	for _, svc := range f.Site.Services {
+		spec := svc.Spec
+		f.Platform.Put(resource.KindService, svc.Name, spec)
+		intent := svc.Intent
+		intent.Service = svc.Name
+		f.Platform.Put(resource.KindIntent, svc.Name, intent)
+	}
+	for name, team := range f.Site.Teams {
+		f.Platform.Put(resource.KindTeam, name, team)
+	}
+}
+
+func (f *Fleet) zoneOf(i int) string { return f.Site.Zones[i%len(f.Site.Zones)] }
+
+func (f *Fleet) delay(p faults.Pair) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	from, to := f.zones[p.From], f.zones[p.To]
+	switch {
+	case from == "" || to == "":
+		return f.Site.CallerDelay
+	case from != to:
+		return f.Site.ZoneDelay
+	default:
+		return 0
+	}
+}
+
+// CallerIP returns the address that callers bind to.
+func (f *Fleet) CallerIP() string { return f.Site.Network + "." + callerAddress }
+
+func (f *Fleet) addEntry(i int, platformURL string, direct bool) error {
+	ip := fmt.Sprintf("%s.1.%d", f.Site.Network, i+1)
+	id := vm.ID(fmt.Sprintf("entry-%d", i+1))
+	f.zones[ip] = f.zoneOf(i)
+	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+	s := entryserver.Settings{
+		VM: string(id), Zone: f.zoneOf(i),
+		HTTP:     entryserver.HTTPSettings{Listen: at(portRealHTTP)},
+		Link:     entryserver.LinkSettings{Listen: at(portRealLink)},
+		Probe:    entryserver.ProbeSettings{Listen: at(portRealProbe)},
+		Platform: entryserver.PlatformSettings{URL: platformURL},
+		Callers:  entryserver.CallerSettings{AddressTTL: f.Site.AddressTTL},
+		Drain:    entryserver.DrainSettings{Linger: &f.Site.DrainLinger},
+	}
+	for j := range min(3, f.Site.EntryVMs) {
+		if j != i {
+			s.Seeds = append(s.Seeds, fmt.Sprintf("%s.1.%d:%d", f.Site.Network, j+1, portLink))
+		}
+	}
+	v := vm.VM{ID: id, Zone: zone.ID(f.zoneOf(i)), Role: vm.RoleEntry, State: vm.StateLive}
+	v.HTTP, v.Link, v.Probe = at(portHTTP), at(portLink), at(portProbe)
+	if direct {
+		v.HTTP, v.Link, v.Probe = at(portRealHTTP), at(portRealLink), at(portRealProbe)
+		s.Seeds = nil
+	} else if err := errors.Join(
+		f.Network.TCP(at(portHTTP), at(portRealHTTP)),
+		f.Network.TCP(at(portLink), at(portRealLink)),
+		f.Network.UDP(at(portProbe), at(portRealProbe)),
+	); err != nil {
+		return err
+	}
+	return f.addProcess(v, f.binaries.Entry, &s)
+}
+
+func (f *Fleet) addService(svc ServiceSite, host *int, direct bool) error {
+	var group *engine.Group
+	if svc.Group != nil {
+		g, err := f.startGroup(svc)
+		if err != nil {
+			return err
+		}
+		group = g
+	}
+	var ranks []vm.ID
+	for i := range svc.Runners {
+		*host++
+		ip := fmt.Sprintf("%s.2.%d", f.Site.Network, *host)
+		id := vm.ID(fmt.Sprintf("%s-%d", svc.Name, i+1))
+		ranks = append(ranks, id)
+		if err := f.addRunner(svc, group, id, ip, i, direct); err != nil {
+			return err
+		}
+	}
+	if group != nil {
+		f.Platform.Put(resource.KindGroup, svc.Name, resource.Group{
+			Service: svc.Name, Ranks: ranks, Layers: svc.Group.Layers, Experts: svc.Group.Experts, SlotsPerRank: svc.Group.Slots,
+		})
+	}
+	return nil
+}
+
+func (f *Fleet) startGroup(svc ServiceSite) (*engine.Group, error) {
+	shape := expertmap.Shape{Ranks: svc.Runners, Slots: svc.Group.Slots, Layers: svc.Group.Layers, Experts: svc.Group.Experts}
+	g, err := engine.NewGroup(engine.Options{
+		Shape: shape, BaseStep: svc.Step, Batch: 32, Cache: 64,
+		LoadLag: 500 * time.Millisecond, Fenced: svc.Group.Fenced, LoadTime: time.Millisecond,
+	}, svc.Group.popularity(shape))
+	if err != nil {
+		return nil, err
+	}
+	g.Start()
+	f.closers = append(f.closers, g.Stop)
+	f.Groups[svc.Name] = g
+	return g, nil
+}
+
+func (f *Fleet) addRunner(svc ServiceSite, group *engine.Group, id vm.ID, ip string, index int, direct bool) error {
+	f.zones[ip] = f.zoneOf(index)
+	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+	s := agentserver.Settings{
+		VM: string(id), Zone: f.zoneOf(index),
+		Link:   agentserver.LinkSettings{Listen: at(portRealLink)},
+		Engine: agentserver.EngineSettings{Address: at(portEngine), Kind: agentserver.KindPlain},
+		Debug:  agentserver.DebugSettings{Listen: at(portDebug)},
+	}
+	if group != nil {
+		s.Engine.Kind = agentserver.KindEngine
+		server, err := engine.Serve(at(portEngine), group.Rank(index), f.Ledger)
+		if err != nil {
+			return err
+		}
+		f.closers = append(f.closers, server.Close)
+	} else {
+		server, err := plain.Serve(at(portEngine), f.Ledger, svc.Delay)
+		if err != nil {
+			return err
+		}
+		f.closers = append(f.closers, server.Close)
+	}
+	v := vm.VM{ID: id, Zone: zone.ID(f.zoneOf(index)), Role: vm.RoleBackend, Link: at(portLink), Services: []string{svc.Name}, State: vm.StateLive}
+	if direct {
+		v.Link = at(portRealLink)
+	} else if err := f.Network.TCP(at(portLink), at(portRealLink)); err != nil {
+		return err
+	}
+	return f.addProcess(v, f.binaries.Agent, &s)
+}
+
+func (f *Fleet) addProcess(v vm.VM, binary string, s any) error {
+	raw, err := yaml.Marshal(s)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(f.dir, string(v.ID)+".yaml")
+	if err := os.WriteFile(path, raw, 0o644); err != nil {
+		return err
+	}
+	f.list = append(f.list, v)
+	f.processes[v.ID] = &Process{binary: binary, settings: path, logPath: filepath.Join(f.dir, string(v.ID)+".log")}
+	return nil
+}
+
+// Process returns the child process of a VM.
+func (f *Fleet) Process(id vm.ID) *Process { return f.processes[id] }
+
+// VMs returns the list as published last.
+func (f *Fleet) VMs() []vm.VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]vm.VM(nil), f.list...)
+}
+
+// Find returns one VM.
+func (f *Fleet) Find(id vm.ID) vm.VM {
+	v, _ := vm.List{VMs: f.VMs()}.Find(id)
+	return v
+}
+
+// SetState publishes a VM as live or leaving; an empty state removes it.
+func (f *Fleet) SetState(id vm.ID, state vm.State) {
+	f.mu.Lock()
+	list := make([]vm.VM, 0, len(f.list))
+	for _, v := range f.list {
+		if v.ID == id {
+			if state == "" {
+				continue
+			}
+			v.State = state
+		}
+		list = append(list, v)
+	}
+	f.list = list
+	f.mu.Unlock()
+	f.Platform.SetVMs(list)
+}
+
+// IP returns a VM's address.
+func (f *Fleet) IP(id vm.ID) string {
+	v := f.Find(id)
+	return v.Link[:len(v.Link)-len(fmt.Sprintf(":%d", portLink))]
+}
+
+// Entries returns the HTTP addresses of all entry VMs.
+func (f *Fleet) Entries() []string {
+	var out []string
+	for _, v := range f.VMs() {
+		if v.Role == vm.RoleEntry {
+			out = append(out, v.HTTP)
+		}
+	}
+	return out
+}
+
+const (
+	readyTimeout  = 20 * time.Second
+	readyInterval = 20 * time.Millisecond
+)
+
+// awaitReady waits until every entry VM serves and has linked its runners.
+func (f *Fleet) awaitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, address := range f.Entries() {
+		for !ready(address) {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("fleet: %s is not ready after %s", address, readyTimeout)
+			}
+			time.Sleep(readyInterval)
+		}
+	}
+	return nil
+}
+
+func ready(address string) bool {
+	resp, err := http.Get("http://" + address + "/v1/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Stop ends all child processes and stand-ins.
+func (f *Fleet) Stop() {
+	for _, p := range f.processes {
+		p.Continue()
+		p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range f.processes {
+		if done := p.Done(); done != nil {
+			<-done
+		}
+	}
+	f.Network.Close()
+	for i := len(f.closers) - 1; i >= 0; i-- {
+		f.closers[i]()
+	}
+}
--- /dev/null
+++ b/standin/load/run.go
@@ -0,0 +1,159 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sourcegraph/conc/pool"
+
+	"baywall.example/standin/ledger"
+)
+
+// Workload is a stream of similar requests.
+type Workload struct {
+	Service       string
+	Stream        bool
+	NonIdempotent bool
+	Teams         []string
+	Rate          float64 // requests a second
+	Prefixes      int     // distinct prompt prefixes
+	Prompt        int     // tokens
+	Tokens        int     // mean answer length
+}
+
+// Options describe a run.
+type Options struct {
+	Workloads []Workload
+	Duration  time.Duration
+	Seed      uint64
+	// MaxInFlight bounds the callers at a time. Default 2000.
+	MaxInFlight int
+	Progress    func(done int64)
+}
+
+// Report sums a run up.
+type Report struct {
+	Requests, Answered, NotRun, Unknown, Cut int
+	Doubled, Crossed, FalseNotRun, Lost      int
+	Resumed                                  int
+	First, Total                             *hdrhistogram.Histogram // microseconds
+	Reasons                                  map[string]int
+	Results                                  []Result
+}
+
+const (
+	histogramMax    = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+	defaultInFlight = 2000
+)
+
+// Run plays the workloads and checks the results against the ledger.
+func Run(ctx context.Context, caller *Caller, l *ledger.Ledger, o Options) *Report {
+	if o.MaxInFlight == 0 {
+		o.MaxInFlight = defaultInFlight
+	}
+	var mu sync.Mutex
+	var results []Result
+	var done atomic.Int64
+	tasks := pool.New().WithMaxGoroutines(o.MaxInFlight)
+	arrivals(ctx, o, func(r Request) {
+		tasks.Go(func() {
+			res := caller.Do(ctx, r)
+			mu.Lock()
+			results = append(results, res)
+			mu.Unlock()
+			if n := done.Add(1); o.Progress != nil {
+				o.Progress(n)
+			}
+		})
+	})
+	tasks.Wait()
+	return Summarize(results, l)
+}
+
+// arrivals calls emit for each request, as Poisson processes one a workload.
+func arrivals(ctx context.Context, o Options, emit func(Request)) {
+	end := time.Now().Add(o.Duration)
+	var wg sync.WaitGroup
+	for i, w := range o.Workloads {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rnd := rand.New(rand.NewPCG(o.Seed, uint64(i)))
+			next := time.Now()
+			for n := 0; ctx.Err() == nil; n++ {
+				next = next.Add(time.Duration(rnd.ExpFloat64() / w.Rate * float64(time.Second)))
+				if next.After(end) {
+					return
+				}
+				time.Sleep(time.Until(next))
+				emit(w.request(rnd, fmt.Sprintf("w%d-%d-%d", o.Seed, i, n)))
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+func (w Workload) request(rnd *rand.Rand, work string) Request {
+	r := Request{
+		Work: work, Service: w.Service, Stream: w.Stream, NonIdempotent: w.NonIdempotent,
+		Team: w.Teams[rnd.IntN(len(w.Teams))], Prompt: w.Prompt,
+	}
+	if w.Prefixes > 0 {
+		r.Prefix = fmt.Sprintf("prefix-%d", rnd.IntN(w.Prefixes))
+	}
+	if w.Tokens > 0 {
+		r.Tokens = 1 + w.Tokens/2 + rnd.IntN(w.Tokens)
+	}
+	return r
+}
+
+// Summarize counts outcomes and compares them with what really ran.
+func Summarize(results []Result, l *ledger.Ledger) *Report {
+	r := &Report{
+		Requests: len(results), Reasons: make(map[string]int), Results: results,
+		First: hdrhistogram.New(1, histogramMax, histogramDigits), Total: hdrhistogram.New(1, histogramMax, histogramDigits),
+	}
+	for _, res := range results {
+		runs := l.Runs(res.Work)
+		if res.NonIdempotent && runs > 1 {
+			r.Doubled++
+		}
+		if res.Crossed {
+			r.Crossed++
+		}
+		if res.Resumes > 0 {
+			r.Resumed++
+		}
+		switch res.Outcome {
+		case Answered:
+			r.Answered++
+			if runs == 0 {
+				r.Lost++ // an answer without an execution cannot be
+			}
+			_ = r.First.RecordValue(res.FirstToken.Microseconds())
+			_ = r.Total.RecordValue(res.Total.Microseconds())
+		case NotRun:
+			r.NotRun++
+			r.Reasons[res.Reason]++
+			if runs > 0 {
+				r.FalseNotRun++
+			}
+		case Unknown:
+			r.Unknown++
+			r.Reasons[res.Reason]++
+		case Cut:
+			r.Cut++
+			r.Reasons[res.Reason]++
+		}
+	}
+	return r
+}
+
+// Violations returns the number of broken promises.
+func (r *Report) Violations() int { return r.Doubled + r.Crossed + r.FalseNotRun + r.Lost }
--- /dev/null
+++ b/standin/plain/plain.go
@@ -0,0 +1,52 @@
+// Package plain is a stand-in for an ordinary HTTP service: it answers with a
+// document about the work asked for, after a short time.
+package plain
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"baywall.example/agent/engine"
+	"baywall.example/standin/ledger"
+)
+
+// Server is one backend server of the service.
+type Server struct {
+	http   *http.Server
+	ledger *ledger.Ledger
+	delay  time.Duration
+}
+
+// HeaderWork names the caller's id of the work.
+const HeaderWork = "X-Work"
+
+// Serve listens on the address; every answer takes the delay.
+func Serve(address string, l *ledger.Ledger, delay time.Duration) (*Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{ledger: l, delay: delay}
+	s.http = &http.Server{Handler: http.HandlerFunc(s.answer), ReadHeaderTimeout: time.Second}
+	go func() { _ = s.http.Serve(ln) }()
+	return s, nil
+}
+
+// Close stops serving and cuts all connections.
+func (s *Server) Close() { _ = s.http.Close() }
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
+	work := r.Header.Get(HeaderWork)
+	_, _ = io.Copy(io.Discard, r.Body)
+	s.ledger.Run(work)
+	if s.delay > 0 {
+		time.Sleep(s.delay)
+	}
+	w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+	body := fmt.Sprintf("document %s\n", work)
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	_, _ = io.WriteString(w, body)
+}
