--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -107,6 +107,15 @@
 	return nil
 }
 
+// fieldName returns the key that a wrong value stands behind, or the value
+// itself where the wrong token is the key.
+func fieldName(value string, prev *token.Token) string {
+	if prev == nil || prev.Type != token.MappingValueType || prev.Prev == nil {
+		return value
+	}
+	return prev.Prev.Value
+}
+
 // lineOf finds the line of a dotted path, or of its nearest present parent.
 func lineOf(file *ast.File, field string) int {
 	for field != "" && file != nil {
--- a/entry/cmd/baywall/client.go
+++ b/entry/cmd/baywall/client.go
@@ -117,7 +117,7 @@
 	revision uint64
 }
 
-func (*watchCommand) Name() string { return "watch" }
+func (*watchCommand) Name() string     { return "watch" }
 func (*watchCommand) Synopsis() string { return "print resources whenever they or their status change" }
 
 func (*watchCommand) Usage() string {
@@ -148,7 +148,7 @@
 	json               bool
 }
 
-func (*timelineCommand) Name() string { return "timeline" }
+func (*timelineCommand) Name() string     { return "timeline" }
 func (*timelineCommand) Synopsis() string { return "print the decisions of all VMs in causal order" }
 
 func (*timelineCommand) Usage() string {
