Call back for a new link without the pool's lock

Ruled out: a stuck map switch (the time line shows it idle), the fault proxy. Change: the callback runs after the slot's lock is released, and the relink loop asks the pool without the directory's lock.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -38,7 +38,7 @@
 	// MaxMessage is the largest message, in bytes.
 	MaxMessage = 6 << 20
 	// helloTimeout bounds dialing and the exchange of Hello messages.
-	helloTimeout = 2 * time.Second
+	helloTimeout = time.Second
 	// keepAlive is the interval of the session's keep-alive pings.
 	keepAlive = time.Second
 	// writeTimeout bounds a write to a peer that does not read.
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -43,18 +43,27 @@
 }
 
 // Get returns the link to the VM, dialing if there is none. While a failed
-// dial's backoff lasts it fails at once.
+// dial's backoff lasts it fails at once. The callback for a new link runs
+// without any lock held, as it may use the pool.
 func (p *Pool) Get(ctx context.Context, v vm.VM) (*Link, error) {
-	s := p.slot(v.ID)
+	l, isNew, err := p.getOrDial(ctx, p.slot(v.ID), v)
+	if isNew {
+		p.watch(l)
+	}
+	return l, err
+}
+
+func (p *Pool) getOrDial(ctx context.Context, s *slot, v vm.VM) (l *Link, isNew bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.link != nil && !s.link.Closed() && s.address == v.Link {
-		return s.link, nil
+		return s.link, false, nil
 	}
 	if s.address == v.Link && time.Now().Before(s.retryAt) {
-		return nil, eris.Wrapf(ErrUnreachable, "%s: waiting after a failed dial", v.ID)
+		return nil, false, eris.Wrapf(ErrUnreachable, "%s: waiting after a failed dial", v.ID)
 	}
-	return p.dial(ctx, s, v)
+	l, err = p.dial(ctx, s, v)
+	return l, err == nil, err
 }
 
 func (p *Pool) dial(ctx context.Context, s *slot, v vm.VM) (*Link, error) {
@@ -74,7 +83,6 @@
 		return nil, err
 	}
 	s.link, s.backoff, s.retryAt = l, 0, time.Time{}
-	p.watch(l)
 	return l, nil
 }
 
--- a/entry/backend/directory.go
+++ b/entry/backend/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -213,20 +214,25 @@
 	wg.Wait()
 }
 
+// unlinked returns the wanted backend servers that have no link. The pool is
+// asked without the directory's lock, as its callbacks take that lock.
 func (d *Directory) unlinked(wanted func(string) bool) []*Backend {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	var out []*Backend
-	for id, b := range d.backends {
-		if _, open := d.pool.Open(id); open {
-			continue
-		}
-		for _, service := range b.VM().Services {
-			if wanted(service) {
-				out = append(out, b)
-				break
-			}
+	for _, b := range d.all() {
+		v := b.VM()
+		if _, open := d.pool.Open(v.ID); !open && slices.ContainsFunc(v.Services, wanted) {
+			out = append(out, b)
 		}
 	}
 	return out
 }
+
+func (d *Directory) all() []*Backend {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]*Backend, 0, len(d.backends))
+	for _, b := range d.backends {
+		out = append(out, b)
+	}
+	return out
+}
--- a/standin/cmd/experiment/main.go
+++ b/standin/cmd/experiment/main.go
@@ -14,6 +14,7 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&quickstartCommand{}, "")
+	subcommands.Register(&faultsCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/standin/faults/network.go
+++ b/standin/faults/network.go
@@ -39,12 +39,11 @@
 }
 
 // Block holds everything sent from one IP to another, in this direction only,
-// until Unblock. Nothing is lost, as in a TCP connection over a dead path;
-// datagrams are dropped.
-func (n *Network) Block(p Pair) { n.setBlocked(p, true) }
-
-// Unblock lets the held bytes go on.
-func (n *Network) Unblock(p Pair) { n.setBlocked(p, false) }
+// or lets the held bytes go on. Nothing is lost, as in a TCP connection over a
+// dead path; datagrams are dropped.
+func (n *Network) Block(from, to string, blocked bool) {
+	n.setBlocked(Pair{from, to}, blocked)
+}
 
 // Partition blocks both directions between two sets of IPs, or unblocks them.
 func (n *Network) Partition(a, b []string, blocked bool) {
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -140,13 +141,13 @@
 			_ = r.Total.RecordValue(res.Total.Microseconds())
 		case NotRun:
 			r.NotRun++
-			r.Reasons[res.Reason]++
+			r.Reasons[shorten(res.Reason)]++
 			if runs > 0 {
 				r.FalseNotRun++
 			}
 		case Unknown:
 			r.Unknown++
-			r.Reasons[res.Reason]++
+			r.Reasons[shorten(res.Reason)]++
 		case Cut:
 			r.Cut++
 			r.Reasons[res.Reason]++
@@ -155,5 +156,28 @@
 	return r
 }
 
+// shorten keeps the beginning of a reason, up to the first detail.
+func shorten(reason string) string {
+	head, _, _ := strings.Cut(reason, ":")
+	return head
+}
+
 // Violations returns the number of broken promises.
 func (r *Report) Violations() int { return r.Doubled + r.Crossed + r.FalseNotRun + r.Lost }
+
+// Add adds another report's counts.
+func (r *Report) Add(o *Report) {
+	r.Requests += o.Requests
+	r.Answered += o.Answered
+	r.NotRun += o.NotRun
+	r.Unknown += o.Unknown
+	r.Cut += o.Cut
+	r.Doubled += o.Doubled
+	r.Crossed += o.Crossed
+	r.FalseNotRun += o.FalseNotRun
+	r.Lost += o.Lost
+	r.Resumed += o.Resumed
+	for reason, n := range o.Reasons {
+		r.Reasons[reason] += n
+	}
+}
