--- a/core/configuration/store.go
+++ b/core/configuration/store.go
@@ -315,9 +315,6 @@
 		if withoutTeams && key.Kind == resource.KindTeam {
 			continue
 		}
-		if e.Deleted && full {
-			continue
-		}
 		if full || e.latest() > revision {
 			b.Records = append(b.Records, e.Record)
 		}
--- /dev/null
+++ b/entry/retry/retry_test.go
@@ -0,0 +1,116 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"baywall.example/core/contract"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func sequence(idempotent, ticketed bool) *Sequence {
+	s := &Sequence{Idempotent: idempotent, Ticketed: ticketed, Deadline: now.Add(time.Second), Budget: NewBudget()}
+	s.Begin()
+	return s
+}
+
+func TestNext(t *testing.T) {
+	notRun := contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonOverload}
+	unknown := contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonEngineFailed}
+	cases := []struct {
+		name       string
+		idempotent bool
+		ticketed   bool
+		event      Event
+		refusal    contract.Refusal
+		action     Action
+		outcome    contract.Outcome
+	}{
+		{"idempotent, refused as not run", true, false, EventRefused, notRun, ActionRetry, ""},
+		{"idempotent, may have run", true, false, EventRefused, unknown, ActionRetry, ""},
+		{"idempotent, link lost", true, false, EventLost, contract.Refusal{}, ActionRetry, ""},
+		{"idempotent, not sent", true, false, EventNotSent, contract.Refusal{}, ActionRetry, ""},
+		{"not idempotent, refused as not run", false, false, EventRefused, notRun, ActionRetry, ""},
+		{"not idempotent, may have run", false, false, EventRefused, unknown, ActionRefuse, contract.Unknown},
+		{"not idempotent, link lost", false, false, EventLost, contract.Refusal{}, ActionQuery, ""},
+		{"not idempotent, tombstoned", false, false, EventTombstoned, contract.Refusal{}, ActionRetry, ""},
+		{"not idempotent, held", false, false, EventHeld, contract.Refusal{}, ActionResume, ""},
+		{"not idempotent, no fate", false, false, EventNoFate, contract.Refusal{}, ActionRefuse, contract.Unknown},
+		{"ticket, not sent: an earlier presentation may have run", false, true, EventNotSent, contract.Refusal{}, ActionRefuse, contract.Unknown},
+		{"ticket, its agent proved that it did not run", false, true, EventRefused, notRun, ActionRefuse, contract.NotRun},
+		{"ticket, tombstoned", false, true, EventTombstoned, contract.Refusal{}, ActionRetry, ""},
+		{"answer cut", true, false, EventCut, contract.Refusal{}, ActionResume, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := sequence(c.idempotent, c.ticketed).Next(c.event, c.refusal, now)
+			is.Equal(d.Action, c.action)
+			if c.action == ActionRefuse {
+				is.Equal(d.Refusal.Outcome, c.outcome)
+				is.True(d.Refusal.RetryAfter > 0)
+			}
+		})
+	}
+}
+
+// Whatever happens, "not-run" is said only if no attempt may have run, and a
+// non-idempotent request is tried again only after proof.
+func TestTruthfulWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := sequence(rapid.Bool().Draw(t, "idempotent"), false)
+		mayHaveRun := false
+		for range 20 {
+			ev := Event(rapid.IntRange(int(EventRefused), int(EventNoFate)).Draw(t, "event"))
+			outcome := rapid.SampledFrom([]contract.Outcome{contract.NotRun, contract.Unknown}).Draw(t, "outcome")
+			proved := ev == EventNotSent || ev == EventTombstoned || ev == EventRefused && outcome == contract.NotRun
+			open := ev == EventLost && !s.Idempotent || ev == EventCut || ev == EventHeld
+			if !proved && !open {
+				mayHaveRun = true
+			}
+			d := s.Next(ev, contract.Refusal{Outcome: outcome, Reason: contract.ReasonOverload}, now)
+			switch d.Action {
+			case ActionRetry:
+				if mayHaveRun && !s.Idempotent {
+					t.Fatal("a non-idempotent request that may have run is tried again")
+				}
+				s.Begin()
+			case ActionRefuse:
+				if d.Refusal.Outcome == contract.NotRun && mayHaveRun {
+					t.Fatal("not-run, though an attempt may have run")
+				}
+				return
+			}
+			if s.Attempts() > maxAttempts {
+				t.Fatal("too many attempts")
+			}
+		}
+	})
+}
+
+func TestBudgetBoundsRetriesToAShareOfRequests(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget()
+	const requests = 10_000
+	retries := 0
+	for range requests {
+		b.Earn()
+		for b.Take() {
+			retries++
+		}
+	}
+	is.True(retries <= requests*budgetShare+budgetStart+1)
+	is.True(retries >= requests*budgetShare-1)
+}
+
+func TestNoRetryAfterTheDeadline(t *testing.T) {
+	is := is.New(t)
+	s := sequence(true, false)
+	d := s.Next(EventLost, contract.Refusal{}, now.Add(time.Hour))
+	is.Equal(d.Action, ActionRefuse)
+	is.Equal(d.Refusal.Outcome, contract.Unknown)
+}
--- a/standin/cmd/experiment/faults.go
+++ b/standin/cmd/experiment/faults.go
@@ -30,6 +30,7 @@
 
 func (*faultsCommand) Name() string     { return "faults" }
 func (*faultsCommand) Synopsis() string { return "send load under random faults and check promises" }
+
 func (*faultsCommand) Usage() string {
 	return "faults [-site FILE] [-seeds N] [-first SEED] [-duration 9s] [-graceful] [-rate R] [-v]\n"
 }
