Never reuse a fencing number after a restart

Change: fencing numbers start at the wall clock in milliseconds; members take over their engine's number; schedules begin anywhere in a switch.

--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -63,6 +63,8 @@
 	env    Environment
 	member *mapswitch.Member
 
+	highest map[string]uint64 // fencing numbers heard by own coordinators
+
 	mu    sync.Mutex
 	heard map[string]time.Time // of a group's coordinator
 }
@@ -70,9 +72,10 @@
 // NewSet returns the groups of an agent; Run drives them.
 func NewSet(env Environment) *Set {
 	return &Set{
-		env:    env,
-		member: mapswitch.NewMember(env.Engine, env.Incarnation),
-		heard:  make(map[string]time.Time),
+		env:     env,
+		member:  mapswitch.NewMember(env.Engine, env.Incarnation),
+		heard:   make(map[string]time.Time),
+		highest: make(map[string]uint64),
 	}
 }
 
--- a/agent/group/lead.go
+++ b/agent/group/lead.go
@@ -46,7 +46,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	fence := mapswitch.NextFence(s.member.Promised(), rank)
+	fence := mapswitch.NextFence(max(s.highest[name], s.member.Promised()), rank, time.Now())
 	l := &leadership{
 		set: s, name: name, rank: rank, spec: *spec,
 		coord:   mapswitch.NewCoordinator(len(spec.Ranks), fence, mapswitch.Timing{}, time.Now()),
@@ -75,6 +75,7 @@
 			l.record(timeline.KindSwitch, stage.String(), fmt.Sprintf("step %d", l.coord.Step()))
 		}
 	}
+	s.highest[name] = l.coord.Highest()
 	s.hear(name)
 }
 
--- a/agent/mapswitch/coordinator.go
+++ b/agent/mapswitch/coordinator.go
@@ -12,10 +12,13 @@
 // the numbers of two coordinators differ.
 const fenceRankBits = 16
 
-// NextFence returns the smallest fencing number of a rank's coordinator that
-// is larger than the highest one heard.
-func NextFence(highest uint64, rank int) uint64 {
-	return (highest>>fenceRankBits+1)<<fenceRankBits | uint64(rank)
+// NextFence returns a fencing number for a rank's coordinator that is larger
+// than the highest one heard. Its upper part is at least the wall clock in
+// milliseconds: a restarted agent has forgotten which numbers its predecessor
+// used, and must not use one of them again.
+func NextFence(highest uint64, rank int, wall time.Time) uint64 {
+	counter := max(highest>>fenceRankBits+1, uint64(wall.UnixMilli()))
+	return counter<<fenceRankBits | uint64(rank)
 }
 
 // Stage is where a Coordinator stands.
--- a/agent/mapswitch/explore_test.go
+++ b/agent/mapswitch/explore_test.go
@@ -25,6 +25,9 @@
 func randomSchedule(seed uint64, b bugs) string {
 	rnd := rand.New(rand.NewPCG(seed, 0))
 	w := newWorld(2+rnd.IntN(3), rnd.IntN(2) == 0, b, rnd.IntN)
+	for range rnd.IntN(longestPrefix) {
+		w.ordinary()
+	}
 	for range scheduleLength {
 		list := w.actions()
 		if rnd.IntN(faultOneIn) == 0 {
--- a/agent/mapswitch/member.go
+++ b/agent/mapswitch/member.go
@@ -89,13 +89,15 @@
 	if !m.recovered {
 		return m.refuse("recovering after a restart")
 	}
-	if reply, ok := m.checkFence(o); !ok {
-		return reply
-	}
 	state, err := m.engine.Experts(ctx, false)
 	if err != nil {
 		return m.refuse(err.Error())
 	}
+	// A fenced engine may have seen a larger number than this incarnation.
+	m.promised = max(m.promised, state.Fence)
+	if reply, ok := m.checkFence(o); !ok {
+		return reply
+	}
 	m.promised = max(m.promised, o.Fence)
 	return m.carryOut(ctx, o, state)
 }
--- a/agent/mapswitch/world_test.go
+++ b/agent/mapswitch/world_test.go
@@ -75,6 +75,7 @@
 	engine      *simEngine
 	member      *Member
 	incarnation vm.Incarnation
+	skew        time.Duration  // of the VM's clock
 	late        []engine.Order // of earlier incarnations, still on their way
 	recovering  bool
 }
@@ -120,7 +121,8 @@
 func newWorld(ranks int, fenced bool, b bugs, choose func(int) int) *world {
 	w := &world{bugs: b, choose: choose, now: time.Unix(1_700_000_000, 0), step: 1}
 	for range ranks {
-		r := &simRank{engine: &simEngine{world: w, fenced: fenced, active: 1}, incarnation: 1}
+		skew := time.Duration(choose(5)) * 100 * time.Millisecond
+		r := &simRank{skew: skew, engine: &simEngine{world: w, fenced: fenced, active: 1}, incarnation: 1}
 		r.member = NewMember(r.engine, 1)
 		r.member.Recovered()
 		w.ranks = append(w.ranks, r)
@@ -133,12 +135,14 @@
 var timing = Timing{Lead: 3, Arm: 400 * time.Millisecond, Prepare: 2 * time.Second, Resend: 100 * time.Millisecond}
 
 func (w *world) lead(rank int) {
-	fence := NextFence(w.ranks[rank].member.Promised(), rank)
+	w.now = w.now.Add(time.Millisecond) // no two starts in one
+	highest := w.ranks[rank].member.Promised()
 	for _, c := range w.coords {
 		if c.rank == rank {
-			fence = NextFence(max(c.Highest(), w.ranks[rank].member.Promised()), rank)
+			highest = max(highest, c.Highest())
 		}
 	}
+	fence := NextFence(highest, rank, w.now.Add(w.ranks[rank].skew))
 	w.coords = append(w.coords, &simCoordinator{NewCoordinator(len(w.ranks), fence, timing, w.now), rank})
 }
 
