--- a/core/contract/contract.go
+++ b/core/contract/contract.go
@@ -76,6 +76,7 @@
 	ReasonUnknownAttempt  Reason = "unknown-attempt"
 	ReasonCanceled        Reason = "canceled"
 	ReasonBadRequest      Reason = "bad-request"
+	ReasonStarting        Reason = "starting"
 	ReasonRetryBudget     Reason = "retry-budget"
 )
 
--- a/entry/api/api.go
+++ b/entry/api/api.go
@@ -38,6 +38,7 @@
 	Dispatcher *dispatch.Dispatcher
 	Limiter    *limits.Limiter
 	Draining   func() bool
+	Ready      func() bool
 	Log        zerolog.Logger
 	AddressTTL time.Duration
 	TicketTTL  time.Duration
@@ -94,11 +95,19 @@
 // serveReady answers 200 once the process can serve, 503 before and while it
 // is leaving.
 func (a *API) serveReady(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	if a.Config.Revision() == 0 || a.VMs.List().Revision == 0 || a.Draining() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	answer := ReadyAnswer{VM: a.Self, ConfigRevision: a.Config.Revision(), VMsRevision: a.VMs.List().Revision}
+	status := http.StatusOK
+	if !a.Ready() || a.Draining() {
+		status = http.StatusServiceUnavailable
 	}
-	w.WriteHeader(http.StatusOK)
+	writeJSON(w, status, answer)
+}
+
+// ReadyAnswer tells which revisions a process has.
+type ReadyAnswer struct {
+	VM             vm.ID  `json:"vm"`
+	ConfigRevision uint64 `json:"config_revision"`
+	VMsRevision    uint64 `json:"vms_revision"`
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/entry/api/entries.go
+++ b/entry/api/entries.go
@@ -38,6 +38,10 @@
 
 // serveEntries answers which entry VMs a caller should use.
 func (a *API) serveEntries(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	if !a.Ready() {
+		a.problem(w, http.StatusServiceUnavailable, "", &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonStarting, RetryAfter: startRetryAfter}, "this entry VM has just started")
+		return
+	}
 	service := r.URL.Query().Get("service")
 	if a.Config.View().Services[service] == nil {
 		a.problem(w, http.StatusNotFound, "", notRun(contract.ReasonUnknownService), fmt.Sprintf("service: value %q is not configured", service))
--- a/entry/api/requests.go
+++ b/entry/api/requests.go
@@ -38,6 +38,9 @@
 	HeaderTicket         = "Baywall-Ticket"
 )
 
+// startRetryAfter is when callers of a process that is not ready may come back.
+const startRetryAfter = time.Second
+
 // prefixLength is how much of a body, in bytes, is its prompt prefix.
 const prefixLength = 512
 
@@ -87,6 +90,9 @@
 // contract reads from a request what is promised for it.
 func (a *API) contract(id contract.RequestID, r *http.Request, service string) (contract.Contract, *contract.Refusal, string) {
 	c := contract.Contract{Request: id, Service: service, Team: r.Header.Get(HeaderTeam)}
+	if !a.Ready() {
+		return c, &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonStarting, RetryAfter: startRetryAfter}, "this entry VM has just started"
+	}
 	view := a.Config.View()
 	svc := view.Services[service]
 	if svc == nil {
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -118,7 +118,7 @@
 		Self: e.local.VM, Zone: e.local.Zone, Config: e.config, VMs: e.vms,
 		Directory: e.directory, Prober: e.prober, Peers: e.peers, Recorder: e.recorder,
 		Dispatcher: dispatch.New(e.directory, e.config, e.recorder), Limiter: limits.New(),
-		Draining: e.draining.Load, Log: e.log,
+		Draining: e.draining.Load, Ready: e.spreader.Ready, Log: e.log,
 		AddressTTL: e.settings.Callers.AddressTTL, TicketTTL: e.settings.Callers.TicketTTL,
 		MaxBody: int64(e.settings.Callers.MaxBody),
 	})
--- a/entry/spread/spread.go
+++ b/entry/spread/spread.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -41,6 +42,10 @@
 	lastRetry  = 5 * time.Second
 	// recheck is how often a VM that is no watcher looks whether it became one.
 	recheck = 500 * time.Millisecond
+	// firstPeers is how many peers a new process asks.
+	firstPeers = 3
+	// askTimeout bounds how long a new process waits for them.
+	askTimeout = 2 * time.Second
 	// repairInterval is the least time between two full exchanges with one
 	// peer that has the same revision but other content.
 	repairInterval = 2 * time.Second
@@ -63,6 +68,7 @@
 	// OnList runs after a newer list was applied.
 	OnList func(vm.List)
 
+	ready    atomic.Bool
 	mu       sync.Mutex
 	pulling  map[vm.ID]bool
 	repaired map[vm.ID]time.Time
@@ -78,13 +84,52 @@
 	s.workers.Wait()
 }
 
-// bootstrap asks every seed once, so that a new process does not depend on the
-// platform alone.
+// Ready reports whether this process may serve: it has a configuration and a
+// list, and has asked its peers for newer ones.
+func (s *Spreader) Ready() bool { return s.ready.Load() }
+
+// bootstrap brings a new process up to date before it serves. The platform may
+// be stale, so it asks every seed, and then, once it has a list, some peers from
+// it. Peers that do not answer in time are not waited for: in a cut-off part of
+// the fleet, serving with what the platform says is better than not at all.
 func (s *Spreader) bootstrap(ctx context.Context) {
+	s.askAll(ctx, s.Seeds)
+	for s.Config.Revision() == 0 || s.VMs.List().Revision == 0 {
+		config, vms := s.Config.Changed(), s.VMs.Changed()
+		if s.Config.Revision() > 0 && s.VMs.List().Revision > 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-config:
+		case <-vms:
+		}
+	}
+	s.askAll(ctx, s.firstPeers())
+	s.ready.Store(true)
+}
+
+// firstPeers returns the link addresses of some other entry VMs, drawn by
+// rendezvous so that starting VMs do not all ask the same ones.
+func (s *Spreader) firstPeers() []string {
+	var out []string
+	order := rendezvous.Order(s.VMs.List().WithRole(vm.RoleEntry), string(s.Self), func(v vm.VM) string { return string(v.ID) })
+	for _, v := range order {
+		if v.ID != s.Self && len(out) < firstPeers {
+			out = append(out, v.Link)
+		}
+	}
+	return out
+}
+
+func (s *Spreader) askAll(ctx context.Context, addresses []string) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	var wg conc.WaitGroup
-	for _, seed := range s.Seeds {
+	for _, address := range addresses {
 		wg.Go(func() {
-			l, err := link.Dial(ctx, s.Local, seed, nil)
+			l, err := link.Dial(ctx, s.Local, address, nil)
 			if err != nil {
 				return
 			}
--- /dev/null
+++ b/standin/e2e/fleet_test.go
@@ -0,0 +1,177 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"baywall.example/core/resource"
+	"baywall.example/core/vm"
+	"baywall.example/entry/api"
+	"baywall.example/standin/engine"
+	"baywall.example/standin/fleet"
+	"baywall.example/standin/load"
+	"baywall.example/standin/plain"
+)
+
+var binaries fleet.Binaries
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "baywall-e2e-")
+	if err != nil {
+		panic(err)
+	}
+	binaries, err = fleet.Build(dir)
+	if err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// networks numbers the fleets, so that each has addresses of its own.
+var networks atomic.Int64
+
+// site is a small site: 4 entry VMs, a group of 4 ranks, 3 plain servers.
+func site() fleet.Site {
+	return fleet.Site{
+		Name: "test", Network: fmt.Sprintf("127.%d", 40+networks.Add(1)),
+		Zones: []string{"north", "south"}, ZoneDelay: time.Millisecond, EntryVMs: 4,
+		AddressTTL: 500 * time.Millisecond, DrainLinger: time.Second,
+		Services: []fleet.ServiceSite{
+			{
+				Name: "chat", Runners: 4, Spec: resource.Service{Engine: true}, Step: 5 * time.Millisecond,
+				Intent: resource.Intent{MoveCost: 0.001, PeriodMS: 1000},
+				Group:  &fleet.GroupSite{Layers: 2, Experts: 16, Slots: 6, Exponent: 1},
+			},
+			{Name: "archive", Runners: 3, Spec: resource.Service{NonIdempotent: true}, Delay: time.Millisecond},
+		},
+		Teams: map[string]resource.Team{"red": {Concurrency: 500}, "blue": {Concurrency: 500}},
+	}
+}
+
+func start(t *testing.T, s fleet.Site) *fleet.Fleet {
+	t.Helper()
+	f, err := fleet.Start(s, fleet.Options{Binaries: binaries, Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Stop)
+	return f
+}
+
+// patience bounds every wait; it is far above what any of them takes.
+const patience = 40 * time.Second
+
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited in vain: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func caller(f *fleet.Fleet) *load.Caller { return load.NewCaller(f.CallerIP(), f.Entries()) }
+
+func stream(work string, tokens int) load.Request {
+	return load.Request{Work: work, Service: "chat", Team: "red", Stream: true, Prefix: "p", Prompt: 16, Tokens: tokens}
+}
+
+// post sends one request to one entry VM and returns the response.
+func post(t *testing.T, address, service, work, key string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/services/"+service+"/documents", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(api.HeaderTeam, "red")
+	req.Header.Set(plain.HeaderWork, work)
+	if key != "" {
+		req.Header.Set(api.HeaderIdempotencyKey, key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp, string(body)
+}
+
+// openStream begins a streamed answer at one entry VM and reads its first
+// bytes.
+func openStream(t *testing.T, address, work string, tokens int) (*http.Response, string) {
+	t.Helper()
+	raw, err := json.Marshal(engine.Prompt{Work: work, Prefix: "p", Prompt: 16, Tokens: tokens})
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/services/chat/generate", strings.NewReader(string(raw)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(api.HeaderTeam, "red")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { resp.Body.Close() })
+	first := make([]byte, 64)
+	n, err := io.ReadAtLeast(resp.Body, first, 10)
+	if err != nil {
+		t.Fatalf("%s: %v", resp.Status, err)
+	}
+	return resp, string(first[:n])
+}
+
+// wholeStream is the answer that belongs to a work.
+func wholeStream(work string, tokens int) string {
+	var b strings.Builder
+	for n := range tokens {
+		fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", n, work, n)
+	}
+	fmt.Fprintf(&b, "data: [DONE %s]\n\n", work)
+	return b.String()
+}
+
+func ticket(t *testing.T, f *fleet.Fleet) (key string, holder vm.ID) {
+	t.Helper()
+	answer, err := caller(f).Entries(context.Background(), "archive", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer.Tickets[0], ticketVM(t, answer.Tickets[0])
+}
+
+// runs returns how many executions there were on one backend server.
+func runs(f *fleet.Fleet, id vm.ID) int {
+	n := 0
+	for _, e := range f.Ledger.Executions() {
+		if e.Server == f.Server(id) {
+			n++
+		}
+	}
+	return n
+}
+
+func getResource(t *testing.T, address, path string) (v api.ResourceView, status int) {
+	t.Helper()
+	resp, err := http.Get("http://" + address + path)
+	if err != nil {
+		return v, 0
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&v)
+	return v, resp.StatusCode
+}
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -26,9 +26,10 @@
 
 // Server is the HTTP interface of one rank.
 type Server struct {
-	rank   *Rank
-	ledger *ledger.Ledger
-	http   *http.Server
+	rank    *Rank
+	ledger  *ledger.Ledger
+	address string
+	http    *http.Server
 }
 
 // Serve listens on the address for one rank.
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{rank: r, ledger: l}
+	s := &Server{rank: r, ledger: l, address: address}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /baywall/load", s.load)
 	mux.HandleFunc("GET /baywall/experts", s.experts)
@@ -86,7 +87,7 @@
 		http.Error(w, "bad prompt", http.StatusBadRequest)
 		return
 	}
-	s.ledger.Run(p.Work)
+	s.ledger.Run(p.Work, s.address)
 	priority, _ := strconv.Atoi(r.Header.Get(engine.HeaderPriority))
 	j := &job{
 		ctx: r.Context(), priority: priority, prompt: p.Prompt, left: p.Tokens,
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -17,6 +18,7 @@
 	"baywall.example/core/resource"
 	"baywall.example/core/vm"
 	"baywall.example/core/zone"
+	"baywall.example/entry/api"
 	entryserver "baywall.example/entry/server"
 	"baywall.example/standin/engine"
 	"baywall.example/standin/faults"
@@ -63,14 +65,12 @@
 	Dir      string // for settings and logs
 	// Direct leaves the proxy out: processes publish their real addresses.
 	Direct bool
-	// Hook runs at each execution on a backend server.
-	Hook func(work string)
 }
 
 // Start starts the whole site and waits until every entry VM is ready.
 func Start(site Site, opts Options) (*Fleet, error) {
 	f := &Fleet{
-		Site: site, Platform: platform.New(), Ledger: ledger.New(opts.Hook), Groups: make(map[string]*engine.Group),
+		Site: site, Platform: platform.New(), Ledger: ledger.New(), Groups: make(map[string]*engine.Group),
 		dir: opts.Dir, binaries: opts.Binaries, processes: make(map[vm.ID]*Process),
 		addresses: make(map[vm.ID]string), zones: make(map[string]string),
 	}
@@ -304,6 +304,9 @@
 	return v.Link[:len(v.Link)-len(fmt.Sprintf(":%d", portLink))]
 }
 
+// Server returns the address of a backend server, as the ledger names it.
+func (f *Fleet) Server(id vm.ID) string { return fmt.Sprintf("%s:%d", f.IP(id), portEngine) }
+
 // Entries returns the HTTP addresses of all entry VMs.
 func (f *Fleet) Entries() []string {
 	var out []string
@@ -335,12 +338,23 @@
 }
 
 func ready(address string) bool {
+	_, ok := Revision(address)
+	return ok
+}
+
+// Revision returns the configuration revision of an entry VM, and false if the
+// VM does not answer or is not ready.
+func Revision(address string) (uint64, bool) {
 	resp, err := http.Get("http://" + address + "/v1/ready")
 	if err != nil {
-		return false
+		return 0, false
+	}
+	defer resp.Body.Close()
+	var answer api.ReadyAnswer
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&answer) != nil {
+		return 0, false
 	}
-	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return answer.ConfigRevision, true
 }
 
 // Stop ends all child processes and stand-ins.
--- /dev/null
+++ b/standin/history/history_test.go
@@ -0,0 +1,176 @@
+package history
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"baywall.example/agent/record"
+	"baywall.example/core/configuration"
+	"baywall.example/core/contract"
+	"baywall.example/core/resource"
+	"baywall.example/core/vm"
+	"baywall.example/standin/ledger"
+	"baywall.example/standin/load"
+)
+
+// handOver decides whether a recorded attempt goes to the backend server.
+type handOver func(*record.Table, *record.Attempt) bool
+
+// presentTickets lets several callers present tickets to one agent's record at
+// once, some of them giving up and asking for the fate, and returns the history.
+func presentTickets(seed uint64, decide handOver) ([]load.Result, []ledger.Execution) {
+	now := time.Now()
+	incarnation := vm.NewIncarnation(now)
+	table := record.NewTable("a", incarnation, record.Limits{})
+	executed := ledger.New()
+	var mu sync.Mutex
+	var results []load.Result
+	var wg conc.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			rnd := rand.New(rand.NewPCG(seed, uint64(i)))
+			work := fmt.Sprintf("work-%d", i/4) // 4 presentations of each ticket
+			ticket := &contract.Ticket{Service: "s", VM: "a", Incarnation: incarnation, Nonce: work, Issued: now, Expires: now.Add(time.Minute)}
+			id := contract.AttemptID{Request: contract.RequestID(fmt.Sprint(i)), Number: 1}
+			res := load.Result{Request: load.Request{Work: work, NonIdempotent: true}, Outcome: load.Unknown, Called: time.Now()}
+			verdict := table.Accept(id, ticket, time.Now())
+			if rnd.IntN(2) == 0 {
+				q := record.Query{ID: id, Incarnation: incarnation, Sent: res.Called, Deadline: now.Add(time.Minute)}
+				go table.Fate(q, time.Now())
+			}
+			if verdict.Action == record.ActionRun && decide(table, verdict.Attempt) {
+				executed.Run(work, "a")
+				table.Finish(verdict.Attempt, time.Now())
+				res.Outcome = load.Answered
+			}
+			res.Returned = time.Now()
+			mu.Lock()
+			results = append(results, res)
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	return results, executed.Executions()
+}
+
+func TestOutcomesOfTheRecordAreLegal(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(30) {
+		results, executions := presentTickets(seed, func(t *record.Table, a *record.Attempt) bool { return t.HandOver(a) })
+		is.NoErr(CheckOutcomes(results, executions))
+	}
+}
+
+// A record that hands over without looking at tombstones runs work twice.
+func TestPlantedDoubleHandOverIsFound(t *testing.T) {
+	for seed := range uint64(300) {
+		results, executions := presentTickets(seed, func(t *record.Table, a *record.Attempt) bool {
+			t.HandOver(a)
+			return true
+		})
+		if CheckOutcomes(results, executions) != nil {
+			return
+		}
+	}
+	t.Fatal("not found in 300 seeds")
+}
+
+func TestOutcomeModel(t *testing.T) {
+	at := func(ms int) time.Time { return time.UnixMilli(int64(1000 + ms)) }
+	result := func(outcome load.Outcome, once bool, from, to int) load.Result {
+		return load.Result{Request: load.Request{Work: "w", NonIdempotent: once}, Outcome: outcome, Called: at(from), Returned: at(to)}
+	}
+	run := func(ms int) ledger.Execution { return ledger.Execution{Work: "w", At: at(ms)} }
+	cases := []struct {
+		name    string
+		results []load.Result
+		runs    []ledger.Execution
+		legal   bool
+	}{
+		{"answered after a run", []load.Result{result(load.Answered, true, 0, 10)}, []ledger.Execution{run(5)}, true},
+		{"answered without a run", []load.Result{result(load.Answered, true, 0, 10)}, nil, false},
+		{"run twice", []load.Result{result(load.Answered, true, 0, 10)}, []ledger.Execution{run(5), run(6)}, false},
+		{"idempotent, run twice", []load.Result{result(load.Answered, false, 0, 10)}, []ledger.Execution{run(5), run(6)}, true},
+		{"not-run, never ran", []load.Result{result(load.NotRun, true, 0, 10)}, nil, true},
+		{"not-run, ran before", []load.Result{result(load.NotRun, true, 0, 10)}, []ledger.Execution{run(5)}, false},
+		{"not-run, ran afterwards", []load.Result{result(load.NotRun, true, 0, 10)}, []ledger.Execution{run(50)}, false},
+		{"unknown, ran afterwards", []load.Result{result(load.Unknown, true, 0, 10)}, []ledger.Execution{run(50)}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(CheckOutcomes(c.results, c.runs) == nil, c.legal)
+		})
+	}
+}
+
+// applyConcurrently offers versions in any order to a store while others read
+// which one is in force.
+func applyConcurrently(seed uint64, apply func(*configuration.Store, configuration.Batch)) *Revisions {
+	store := configuration.NewStore(false)
+	key := resource.Key{Kind: resource.KindTeam, Name: "t"}
+	seen := &Revisions{}
+	var writers, readers conc.WaitGroup
+	for w := range 4 {
+		writers.Go(func() {
+			rnd := rand.New(rand.NewPCG(seed, uint64(w)))
+			for range 50 {
+				rev := 1 + rnd.Uint64N(100)
+				spec := []byte(fmt.Sprintf(`{"concurrency": %d}`, rev))
+				apply(store, configuration.Batch{Revision: rev, Records: []configuration.Record{{Key: key, Revision: rev, Spec: spec}}})
+			}
+		})
+	}
+	for range 3 {
+		readers.Go(func() {
+			for range 100 {
+				called := time.Now()
+				revision := store.View().Versions[key]
+				seen.Saw("vm", revision, called, time.Now())
+			}
+		})
+	}
+	writers.Wait()
+	readers.Wait()
+	return seen
+}
+
+func TestRevisionsOfTheStoreAreLegal(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		seen := applyConcurrently(seed, func(s *configuration.Store, b configuration.Batch) { s.Apply(b) })
+		is.NoErr(seen.Check())
+	}
+}
+
+// A process that starts over with an empty store and takes what it is offered
+// first goes back.
+func TestPlantedRevertIsFound(t *testing.T) {
+	for seed := range uint64(100) {
+		if revertFound(seed) {
+			return
+		}
+	}
+	t.Fatal("not found in 100 seeds")
+}
+
+func revertFound(seed uint64) bool {
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	key := resource.Key{Kind: resource.KindTeam, Name: "t"}
+	seen := &Revisions{}
+	for range 20 {
+		store := configuration.NewStore(false) // the planted bug
+		rev := 1 + rnd.Uint64N(100)
+		spec := []byte(fmt.Sprintf(`{"concurrency": %d}`, rev))
+		store.Apply(configuration.Batch{Revision: rev, Records: []configuration.Record{{Key: key, Revision: rev, Spec: spec}}})
+		called := time.Now()
+		seen.Saw("vm", store.View().Versions[key], called, time.Now())
+	}
+	return seen.Check() != nil
+}
--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -54,6 +54,8 @@
 	Total      time.Duration
 	Sends      int
 	Resumes    int
+	Called     time.Time
+	Returned   time.Time
 }
 
 // maxSends is how often a caller sends one request.
@@ -155,7 +157,8 @@
 func (c *Caller) Do(ctx context.Context, r Request) Result {
 	s := &session{caller: c, result: Result{Request: r, Outcome: NotRun}, start: time.Now()}
 	s.run(ctx)
-	s.result.Total = time.Since(s.start)
+	s.result.Called, s.result.Returned = s.start, time.Now()
+	s.result.Total = s.result.Returned.Sub(s.start)
 	return s.result
 }
 
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -15,9 +15,10 @@
 
 // Server is one backend server of the service.
 type Server struct {
-	http   *http.Server
-	ledger *ledger.Ledger
-	delay  time.Duration
+	http    *http.Server
+	ledger  *ledger.Ledger
+	delay   time.Duration
+	address string
 }
 
 // HeaderWork names the caller's id of the work.
@@ -29,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ledger: l, delay: delay}
+	s := &Server{ledger: l, delay: delay, address: address}
 	s.http = &http.Server{Handler: http.HandlerFunc(s.answer), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.http.Serve(ln) }()
 	return s, nil
@@ -41,7 +42,7 @@
 func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
 	work := r.Header.Get(HeaderWork)
 	_, _ = io.Copy(io.Discard, r.Body)
-	s.ledger.Run(work)
+	s.ledger.Run(work, s.address)
 	if s.delay > 0 {
 		time.Sleep(s.delay)
 	}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -130,6 +130,27 @@
 	p.wake()
 }
 
+// Snapshot is the state of the platform at one moment.
+type Snapshot map[string]client.Value
+
+// Unfreeze ends a freeze and returns the state that was frozen.
+func (p *Platform) Unfreeze() Snapshot {
+	p.mu.Lock()
+	frozen := p.frozen
+	p.mu.Unlock()
+	p.Freeze(false)
+	return frozen
+}
+
+// Rewind makes the platform answer with an earlier state, as a replica that
+// lags far behind does.
+func (p *Platform) Rewind(s Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = s
+	p.wake()
+}
+
 // Calls returns the number of reads so far, and of those over the cap.
 func (p *Platform) Calls() (calls, limited int64) {
 	p.mu.Lock()
