Let a leaving agent answer for its outstanding tickets

Cause: two requests of a graceful run ended unknown: their tickets named an agent that had stopped gracefully before they were presented. Ruled out: lost links. Change: an agent that leaves lingers for a little longer than tickets live and refuses them with proof.

--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -163,13 +163,19 @@
 }
 
 // Stop refuses new attempts, waits for those in flight up to the drain timeout
-// and ends.
+// and for the linger time, and ends.
 func (a *Server) Stop(ctx context.Context) error {
 	a.draining.Store(true)
 	a.recorder.Record(timeline.Event{Kind: timeline.KindDrain})
 	ctx, cancel := context.WithTimeout(ctx, a.settings.Drain.Timeout)
 	defer cancel()
+	linger := time.NewTimer(*a.settings.Drain.Linger)
+	defer linger.Stop()
 	err := a.active.wait(ctx)
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
 	a.recorder.Record(timeline.Event{Kind: timeline.KindStop})
 	a.stop()
 	a.listener.Close()
--- a/agent/server/settings.go
+++ b/agent/server/settings.go
@@ -63,6 +63,11 @@
 
 // DrainSettings tell how a process leaves.
 type DrainSettings struct {
+	// Linger is how long the agent goes on answering after it began to leave,
+	// refusing everything new: who presents a ticket gets the proof that it
+	// did not run, which nobody can give once the process has ended. From 0 to
+	// 1h, default 35s: a little more than the entry VMs' callers.ticket_ttl.
+	Linger *time.Duration `yaml:"linger"`
 	// Timeout is how long requests in flight may take before the process stops
 	// all the same. From 1s to 24h, default 15m.
 	Timeout time.Duration `yaml:"timeout"`
@@ -83,6 +88,7 @@
 const (
 	defaultMaxInFlight  = 256
 	defaultDrainTimeout = 15 * time.Minute
+	defaultLinger       = 35 * time.Second
 	defaultRetention    = 10 * time.Second
 	defaultTicketGrace  = time.Minute
 	defaultClockSkew    = 500 * time.Millisecond
@@ -97,6 +103,10 @@
 	s.Record.TicketGrace = settings.Or(s.Record.TicketGrace, defaultTicketGrace)
 	s.Record.ClockSkew = settings.Or(s.Record.ClockSkew, defaultClockSkew)
 	s.Record.AnswerBytes = settings.Or(s.Record.AnswerBytes, defaultAnswerBytes)
+	if s.Drain.Linger == nil {
+		linger := defaultLinger
+		s.Drain.Linger = &linger
+	}
 	s.Drain.Timeout = settings.Or(s.Drain.Timeout, defaultDrainTimeout)
 	s.LogLevel = settings.Or(s.LogLevel, "info")
 }
@@ -115,6 +125,7 @@
 	c.Duration("record.ticket_grace", s.Record.TicketGrace, time.Second, time.Hour)
 	c.Duration("record.clock_skew", s.Record.ClockSkew, 0, 10*time.Second)
 	c.Int("record.answer_bytes", s.Record.AnswerBytes, 1<<16, 1<<30)
+	c.Duration("drain.linger", *s.Drain.Linger, 0, time.Hour)
 	c.Duration("drain.timeout", s.Drain.Timeout, time.Second, 24*time.Hour)
 	c.OneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
 	fields := []settings.Field{
--- a/standin/cmd/experiment/faults.go
+++ b/standin/cmd/experiment/faults.go
@@ -65,6 +65,8 @@
 	}
 	site.AddressTTL = time.Second
 	site.DrainLinger = 1500 * time.Millisecond
+	site.TicketTTL = 1500 * time.Millisecond
+	site.AgentLinger = 2 * time.Second
 	sum := &load.Report{Reasons: make(map[string]int)}
 	mixed := 0
 	for i := range c.seeds {
--- a/standin/cmd/experiment/main.go
+++ b/standin/cmd/experiment/main.go
@@ -15,6 +15,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&quickstartCommand{}, "")
 	subcommands.Register(&faultsCommand{}, "")
+	subcommands.Register(&overheadCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -153,7 +154,7 @@
 		Link:     entryserver.LinkSettings{Listen: at(portRealLink)},
 		Probe:    entryserver.ProbeSettings{Listen: at(portRealProbe)},
 		Platform: entryserver.PlatformSettings{URL: platformURL},
-		Callers:  entryserver.CallerSettings{AddressTTL: f.Site.AddressTTL},
+		Callers:  entryserver.CallerSettings{AddressTTL: f.Site.AddressTTL, TicketTTL: f.Site.TicketTTL},
 		Drain:    entryserver.DrainSettings{Linger: &f.Site.DrainLinger},
 	}
 	for j := range min(3, f.Site.EntryVMs) {
@@ -225,6 +226,7 @@
 		VM: string(id), Zone: f.zoneOf(index),
 		Link:   agentserver.LinkSettings{Listen: at(portRealLink)},
 		Engine: agentserver.EngineSettings{Address: at(portEngine), Kind: agentserver.KindPlain},
+		Drain:  agentserver.DrainSettings{Linger: &f.Site.AgentLinger},
 		Debug:  agentserver.DebugSettings{Listen: at(portDebug)},
 	}
 	if group != nil {
@@ -300,8 +302,8 @@
 
 // IP returns a VM's address.
 func (f *Fleet) IP(id vm.ID) string {
-	v := f.Find(id)
-	return v.Link[:len(v.Link)-len(fmt.Sprintf(":%d", portLink))]
+	host, _, _ := net.SplitHostPort(f.Find(id).Link)
+	return host
 }
 
 // Server returns the address of a backend server, as the ledger names it.
--- a/standin/fleet/site.go
+++ b/standin/fleet/site.go
@@ -32,6 +32,10 @@
 	Teams map[string]resource.Team `yaml:"teams"`
 	// DrainLinger, if set, replaces the default of the entry VMs.
 	DrainLinger time.Duration `yaml:"drain_linger"`
+	// AgentLinger is how long agents answer after they began to leave.
+	AgentLinger time.Duration `yaml:"agent_linger"`
+	// TicketTTL, if set, replaces the default of the entry VMs.
+	TicketTTL time.Duration `yaml:"ticket_ttl"`
 	// AddressTTL, if set, replaces the default of the entry VMs.
 	AddressTTL time.Duration `yaml:"address_ttl"`
 }
