Lead the expert map search out of local optima

Change: when no change helps, the expert that lacks a replica most gets one in place of a surplus one; the cheapest prefix of changes is kept as before; the search ends after 48 changes without gain.

--- a/core/expertmap/layer.go
+++ b/core/expertmap/layer.go
@@ -1,9 +1,6 @@
 package expertmap
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // layerState is one layer's placement with the time of each rank.
 type layerState struct {
@@ -14,7 +11,7 @@
 	replicas []int
 	times    []float64 // by rank
 	mean     float64
-	fastest  []int // scratch: ranks by rising time
+	fastest  []int // scratch: the fastest ranks by rising time
 }
 
 func newLayerState(slots []int32, counts []float64, perRank int, speeds []float64) *layerState {
@@ -26,7 +23,7 @@
 		speeds:   speeds,
 		replicas: make([]int, len(counts)),
 		times:    make([]float64, ranks),
-		fastest:  make([]int, ranks),
+		fastest:  make([]int, 0, 2*targetRanks),
 	}
 	for _, e := range slots {
 		if e != Empty {
@@ -75,12 +72,7 @@
 			slow = r
 		}
 	}
-	for r := range s.fastest {
-		s.fastest[r] = r
-	}
-	slices.SortFunc(s.fastest, func(a, b int) int {
-		return cmp.Or(cmp.Compare(s.times[a], s.times[b]), cmp.Compare(a, b))
-	})
+	s.findFastest()
 	best := change{score: s.times[slow] - costEpsilon*s.mean}
 	found := false
 	for _, fast := range s.fastest[:min(targetRanks, len(s.fastest))] {
@@ -96,6 +88,24 @@
 	return found
 }
 
+// findFastest fills in the fastest ranks, in order.
+func (s *layerState) findFastest() {
+	s.fastest = s.fastest[:0]
+	for r, t := range s.times {
+		at := len(s.fastest)
+		for at > 0 && t < s.times[s.fastest[at-1]] {
+			at--
+		}
+		if at == 2*targetRanks {
+			continue
+		}
+		if len(s.fastest) == 2*targetRanks {
+			s.fastest = s.fastest[:2*targetRanks-1]
+		}
+		s.fastest = slices.Insert(s.fastest, at, r)
+	}
+}
+
 // bestSwap scores every swap of a slot of the slow rank with one of the fast.
 // The score is the larger of the two ranks' times afterwards.
 func (s *layerState) bestSwap(slow, fast int, best *change) bool {
@@ -193,6 +203,39 @@
 	return score
 }
 
+// rebalanceReplicas gives one more replica to the expert that lacks one most,
+// in place of one of an expert that has more than it should. It leads the search
+// out of a placement in which no single change lowers the slowest rank's time.
+func (s *layerState) rebalanceReplicas(ideal []int) bool {
+	needy := Empty
+	for e := range ideal {
+		if s.replicas[e] < ideal[e] && (needy == Empty || s.share(int32(e)) > s.share(needy)) {
+			needy = int32(e)
+		}
+	}
+	if needy == Empty {
+		return false
+	}
+	best := -1
+	for slot, old := range s.slots {
+		rank := slot / s.perRank
+		if old != Empty && s.replicas[old] <= ideal[old] {
+			continue
+		}
+		if contains(s.slots[rank*s.perRank:(rank+1)*s.perRank], needy) {
+			continue
+		}
+		if best < 0 || s.times[rank] < s.times[best/s.perRank] {
+			best = slot
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	s.apply(change{slot: best, with: -1, expert: needy})
+	return true
+}
+
 func (s *layerState) apply(c change) {
 	if c.with >= 0 {
 		s.slots[c.slot], s.slots[c.with] = s.slots[c.with], s.slots[c.slot]
--- a/core/expertmap/plan.go
+++ b/core/expertmap/plan.go
@@ -32,6 +32,8 @@
 	targetRanks = 4
 	// changesPerRank bounds the changes tried in one layer, per rank.
 	changesPerRank = 4
+	// patience is how many changes in a row may bring nothing.
+	patience = 48
 )
 
 func (in Input) validate() error {
@@ -78,16 +80,21 @@
 	if s.mean == 0 {
 		return start
 	}
+	ideal := replicate(in.Counts[l], in.Shape)
 	best := append([]int32(nil), s.slots...)
 	bestCost := s.slowest() / s.mean
+	idle := 0
 	for range changesPerRank * in.Shape.Ranks {
-		if !s.improve() {
+		if idle++; idle > patience {
+			break
+		}
+		if !s.improve() && !s.rebalanceReplicas(ideal) {
 			break
 		}
 		moves := layerMoves(start, s.slots, in.Shape.Slots)
 		cost := s.slowest()/s.mean + in.Price*float64(moves)
 		if cost < bestCost-costEpsilon {
-			bestCost = cost
+			bestCost, idle = cost, 0
 			copy(best, s.slots)
 		}
 	}
--- a/standin/cmd/experiment/main.go
+++ b/standin/cmd/experiment/main.go
@@ -16,6 +16,9 @@
 	subcommands.Register(&quickstartCommand{}, "")
 	subcommands.Register(&faultsCommand{}, "")
 	subcommands.Register(&overheadCommand{}, "")
+	subcommands.Register(&spreadCommand{}, "")
+	subcommands.Register(&policiesCommand{}, "")
+	subcommands.Register(&mapsCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/standin/engine/group.go
+++ b/standin/engine/group.go
@@ -44,6 +44,7 @@
 	ranks []*Rank
 	mixed int
 	skew  float64
+	pace  float64 // slowdown of the mean by slow ranks, 1 = none
 	skews []float64
 	holds int
 	stop  chan struct{}
@@ -122,7 +123,15 @@
 		r.runStep()
 	}
 	g.step++
-	return time.Duration(float64(g.opts.BaseStep) * g.skew)
+	return time.Duration(float64(g.opts.BaseStep) * g.skew * g.pace)
+}
+
+func sum(xs []float64) float64 {
+	total := 0.0
+	for _, x := range xs {
+		total += x
+	}
+	return total
 }
 
 // account computes the step's skew and adds its tokens to the counts.
@@ -133,6 +142,7 @@
 		speeds[i] = r.speed
 	}
 	g.skew = expertmap.Skew(g.ranks[0].active, shares, g.opts.Shape.Slots, speeds)
+	g.pace = float64(len(speeds)) / sum(speeds)
 	if tokens == 0 {
 		return
 	}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -17,6 +17,7 @@
 	agentserver "baywall.example/agent/server"
 	"baywall.example/core/expertmap"
 	"baywall.example/core/resource"
+	"baywall.example/core/settings"
 	"baywall.example/core/vm"
 	"baywall.example/core/zone"
 	"baywall.example/entry/api"
@@ -49,6 +50,7 @@
 	Network  *faults.Network
 	Ledger   *ledger.Ledger
 	Groups   map[string]*engine.Group
+	Runners  map[string][]*engine.Rank // engines by service, in order
 
 	dir       string
 	binaries  Binaries
@@ -71,7 +73,7 @@
 // Start starts the whole site and waits until every entry VM is ready.
 func Start(site Site, opts Options) (*Fleet, error) {
 	f := &Fleet{
-		Site: site, Platform: platform.New(), Ledger: ledger.New(), Groups: make(map[string]*engine.Group),
+		Site: site, Platform: platform.New(), Ledger: ledger.New(), Groups: make(map[string]*engine.Group), Runners: make(map[string][]*engine.Rank),
 		dir: opts.Dir, binaries: opts.Binaries, processes: make(map[vm.ID]*Process),
 		addresses: make(map[vm.ID]string), zones: make(map[string]string),
 	}
@@ -192,7 +194,11 @@
 		ip := fmt.Sprintf("%s.2.%d", f.Site.Network, *host)
 		id := vm.ID(fmt.Sprintf("%s-%d", svc.Name, i+1))
 		ranks = append(ranks, id)
-		if err := f.addRunner(svc, group, id, ip, i, direct); err != nil {
+		rank, err := f.rankOf(svc, group, i)
+		if err != nil {
+			return err
+		}
+		if err := f.addRunner(svc, rank, id, ip, i, direct); err != nil {
 			return err
 		}
 	}
@@ -204,22 +210,54 @@
 	return nil
 }
 
+// rankOf returns the engine of a service's i-th runner, nil if it has none.
+func (f *Fleet) rankOf(svc ServiceSite, group *engine.Group, i int) (*engine.Rank, error) {
+	var rank *engine.Rank
+	switch {
+	case group != nil:
+		rank = group.Rank(i)
+	case svc.Independent:
+		g, err := f.newGroup(svc, GroupSite{Layers: 1, Experts: 1, Slots: 1}, 1)
+		if err != nil {
+			return nil, err
+		}
+		rank = g.Rank(0)
+	default:
+		return nil, nil
+	}
+	f.Runners[svc.Name] = append(f.Runners[svc.Name], rank)
+	return rank, nil
+}
+
 func (f *Fleet) startGroup(svc ServiceSite) (*engine.Group, error) {
-	shape := expertmap.Shape{Ranks: svc.Runners, Slots: svc.Group.Slots, Layers: svc.Group.Layers, Experts: svc.Group.Experts}
+	g, err := f.newGroup(svc, *svc.Group, svc.Runners)
+	f.Groups[svc.Name] = g
+	return g, err
+}
+
+// Defaults of an engine stand-in.
+const (
+	defaultBatch = 32
+	defaultCache = 64
+	loadLag      = 500 * time.Millisecond
+	loadTime     = time.Millisecond
+)
+
+func (f *Fleet) newGroup(svc ServiceSite, site GroupSite, ranks int) (*engine.Group, error) {
+	shape := expertmap.Shape{Ranks: ranks, Slots: site.Slots, Layers: site.Layers, Experts: site.Experts}
 	g, err := engine.NewGroup(engine.Options{
-		Shape: shape, BaseStep: svc.Step, Batch: 32, Cache: 64,
-		LoadLag: 500 * time.Millisecond, Fenced: svc.Group.Fenced, LoadTime: time.Millisecond,
-	}, svc.Group.popularity(shape))
+		Shape: shape, BaseStep: svc.Step, Batch: settings.Or(svc.Batch, defaultBatch), Cache: settings.Or(svc.Cache, defaultCache),
+		LoadLag: loadLag, Fenced: site.Fenced, LoadTime: loadTime,
+	}, site.Popularity(shape))
 	if err != nil {
 		return nil, err
 	}
 	g.Start()
 	f.closers = append(f.closers, g.Stop)
-	f.Groups[svc.Name] = g
 	return g, nil
 }
 
-func (f *Fleet) addRunner(svc ServiceSite, group *engine.Group, id vm.ID, ip string, index int, direct bool) error {
+func (f *Fleet) addRunner(svc ServiceSite, rank *engine.Rank, id vm.ID, ip string, index int, direct bool) error {
 	f.zones[ip] = f.zoneOf(index)
 	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	s := agentserver.Settings{
@@ -229,9 +267,9 @@
 		Drain:  agentserver.DrainSettings{Linger: &f.Site.AgentLinger},
 		Debug:  agentserver.DebugSettings{Listen: at(portDebug)},
 	}
-	if group != nil {
+	if rank != nil {
 		s.Engine.Kind = agentserver.KindEngine
-		server, err := engine.Serve(at(portEngine), group.Rank(index), f.Ledger)
+		server, err := engine.Serve(at(portEngine), rank, f.Ledger)
 		if err != nil {
 			return err
 		}
@@ -306,6 +344,15 @@
 	return host
 }
 
+// DebugAddress returns where a VM's process serves its metrics.
+func (f *Fleet) DebugAddress(id vm.ID) string {
+	v := f.Find(id)
+	if v.Role == vm.RoleEntry {
+		return fmt.Sprintf("%s:%d", f.IP(id), portRealHTTP)
+	}
+	return fmt.Sprintf("%s:%d", f.IP(id), portDebug)
+}
+
 // Server returns the address of a backend server, as the ledger names it.
 func (f *Fleet) Server(id vm.ID) string { return fmt.Sprintf("%s:%d", f.IP(id), portEngine) }
 
--- a/standin/fleet/site.go
+++ b/standin/fleet/site.go
@@ -48,8 +48,15 @@
 	Intent  resource.Intent  `yaml:"intent"`
 	// Group is the shape of the expert-parallel group, for engines.
 	Group *GroupSite `yaml:"group"`
+	// Independent makes the runners engines that step on their own, without a
+	// group that operators know of.
+	Independent bool `yaml:"independent"`
 	// Step is the base time of an engine's step.
 	Step time.Duration `yaml:"step"`
+	// Batch is how many requests an engine runs at a time, 0 = 32.
+	Batch int `yaml:"batch"`
+	// Cache is how many prompt prefixes an engine caches, 0 = 64.
+	Cache int `yaml:"cache"`
 	// Delay is the answer time of a plain service.
 	Delay time.Duration `yaml:"delay"`
 }
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -100,13 +100,16 @@
 	wg.Wait()
 }
 
+// prefixRepeats makes a prompt's shared beginning as long as a real one.
+const prefixRepeats = 64
+
 func (w Workload) request(rnd *rand.Rand, work string) Request {
 	r := Request{
 		Work: work, Service: w.Service, Stream: w.Stream, NonIdempotent: w.NonIdempotent,
 		Team: w.Teams[rnd.IntN(len(w.Teams))], Prompt: w.Prompt,
 	}
 	if w.Prefixes > 0 {
-		r.Prefix = fmt.Sprintf("prefix-%d", rnd.IntN(w.Prefixes))
+		r.Prefix = strings.Repeat(fmt.Sprintf("prefix-%d.", rnd.IntN(w.Prefixes)), prefixRepeats)
 	}
 	if w.Tokens > 0 {
 		r.Tokens = 1 + w.Tokens/2 + rnd.IntN(w.Tokens)
