--- a/agent/server/attempts.go
+++ b/agent/server/attempts.go
@@ -69,7 +69,7 @@
 		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonDraining, RetryAfter: drainRetryAfter}
 	}
 	key := resource.Key{Kind: resource.KindService, Name: w.GetService()}
-	if w.GetServiceRevision() < a.config.View().Versions[key] {
+	if w.GetServiceRevision() < a.config.View().Version(key) {
 		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonStaleConfig}
 	}
 	if a.inFlight.Load() >= int64(a.settings.Engine.MaxInFlight) {
--- a/agent/server/reports.go
+++ b/agent/server/reports.go
@@ -92,6 +92,7 @@
 	m.vars.Set("config_revision", expvar.Func(func() any { return a.config.Revision() }))
 	m.vars.Set("tickets", expvar.Func(func() any { n, _ := a.table.Load(); return n }))
 	m.vars.Set("saved_answer_bytes", expvar.Func(func() any { _, n := a.table.Load(); return n }))
+	m.vars.Set("link_bytes", expvar.Func(func() any { return a.traffic.Load() }))
 	m.vars.Set("draining", expvar.Func(func() any { return a.draining.Load() }))
 	return m
 }
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -49,6 +49,7 @@
 	metrics     *metrics
 
 	inFlight atomic.Int64
+	traffic  atomic.Int64 // bytes of all links
 	draining atomic.Bool
 	load     atomic.Pointer[engine.Load]
 	active   inFlightGate
@@ -121,7 +122,7 @@
 	host, _, _ := net.SplitHostPort(s.Link.Listen)
 	a.local = &link.Local{
 		VM: id, Incarnation: a.incarnation, Role: vm.RoleBackend, Zone: zone.ID(s.Zone),
-		BindIP: host, Clock: a.recorder.Clock(), Log: log, Revisions: a.revisions,
+		BindIP: host, Clock: a.recorder.Clock(), Log: log, Revisions: a.revisions, Traffic: &a.traffic,
 	}
 	a.pool = link.NewPool(a.local, a, nil, nil)
 	a.groups = group.NewSet(group.Environment{
--- a/core/configuration/store.go
+++ b/core/configuration/store.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"encoding/json"
 	"sync"
 	"sync/atomic"
 
@@ -46,10 +47,34 @@
 type View struct {
 	Revision uint64
 	Services map[string]*resource.Service
-	Teams    map[string]*resource.Team
 	Intents  map[string]*resource.Intent // by service
 	Groups   map[string]*resource.Group
-	Versions map[resource.Key]uint64
+
+	versions map[resource.Key]uint64 // of all but teams
+	teams    [teamShards]map[string]teamVersion
+}
+
+// teamShards is in how many maps a View holds its teams. A change of one team
+// copies one of them.
+const teamShards = 256
+
+// teamVersion is a team with its revision.
+type teamVersion struct {
+	team     *resource.Team
+	revision uint64
+}
+
+func teamShard(name string) uint64 { return rendezvous.Hash(name) % teamShards }
+
+// Team returns a team, nil if there is none.
+func (v *View) Team(name string) *resource.Team { return v.teams[teamShard(name)][name].team }
+
+// Version returns the revision in force of a resource, 0 if there is none.
+func (v *View) Version(key resource.Key) uint64 {
+	if key.Kind == resource.KindTeam {
+		return v.teams[teamShard(key.Name)][key.Name].revision
+	}
+	return v.versions[key]
 }
 
 // Digests summarise every version in force, so that peers find differences.
@@ -70,11 +95,22 @@
 	floor      uint64 // deletions up to this revision may be forgotten
 	digests    Digests
 	changed    chan struct{}
+	dirty      [teamShards]bool // shards of teams that changed since publish
 }
 
+// entry is a record whose content is kept decoded only.
 type entry struct {
 	Record
-	spec resource.Spec // decoded Spec, nil if deleted or never good
+	spec resource.Spec // nil if deleted or never good
+}
+
+// full returns the record with its content encoded.
+func (e *entry) full() Record {
+	r := e.Record
+	if e.spec != nil {
+		r.Spec, _ = json.Marshal(e.spec) // plain structs always encode
+	}
+	return r
 }
 
 // NewStore returns an empty store. One without teams ignores team records,
@@ -92,10 +128,9 @@
 func emptyView() *View {
 	return &View{
 		Services: make(map[string]*resource.Service),
-		Teams:    make(map[string]*resource.Team),
 		Intents:  make(map[string]*resource.Intent),
 		Groups:   make(map[string]*resource.Group),
-		Versions: make(map[resource.Key]uint64),
+		versions: make(map[resource.Key]uint64),
 	}
 }
 
@@ -126,6 +161,7 @@
 	defer s.mu.Unlock()
 	var changes []Status
 	for _, rec := range b.Records {
+		rec.Key.Kind = canonical(rec.Key.Kind)
 		if s.withoutTeams && rec.Key.Kind == resource.KindTeam {
 			continue
 		}
@@ -171,7 +207,7 @@
 
 func (s *Store) foldVersion(next *entry, rec Record) {
 	if rec.Deleted {
-		next.Revision, next.Spec, next.spec, next.Deleted = rec.Revision, nil, nil, true
+		next.Revision, next.spec, next.Deleted = rec.Revision, nil, true
 		return
 	}
 	if rec.Spec == nil {
@@ -185,7 +221,18 @@
 		}
 		return
 	}
-	next.Revision, next.Spec, next.spec, next.Deleted = rec.Revision, rec.Spec, spec, false
+	next.Revision, next.spec, next.Deleted = rec.Revision, spec, false
+}
+
+// canonical returns the constant for a known kind, so that thousands of
+// resources share one string.
+func canonical(k resource.Kind) resource.Kind {
+	for _, known := range resource.Kinds() {
+		if k == known {
+			return known
+		}
+	}
+	return k
 }
 
 // replace swaps an entry and keeps digests and the tombstone count in step.
@@ -193,6 +240,7 @@
 	digest := &s.digests.Core
 	if next.Key.Kind == resource.KindTeam {
 		digest = &s.digests.Teams
+		s.dirty[teamShard(next.Key.Name)] = true
 	}
 	*digest ^= versionHash(old.Record) ^ versionHash(next.Record)
 	if next.Deleted && !old.Deleted {
@@ -243,31 +291,54 @@
 	return changes
 }
 
-// publish builds a new View and wakes those who wait for a change.
+// publish builds a new View and wakes those who wait for a change. What did
+// not change is shared with the View before.
 func (s *Store) publish() {
 	v := emptyView()
 	v.Revision = s.revision
+	v.teams = s.view.Load().teams
+	for i, dirty := range s.dirty {
+		if dirty {
+			v.teams[i] = nil
+		}
+	}
 	for key, e := range s.records {
 		if e.spec == nil {
 			continue
 		}
-		v.Versions[key] = e.Revision
+		if key.Kind == resource.KindTeam {
+			s.publishTeam(v, key.Name, e)
+			continue
+		}
+		v.versions[key] = e.Revision
 		switch spec := e.spec.(type) {
 		case *resource.Service:
 			v.Services[key.Name] = spec
-		case *resource.Team:
-			v.Teams[key.Name] = spec
 		case *resource.Intent:
 			v.Intents[spec.Service] = spec
 		case *resource.Group:
 			v.Groups[key.Name] = spec
 		}
 	}
+	s.dirty = [teamShards]bool{}
 	s.view.Store(v)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+func (s *Store) publishTeam(v *View, name string, e *entry) {
+	i := teamShard(name)
+	if !s.dirty[i] {
+		return
+	}
+	if v.teams[i] == nil {
+		v.teams[i] = make(map[string]teamVersion)
+	}
+	if team, ok := e.spec.(*resource.Team); ok {
+		v.teams[i][name] = teamVersion{team: team, revision: e.Revision}
+	}
+}
+
 func (s *Store) statusOf(key resource.Key) Status {
 	e := s.records[key]
 	if e == nil {
@@ -288,7 +359,7 @@
 	if e == nil || e.Deleted {
 		return Record{}, false
 	}
-	return e.Record, true
+	return e.full(), true
 }
 
 // Select returns the records of one kind that are not deleted, in no order.
@@ -298,7 +369,7 @@
 	var out []Record
 	for key, e := range s.records {
 		if key.Kind == kind && !e.Deleted {
-			out = append(out, e.Record)
+			out = append(out, e.full())
 		}
 	}
 	return out
@@ -316,7 +387,7 @@
 			continue
 		}
 		if full || e.latest() > revision {
-			b.Records = append(b.Records, e.Record)
+			b.Records = append(b.Records, e.full())
 		}
 	}
 	return b
--- a/core/configuration/store_test.go
+++ b/core/configuration/store_test.go
@@ -26,10 +26,10 @@
 	is.Equal(len(changes), 1)
 	is.Equal(changes[0].RejectedRevision, uint64(2))
 	is.True(strings.Contains(changes[0].RejectedReason, "concurrency") && strings.Contains(changes[0].RejectedReason, "-3"))
-	is.Equal(s.View().Teams["a"].Concurrency, 5)
+	is.Equal(s.View().Team("a").Concurrency, 5)
 	is.Equal(s.Revision(), uint64(2))
 	s.Apply(Batch{Revision: 3, Records: []Record{team("a", 3, 7)}})
-	is.Equal(s.View().Teams["a"].Concurrency, 7)
+	is.Equal(s.View().Team("a").Concurrency, 7)
 	rec, _ := s.Resource(resource.Key{Kind: resource.KindTeam, Name: "a"})
 	is.Equal(rec.RejectedRevision, uint64(0))
 }
@@ -52,10 +52,10 @@
 	exchange := func() { ApplyPull(AnswerPull(NewPull(b, vmsB), a, vmsA), b, vmsB) }
 	a.Apply(Batch{Revision: 1, Full: true, Records: []Record{team("a", 1, 1), team("b", 1, 1)}})
 	exchange()
-	is.Equal(len(b.View().Teams), 2)
+	is.Equal(len(b.Select(resource.KindTeam)), 2)
 	a.Apply(Batch{Revision: 2, Records: []Record{{Key: team("a", 0, 0).Key, Revision: 2, Deleted: true}}})
 	exchange()
-	is.Equal(len(b.View().Teams), 1)
+	is.Equal(len(b.Select(resource.KindTeam)), 1)
 	for i := range maxTombstones + 2 {
 		rev := uint64(3 + i)
 		name := fmt.Sprintf("t%d", i)
@@ -108,7 +108,12 @@
 			seen[i] = map[resource.Key]uint64{}
 		}
 		check := func(i int) {
-			for key, rev := range stores[i].View().Versions {
+			for _, name := range []string{"a", "b", "c"} {
+				key := team(name, 0, 0).Key
+				rev := stores[i].View().Version(key)
+				if rev == 0 {
+					continue // deleted
+				}
 				if rev < seen[i][key] {
 					t.Fatalf("store %d: %s went from %d back to %d", i, key, seen[i][key], rev)
 				}
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -57,6 +57,7 @@
 	BindIP      string // source IP of outgoing links, empty = any
 	Clock       *timeline.Clock
 	Revisions   func() (config, vms uint64)
+	Traffic     *atomic.Int64 // counts the bytes of all links, may be nil
 	Log         zerolog.Logger
 }
 
@@ -82,8 +83,6 @@
 	Incarnation vm.Incarnation
 	Role        vm.Role
 	Zone        zone.ID
-	sent        atomic.Int64
-	received    atomic.Int64
 }
 
 func sessionConfig(log zerolog.Logger) *yamux.Config {
@@ -118,7 +117,7 @@
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
 	}
 	l := &Link{local: local}
-	l.session, err = yamux.Client(newCoalescingConn(countingConn{Conn: conn, link: l}), sessionConfig(local.Log))
+	l.session, err = yamux.Client(newCoalescingConn(local.count(conn)), sessionConfig(local.Log))
 	if err != nil {
 		conn.Close()
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
@@ -174,7 +173,7 @@
 
 func accept(conn net.Conn, local *Local, authorize Authorizer, handler Handler) {
 	l := &Link{local: local}
-	session, err := yamux.Server(newCoalescingConn(countingConn{Conn: conn, link: l}), sessionConfig(local.Log))
+	session, err := yamux.Server(newCoalescingConn(local.count(conn)), sessionConfig(local.Log))
 	if err != nil {
 		conn.Close()
 		return
@@ -251,9 +250,6 @@
 // Done returns a channel that is closed when the session ends.
 func (l *Link) Done() <-chan struct{} { return l.session.CloseChan() }
 
-// Traffic returns the bytes sent and received so far.
-func (l *Link) Traffic() (sent, received int64) { return l.sent.Load(), l.received.Load() }
-
 // Open opens a stream.
 func (l *Link) Open(ctx context.Context) (*Stream, error) {
 	if err := ctx.Err(); err != nil {
@@ -387,20 +383,27 @@
 	return eris.Wrapf(ErrLost, "receive: %v", err)
 }
 
-// countingConn counts a link's bytes.
+// countingConn counts the bytes sent and received.
 type countingConn struct {
 	net.Conn
-	link *Link
+	traffic *atomic.Int64
+}
+
+func (l *Local) count(conn net.Conn) net.Conn {
+	if l.Traffic == nil {
+		return conn
+	}
+	return countingConn{Conn: conn, traffic: l.Traffic}
 }
 
 func (c countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.link.received.Add(int64(n))
+	c.traffic.Add(int64(n))
 	return n, err
 }
 
 func (c countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.link.sent.Add(int64(n))
+	c.traffic.Add(int64(n))
 	return n, err
 }
--- a/entry/api/api.go
+++ b/entry/api/api.go
@@ -39,6 +39,7 @@
 	Limiter    *limits.Limiter
 	Draining   func() bool
 	Ready      func() bool
+	LinkBytes  func() int64
 	Log        zerolog.Logger
 	AddressTTL time.Duration
 	TicketTTL  time.Duration
@@ -139,21 +140,10 @@
 	m.vars.Set("config_revision", expvar.Func(func() any { return a.Config.Revision() }))
 	m.vars.Set("vms_revision", expvar.Func(func() any { return a.VMs.List().Revision }))
 	m.vars.Set("probe_bytes", expvar.Func(func() any { sent, received := a.Prober.Traffic(); return sent + received }))
-	m.vars.Set("link_bytes", expvar.Func(func() any { return a.linkBytes() }))
+	m.vars.Set("link_bytes", expvar.Func(func() any { return a.LinkBytes() }))
 	return m
 }
 
-func (a *API) linkBytes() int64 {
-	total := int64(0)
-	for _, pool := range []*link.Pool{a.Peers, a.Directory.Pool()} {
-		for _, l := range pool.Links() {
-			sent, received := l.Traffic()
-			total += sent + received
-		}
-	}
-	return total
-}
-
 func (m *metrics) serve(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write([]byte(`{"entry":` + m.vars.String() + `,"memstats":` + expvar.Get("memstats").String() + "}\n"))
--- a/entry/api/requests.go
+++ b/entry/api/requests.go
@@ -59,7 +59,7 @@
 		a.badBody(w, id, err)
 		return
 	}
-	release, limited := a.Limiter.Admit(c.Team, a.share(c.Team))
+	release, limited := a.Limiter.Admit(r.Context(), c.Team)
 	if limited != nil {
 		a.refuse(r.Context(), w, c, limited, "team "+c.Team+" has its share of requests running")
 		return
@@ -98,7 +98,7 @@
 	if svc == nil {
 		return c, notRun(contract.ReasonUnknownService), fmt.Sprintf("service: value %q is not configured at revision %d", service, view.Revision)
 	}
-	team := view.Teams[c.Team]
+	team := view.Team(c.Team)
 	if team == nil {
 		return c, notRun(contract.ReasonUnknownTeam), fmt.Sprintf("header %s: value %q is not a configured team", HeaderTeam, c.Team)
 	}
@@ -168,15 +168,6 @@
 	a.problem(w, status, string(id), notRun(contract.ReasonBadRequest), detail)
 }
 
-// share is how many requests of a team this entry VM may have running.
-func (a *API) share(team string) int {
-	t := a.Config.View().Teams[team]
-	if t == nil {
-		return 0
-	}
-	return t.Concurrency
-}
-
 func backendPath(r *http.Request, path string) string {
 	if r.URL.RawQuery != "" {
 		return path + "?" + r.URL.RawQuery
--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -418,5 +418,5 @@
 }
 
 func (d *Dispatcher) serviceRevision(service string) uint64 {
-	return d.config.View().Versions[serviceKey(service)]
+	return d.config.View().Version(serviceKey(service))
 }
--- /dev/null
+++ b/entry/limits/grantor.go
@@ -0,0 +1,187 @@
+package limits
+
+import (
+	"time"
+
+	"baywall.example/core/vm"
+)
+
+const (
+	// leaseTime is how long a share may be used without renewal.
+	leaseTime = 2 * time.Second
+	// basePart is the part of a limit that is split evenly.
+	basePart = 0.25
+	// headroom is the factor by which a grant exceeds the demand, if there is
+	// enough for all.
+	headroom = 1.5
+)
+
+// Base returns the share of a limit that each of n entry VMs always owns. It
+// is at least 1.
+func Base(limit, n int) int {
+	return max(1, int(basePart*float64(limit))/max(1, n))
+}
+
+// pool returns what can be leased to the reachable ones of n entry VMs.
+func pool(limit, n, reachable int) int {
+	rest := max(0, limit-n*Base(limit, n))
+	return rest * min(reachable, n) / max(1, n)
+}
+
+// Ask is a request for a share of one team's limit.
+type Ask struct {
+	From   vm.ID
+	Demand int // requests running and wanted
+	// HeldSequence, Held and HeldFor tell which lease the holder has.
+	HeldSequence uint64
+	Held         int
+	HeldFor      time.Duration
+}
+
+// Grant is a leased share.
+type Grant struct {
+	Sequence uint64
+	Share    int
+	Duration time.Duration
+}
+
+// Grantor leases shares of one team's pool. It is a pure state machine and not
+// safe for concurrent use.
+type Grantor struct {
+	next    uint64
+	holders map[vm.ID]*holding
+}
+
+// holding is what one holder may be using.
+type holding struct {
+	demand int
+	leases []lease // newest last; earlier ones count until confirmed or ended
+}
+
+type lease struct {
+	sequence uint64
+	share    int
+	until    time.Time
+}
+
+// NewGrantor returns a grantor without leases. Its sequence numbers start at
+// now, so that they differ from those of an earlier one.
+func NewGrantor(now time.Time) *Grantor {
+	return &Grantor{next: uint64(now.UnixNano()), holders: make(map[vm.ID]*holding)}
+}
+
+// Fleet is how one entry VM sees the others.
+type Fleet struct {
+	Listed    int // entry VMs on the list
+	Reachable int // of them usable, this one included
+	// Stable is since when the usable ones have been the same. Before, another
+	// VM may have been the grantor, and its leases may be in use.
+	Stable time.Time
+}
+
+// Handle answers a request for a share of the limit.
+func (g *Grantor) Handle(a Ask, limit int, f Fleet, now time.Time) Grant {
+	g.expire(now)
+	h := g.holders[a.From]
+	if h == nil {
+		h = &holding{}
+		g.holders[a.From] = h
+	}
+	h.demand = a.Demand
+	h.confirm(a, now)
+	available := pool(limit, f.Listed, f.Reachable) - g.heldByOthers(a.From)
+	target := g.target(a.From, pool(limit, f.Listed, f.Reachable), Base(limit, f.Listed))
+	share := max(0, min(target, available))
+	if now.Sub(f.Stable) < leaseTime {
+		share = min(share, a.Held) // leases of another grantor may be in use
+	}
+	g.next++
+	h.leases = append(h.leases, lease{sequence: g.next, share: share, until: now.Add(leaseTime)})
+	return Grant{Sequence: g.next, Share: share, Duration: leaseTime}
+}
+
+// confirm drops the leases before the one that the holder says it uses. One
+// that this grantor does not know was given by an earlier grantor.
+func (h *holding) confirm(a Ask, now time.Time) {
+	for i, l := range h.leases {
+		if l.sequence == a.HeldSequence {
+			h.leases = h.leases[i:]
+			return
+		}
+	}
+	if a.Held > 0 && a.HeldFor > 0 {
+		h.leases = append(h.leases, lease{sequence: a.HeldSequence, share: a.Held, until: now.Add(min(a.HeldFor, leaseTime))})
+	}
+}
+
+// using returns the most that the holder may be using.
+func (h *holding) using() int {
+	most := 0
+	for _, l := range h.leases {
+		most = max(most, l.share)
+	}
+	return most
+}
+
+func (g *Grantor) heldByOthers(id vm.ID) int {
+	sum := 0
+	for other, h := range g.holders {
+		if other != id {
+			sum += h.using()
+		}
+	}
+	return sum
+}
+
+// target returns a holder's part of the pool: what it wants with some headroom
+// if there is enough, and otherwise the level at which all that want more get
+// the same (max-min fairness).
+func (g *Grantor) target(id vm.ID, pool, base int) int {
+	want := func(h *holding) int {
+		return max(0, int(headroom*float64(h.demand))+1-base)
+	}
+	total := 0
+	for _, h := range g.holders {
+		total += want(h)
+	}
+	own := want(g.holders[id])
+	if total <= pool {
+		return own
+	}
+	low, high := 0, pool
+	for low < high {
+		level := (low + high + 1) / 2
+		sum := 0
+		for _, h := range g.holders {
+			sum += min(level, want(h))
+		}
+		if sum <= pool {
+			low = level
+		} else {
+			high = level - 1
+		}
+	}
+	return min(own, low)
+}
+
+// expire drops leases that have ended, and holders without any.
+func (g *Grantor) expire(now time.Time) {
+	for id, h := range g.holders {
+		kept := h.leases[:0]
+		for _, l := range h.leases {
+			if now.Before(l.until) {
+				kept = append(kept, l)
+			}
+		}
+		h.leases = kept
+		if len(kept) == 0 {
+			delete(g.holders, id)
+		}
+	}
+}
+
+// Idle reports whether no lease is left.
+func (g *Grantor) Idle(now time.Time) bool {
+	g.expire(now)
+	return len(g.holders) == 0
+}
--- a/entry/limits/limits.go
+++ b/entry/limits/limits.go
@@ -1,65 +1,276 @@
-// Package limits bounds what one team may have running.
 package limits
 
 import (
+	"context"
+	"hash/maphash"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"baywall.example/core/contract"
+	"baywall.example/core/resource"
+	"baywall.example/core/vm"
+)
+
+const (
+	// retryAfter is when a caller may come back after its team's limit was hit.
+	retryAfter = time.Second
+	// shardCount is the number of independently locked parts of a Limiter.
+	shardCount = 16
+	// askTimeout bounds an exchange with a grantor.
+	askTimeout = 300 * time.Millisecond
+	// renewInterval is how often leases are looked over.
+	renewInterval = 200 * time.Millisecond
 )
 
-// retryAfter is when a caller may come back after its team's limit was hit.
-const retryAfter = time.Second
+// TeamAsk is an ask for one team.
+type TeamAsk struct {
+	Team string
+	Ask
+}
 
-// shardCount is the number of independently locked parts of a Limiter.
-const shardCount = 16
+// TeamGrant is a grant for one team.
+type TeamGrant struct {
+	Team string
+	Grant
+}
+
+// Network is what a Limiter needs of its process.
+type Network interface {
+	// Fleet returns how many entry VMs there are and are reachable.
+	Fleet() Fleet
+	// Grantor returns the entry VM that grants shares of a team's limit.
+	Grantor(team string) vm.ID
+	// Ask sends asks to a grantor; to itself if that is this VM.
+	Ask(ctx context.Context, grantor vm.ID, asks []TeamAsk) ([]TeamGrant, error)
+	// Team returns a team's resource.
+	Team(name string) (resource.Team, bool)
+}
 
-// Limiter admits requests up to each team's share. It is safe for concurrent
-// use; only teams with requests in flight cost memory.
+// Limiter admits requests within the teams' limits. It is safe for concurrent
+// use.
 type Limiter struct {
+	self   vm.ID
+	net    Network
+	seed   maphash.Seed
 	shards [shardCount]shard
+	grants [shardCount]grantorShard
 }
 
 type shard struct {
-	mu      sync.Mutex
-	running map[string]int
+	mu    sync.Mutex
+	teams map[string]*teamState
 }
 
-// New returns a limiter with nothing in flight.
-func New() *Limiter {
-	l := &Limiter{}
-	for i := range l.shards {
-		l.shards[i].running = make(map[string]int)
+type teamState struct {
+	holder Holder
+	rate   *rate.Limiter // nil without a rate limit
+	asking chan struct{} // closed when the ask under way has ended
+}
+
+type grantorShard struct {
+	mu       sync.Mutex
+	grantors map[string]*Grantor
+}
+
+// New returns a limiter for one entry VM.
+func New(self vm.ID, net Network) *Limiter {
+	l := &Limiter{self: self, net: net, seed: maphash.MakeSeed()}
+	for i := range shardCount {
+		l.shards[i].teams = make(map[string]*teamState)
+		l.grants[i].grantors = make(map[string]*Grantor)
 	}
 	return l
 }
 
-func (l *Limiter) shard(team string) *shard {
-	h := uint32(2166136261)
-	for i := range len(team) {
-		h = (h ^ uint32(team[i])) * 16777619
+func (l *Limiter) index(team string) uint64 { return maphash.String(l.seed, team) % shardCount }
+
+// Admit counts a request of the team in, asking the team's grantor for more if
+// that is needed. The release function must be called once.
+func (l *Limiter) Admit(ctx context.Context, name string) (release func(), refusal *contract.Refusal) {
+	team, ok := l.net.Team(name)
+	if !ok {
+		return nil, &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonUnknownTeam}
 	}
-	return &l.shards[h%shardCount]
+	admitted, asking := l.tryAdmit(name, team)
+	if !admitted && asking != nil {
+		select {
+		case <-asking:
+		case <-ctx.Done():
+		}
+		admitted, _ = l.tryAdmit(name, team)
+	}
+	if !admitted {
+		return nil, &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonTeamLimit, RetryAfter: retryAfter}
+	}
+	return func() { l.release(name) }, nil
 }
 
-// Admit counts a request of the team in, if fewer than share are running. The
-// release function counts it out again and must be called once.
-func (l *Limiter) Admit(team string, share int) (release func(), refusal *contract.Refusal) {
-	s := l.shard(team)
+// tryAdmit admits a request or returns a channel to wait for more with.
+func (l *Limiter) tryAdmit(name string, team resource.Team) (admitted bool, asking <-chan struct{}) {
+	s := &l.shards[l.index(name)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running[team] >= share {
-		return nil, &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonTeamLimit, RetryAfter: retryAfter}
+	t := s.teams[name]
+	if t == nil {
+		t = &teamState{}
+		s.teams[name] = t
+	}
+	now := time.Now()
+	if !t.withinRate(team, l.net.Fleet(), now) {
+		return false, nil
+	}
+	if t.holder.Admit(Base(team.Concurrency, l.net.Fleet().Listed), now) {
+		return true, nil
+	}
+	if t.asking == nil && t.holder.WantsMore(now) {
+		t.asking = make(chan struct{})
+		go l.askFor(name, t)
 	}
-	s.running[team]++
-	return func() { s.release(team) }, nil
+	if t.asking == nil {
+		return false, nil
+	}
+	return false, t.asking
+}
+
+// withinRate reports whether this entry VM's part of the team's rate allows a
+// request: the part of the concurrency that it may use, and at least an even one.
+func (t *teamState) withinRate(team resource.Team, f Fleet, now time.Time) bool {
+	if team.RequestsPerSecond == 0 {
+		t.rate = nil
+		return true
+	}
+	even := 1 / float64(max(1, f.Listed))
+	held := float64(t.holder.leased(now)+Base(team.Concurrency, f.Listed)) / float64(team.Concurrency)
+	part := rate.Limit(team.RequestsPerSecond * min(1, max(even*basePart, held)))
+	if t.rate == nil {
+		t.rate = rate.NewLimiter(part, max(1, int(part)))
+	}
+	t.rate.SetLimitAt(now, part)
+	t.rate.SetBurstAt(now, max(1, int(part)))
+	return t.rate.AllowN(now, 1)
 }
 
-func (s *shard) release(team string) {
+// askFor asks a team's grantor for a larger share.
+func (l *Limiter) askFor(name string, t *teamState) {
+	s := &l.shards[l.index(name)]
+	s.mu.Lock()
+	sent := time.Now()
+	ask := TeamAsk{Team: name, Ask: t.holder.Ask(l.self, sent)}
+	s.mu.Unlock()
+	l.exchange(l.net.Grantor(name), []TeamAsk{ask}, sent)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running[team]--
-	if s.running[team] == 0 {
-		delete(s.running, team)
+	close(t.asking)
+	t.asking = nil
+}
+
+func (l *Limiter) exchange(grantor vm.ID, asks []TeamAsk, sent time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	grants, err := l.net.Ask(ctx, grantor, asks)
+	if err != nil {
+		return // the lease runs out; the base share stays
+	}
+	for _, g := range grants {
+		s := &l.shards[l.index(g.Team)]
+		s.mu.Lock()
+		if t := s.teams[g.Team]; t != nil {
+			t.holder.Granted(g.Grant, sent)
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (l *Limiter) release(name string) {
+	s := &l.shards[l.index(name)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.teams[name].holder.Release()
+}
+
+// Run renews leases and forgets idle teams until the context ends.
+func (l *Limiter) Run(ctx context.Context) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			l.renew(now)
+			l.forgetGrantors(now)
+		}
+	}
+}
+
+// renew asks for all leases that are due, one exchange a grantor.
+func (l *Limiter) renew(now time.Time) {
+	asks := make(map[vm.ID][]TeamAsk)
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		for name, t := range s.teams {
+			switch {
+			case t.holder.Idle(now) && t.asking == nil:
+				delete(s.teams, name)
+			case t.holder.Due(now):
+				to := l.net.Grantor(name)
+				asks[to] = append(asks[to], TeamAsk{Team: name, Ask: t.holder.Ask(l.self, now)})
+			}
+		}
+		s.mu.Unlock()
+	}
+	for grantor, list := range asks {
+		go l.exchange(grantor, list, now)
+	}
+}
+
+// Grant answers asks as the grantor of their teams.
+func (l *Limiter) Grant(asks []TeamAsk) []TeamGrant {
+	out := make([]TeamGrant, 0, len(asks))
+	fleet := l.net.Fleet()
+	for _, a := range asks {
+		team, ok := l.net.Team(a.Team)
+		if !ok {
+			continue
+		}
+		s := &l.grants[l.index(a.Team)]
+		s.mu.Lock()
+		now := time.Now()
+		g := s.grantors[a.Team]
+		if g == nil {
+			g = NewGrantor(now)
+			s.grantors[a.Team] = g
+		}
+		grant := g.Handle(a.Ask, team.Concurrency, fleet, now)
+		s.mu.Unlock()
+		out = append(out, TeamGrant{Team: a.Team, Grant: grant})
+	}
+	return out
+}
+
+func (l *Limiter) forgetGrantors(now time.Time) {
+	for i := range l.grants {
+		s := &l.grants[i]
+		s.mu.Lock()
+		for name, g := range s.grantors {
+			if g.Idle(now) {
+				delete(s.grantors, name)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Teams returns how many teams cost memory here.
+func (l *Limiter) Teams() int {
+	n := 0
+	for i := range l.shards {
+		l.shards[i].mu.Lock()
+		n += len(l.shards[i].teams)
+		l.shards[i].mu.Unlock()
 	}
+	return n
 }
--- /dev/null
+++ b/entry/limits/limits_test.go
@@ -0,0 +1,184 @@
+package limits
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"baywall.example/core/resource"
+	"baywall.example/core/vm"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// exchange is an ask on its way, with its answer once it was handled.
+type exchange struct {
+	holder int
+	ask    Ask
+	sent   time.Time
+	grant  *Grant
+}
+
+// Whatever is delayed, lost, reordered or answered twice, what the holders may
+// use together stays within the pool.
+func TestLeasesNeverExceedThePool(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit, listed = 100, 4
+		fleet := Fleet{Listed: listed, Reachable: listed, Stable: start.Add(-time.Hour)}
+		now := start
+		grantor := NewGrantor(now)
+		holders := make([]Holder, listed)
+		var flying []*exchange
+		for range 120 {
+			i := rapid.IntRange(0, listed-1).Draw(t, "holder")
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0: // ask
+				holders[i].peak = rapid.IntRange(0, 150).Draw(t, "demand")
+				flying = append(flying, &exchange{holder: i, ask: holders[i].Ask(vm.ID(fmt.Sprint(i)), now), sent: now})
+			case 1, 2: // the grantor handles an ask, or the holder its answer
+				if len(flying) == 0 {
+					continue
+				}
+				k := rapid.IntRange(0, len(flying)-1).Draw(t, "message")
+				e := flying[k]
+				if e.grant == nil {
+					g := grantor.Handle(e.ask, limit, fleet, now)
+					e.grant = &g
+					continue
+				}
+				holders[e.holder].Granted(*e.grant, e.sent)
+				flying = append(flying[:k], flying[k+1:]...)
+			case 3: // lost
+				if len(flying) > 0 {
+					flying = flying[1:]
+				}
+			default:
+				now = now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+			}
+			sum := 0
+			for j := range holders {
+				sum += holders[j].leased(now)
+			}
+			if most := pool(limit, listed, listed); sum > most {
+				t.Fatalf("%d leased, pool %d", sum, most)
+			}
+		}
+	})
+}
+
+func TestANewGrantorGrantsNothingMoreUntilEarlierLeasesEnded(t *testing.T) {
+	is := is.New(t)
+	fleet := Fleet{Listed: 4, Reachable: 4, Stable: start}
+	g := NewGrantor(start)
+	is.Equal(g.Handle(Ask{From: "a", Demand: 50}, 100, fleet, start.Add(time.Second)).Share, 0)
+	held := g.Handle(Ask{From: "b", Demand: 50, HeldSequence: 7, Held: 30, HeldFor: time.Second}, 100, fleet, start.Add(time.Second))
+	is.Equal(held.Share, 30)
+	is.True(g.Handle(Ask{From: "a", Demand: 20}, 100, fleet, start.Add(3*time.Second)).Share > 0)
+}
+
+func TestASilentHoldersShareReturnsAfterItsLease(t *testing.T) {
+	is := is.New(t)
+	fleet := Fleet{Listed: 2, Reachable: 2, Stable: start.Add(-time.Hour)}
+	g := NewGrantor(start)
+	first := g.Handle(Ask{From: "a", Demand: 100}, 100, fleet, start)
+	is.Equal(first.Share, pool(100, 2, 2))
+	is.Equal(g.Handle(Ask{From: "b", Demand: 100}, 100, fleet, start.Add(time.Second)).Share, 0)
+	late := g.Handle(Ask{From: "b", Demand: 100}, 100, fleet, start.Add(leaseTime+time.Millisecond))
+	is.Equal(late.Share, pool(100, 2, 2))
+}
+
+func TestScarceSharesAreFair(t *testing.T) {
+	is := is.New(t)
+	fleet := Fleet{Listed: 3, Reachable: 3, Stable: start.Add(-time.Hour)}
+	g := NewGrantor(start)
+	holders := map[vm.ID]*Holder{"a": {}, "b": {}, "c": {}}
+	demand := map[vm.ID]int{"a": 500, "b": 500, "c": 10}
+	now := start
+	for range 12 { // the holders renew, and the shares settle
+		for id, h := range holders {
+			h.peak = demand[id]
+			h.Granted(g.Handle(h.Ask(id, now), 120, fleet, now), now)
+		}
+		now = now.Add(renewAfter)
+	}
+	is.True(holders["c"].share >= 1)
+	diff := holders["a"].share - holders["b"].share
+	is.True(diff >= -1 && diff <= 1)
+	is.True(holders["a"].share >= 30)
+}
+
+// network is a fleet of limiters in one process.
+type network struct {
+	limiters map[vm.ID]*Limiter
+	team     resource.Team
+	cut      bool
+}
+
+func (n *network) Fleet() Fleet {
+	return Fleet{Listed: len(n.limiters), Reachable: len(n.limiters), Stable: start}
+}
+func (n *network) Grantor(string) vm.ID              { return "a" }
+func (n *network) Team(string) (resource.Team, bool) { return n.team, true }
+func (n *network) Ask(_ context.Context, to vm.ID, asks []TeamAsk) ([]TeamGrant, error) {
+	if n.cut {
+		return nil, context.DeadlineExceeded
+	}
+	return n.limiters[to].Grant(asks), nil
+}
+
+func TestOneEntryVMGetsNearlyTheWholeLimitWhileOthersAreIdle(t *testing.T) {
+	is := is.New(t)
+	n := &network{limiters: map[vm.ID]*Limiter{}, team: resource.Team{Concurrency: 80}}
+	for _, id := range []vm.ID{"a", "b", "c", "d"} {
+		n.limiters[id] = New(id, n)
+	}
+	admitted := 0
+	for range 200 {
+		if _, refusal := n.limiters["b"].Admit(t.Context(), "t"); refusal == nil {
+			admitted++
+		} else {
+			time.Sleep(askAgainAfter) // a caller that comes back
+		}
+		if admitted == 65 {
+			break
+		}
+	}
+	is.Equal(admitted, 65) // base 5 + pool 60; a static quarter would be 20
+	_, refusal := n.limiters["b"].Admit(t.Context(), "t")
+	is.True(refusal != nil)
+	is.Equal(string(refusal.Outcome), "not-run")
+}
+
+func TestWithoutAGrantorTheBaseShareStays(t *testing.T) {
+	is := is.New(t)
+	n := &network{limiters: map[vm.ID]*Limiter{}, team: resource.Team{Concurrency: 80}, cut: true}
+	for _, id := range []vm.ID{"a", "b", "c", "d"} {
+		n.limiters[id] = New(id, n)
+	}
+	for range Base(80, 4) {
+		_, refusal := n.limiters["c"].Admit(t.Context(), "t")
+		is.True(refusal == nil)
+	}
+	_, refusal := n.limiters["c"].Admit(t.Context(), "t")
+	is.True(refusal != nil)
+}
+
+func TestIdleTeamsCostNoMemory(t *testing.T) {
+	is := is.New(t)
+	n := &network{limiters: map[vm.ID]*Limiter{}, team: resource.Team{Concurrency: 80}}
+	l := New("a", n)
+	n.limiters["a"] = l
+	for i := range 100 {
+		release, refusal := l.Admit(t.Context(), fmt.Sprint(i))
+		is.True(refusal == nil)
+		release()
+	}
+	is.Equal(l.Teams(), 100)
+	l.renew(time.Now().Add(time.Minute))
+	l.forgetGrantors(time.Now().Add(time.Minute))
+	is.Equal(l.Teams(), 0)
+}
--- a/entry/membership/table.go
+++ b/entry/membership/table.go
@@ -22,7 +22,7 @@
 	newsPerProbe = 24
 	// spreadFactor times log2 of the fleet's size is how often an item is
 	// passed on.
-	spreadFactor = 3
+	spreadFactor = 1
 )
 
 // Self is what this process says about itself.
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -45,8 +45,11 @@
 	prober    *membership.Prober
 	spreader  *spread.Spreader
 	api       *api.API
+	shares    *shareNetwork
+	limiter   *limits.Limiter
 
 	draining atomic.Bool
+	traffic  atomic.Int64 // bytes of all links
 	http     *http.Server
 	listener net.Listener
 	ctx      context.Context
@@ -72,7 +75,7 @@
 	host, _, _ := net.SplitHostPort(s.Link.Listen)
 	e.local = &link.Local{
 		VM: id, Incarnation: vm.NewIncarnation(now), Role: vm.RoleEntry, Zone: zone.ID(s.Zone),
-		BindIP: host, Clock: e.recorder.Clock(), Log: log,
+		BindIP: host, Clock: e.recorder.Clock(), Log: log, Traffic: &e.traffic,
 		Revisions: func() (uint64, uint64) { return e.config.Revision(), e.vms.List().Revision },
 	}
 	e.directory = backend.NewDirectory(e.local, e, e.recorder, e.agentUp, e.agentReport)
@@ -101,6 +104,8 @@
 	e.workers.Go(func() { _ = link.Accept(linkListener, e.local, e.authorize, e) })
 	e.workers.Go(func() { e.prober.Run(e.ctx) })
 	e.workers.Go(func() { e.spreader.Run(e.ctx) })
+	e.workers.Go(func() { e.shares.run(e.ctx) })
+	e.workers.Go(func() { e.limiter.Run(e.ctx) })
 	e.workers.Go(func() { e.directory.Run(e.ctx, e.api.InSubset) })
 	e.workers.Go(func() { _ = e.http.Serve(httpListener) })
 	e.recorder.Record(timeline.Event{Kind: timeline.KindStart, Subject: e.settings.HTTP.Listen})
@@ -114,11 +119,14 @@
 		Prober: e.prober, Peers: e.peers, Agents: e.directory.Pool(), Local: e.local,
 		Seeds: e.settings.Seeds, Recorder: e.recorder, Log: e.log, OnList: e.directory.SetList,
 	}
+	e.shares = &shareNetwork{server: e}
+	e.shares.refresh(time.Now())
+	e.limiter = limits.New(e.local.VM, e.shares)
 	e.api = api.New(api.Environment{
 		Self: e.local.VM, Zone: e.local.Zone, Config: e.config, VMs: e.vms,
 		Directory: e.directory, Prober: e.prober, Peers: e.peers, Recorder: e.recorder,
-		Dispatcher: dispatch.New(e.directory, e.config, e.recorder), Limiter: limits.New(),
-		Draining: e.draining.Load, Ready: e.spreader.Ready, Log: e.log,
+		Dispatcher: dispatch.New(e.directory, e.config, e.recorder), Limiter: e.limiter,
+		Draining: e.draining.Load, LinkBytes: e.traffic.Load, Ready: e.spreader.Ready, Log: e.log,
 		AddressTTL: e.settings.Callers.AddressTTL, TicketTTL: e.settings.Callers.TicketTTL,
 		MaxBody: int64(e.settings.Callers.MaxBody),
 	})
@@ -195,6 +203,9 @@
 	case *wire.Call_Pull:
 		reply := configuration.AnswerPull(body.Pull, e.config, e.vms)
 		_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Pull{Pull: reply}})
+	case *wire.Call_Shares:
+		reply := grantsToWire(e.limiter.Grant(asksFromWire(from.Remote, body.Shares)))
+		_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Shares{Shares: reply}})
 	case *wire.Call_Timeline:
 		events := e.recorder.Select(timeline.FilterFromWire(body.Timeline))
 		_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Timeline{Timeline: timeline.EventsToWire(events)}})
--- /dev/null
+++ b/entry/server/shares.go
@@ -0,0 +1,157 @@
+package server
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"baywall.example/core/link"
+	"baywall.example/core/rendezvous"
+	"baywall.example/core/resource"
+	"baywall.example/core/vm"
+	"baywall.example/core/wire"
+	"baywall.example/entry/limits"
+)
+
+const (
+	// refreshInterval is how often the usable entry VMs are looked over.
+	refreshInterval = 200 * time.Millisecond
+	// pauseGap is the time between two looks after which this process must
+	// have been paused.
+	pauseGap = time.Second
+)
+
+// shareNetwork connects the limiter to the fleet. It implements
+// limits.Network.
+type shareNetwork struct {
+	server *Server
+	view   atomic.Pointer[fleetView]
+}
+
+// fleetView is the set of usable entry VMs at one moment.
+type fleetView struct {
+	fleet  limits.Fleet
+	usable []vm.ID
+	looked time.Time
+}
+
+func (n *shareNetwork) run(ctx context.Context) {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.refresh(now)
+		}
+	}
+}
+
+func (n *shareNetwork) refresh(now time.Time) {
+	next := &fleetView{looked: now}
+	for _, v := range n.server.vms.List().WithRole(vm.RoleEntry) {
+		next.fleet.Listed++
+		if v.ID == n.server.local.VM || n.server.prober.Usable(v) {
+			next.usable = append(next.usable, v.ID)
+		}
+	}
+	slices.Sort(next.usable)
+	next.fleet.Listed = max(1, next.fleet.Listed)
+	next.fleet.Reachable = len(next.usable)
+	next.fleet.Stable = now
+	old := n.view.Load()
+	if old != nil && slices.Equal(old.usable, next.usable) && now.Sub(old.looked) < pauseGap {
+		next.fleet.Stable = old.fleet.Stable
+	}
+	n.view.Store(next)
+}
+
+// Fleet implements limits.Network.
+func (n *shareNetwork) Fleet() limits.Fleet { return n.view.Load().fleet }
+
+// Grantor implements limits.Network.
+func (n *shareNetwork) Grantor(team string) vm.ID {
+	key := rendezvous.Hash("team/" + team)
+	best, bestWeight := n.server.local.VM, uint64(0)
+	for _, id := range n.view.Load().usable {
+		if w := rendezvous.Weight(rendezvous.Hash(string(id)), key); w >= bestWeight {
+			best, bestWeight = id, w
+		}
+	}
+	return best
+}
+
+// Team implements limits.Network.
+func (n *shareNetwork) Team(name string) (resource.Team, bool) {
+	t := n.server.config.View().Team(name)
+	if t == nil {
+		return resource.Team{}, false
+	}
+	return *t, true
+}
+
+// Ask implements limits.Network.
+func (n *shareNetwork) Ask(ctx context.Context, grantor vm.ID, asks []limits.TeamAsk) ([]limits.TeamGrant, error) {
+	if grantor == n.server.local.VM {
+		return n.server.limiter.Grant(asks), nil
+	}
+	v, ok := n.server.vms.List().Find(grantor)
+	if !ok {
+		return nil, eris.Wrapf(link.ErrUnreachable, "%s", grantor)
+	}
+	l, err := n.server.peers.Get(ctx, v)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := l.Call(ctx, &wire.Call{Body: &wire.Call_Shares{Shares: asksToWire(asks)}})
+	if err != nil {
+		return nil, err
+	}
+	return grantsFromWire(reply.GetShares()), nil
+}
+
+func asksToWire(asks []limits.TeamAsk) *wire.ShareRequests {
+	out := &wire.ShareRequests{}
+	for _, a := range asks {
+		out.Requests = append(out.Requests, &wire.ShareRequest{
+			Team: a.Team, Demand: int64(a.Demand), HeldSequence: a.HeldSequence,
+			HeldShare: int64(a.Held), HeldMs: a.HeldFor.Milliseconds(),
+		})
+	}
+	return out
+}
+
+func asksFromWire(from vm.ID, w *wire.ShareRequests) []limits.TeamAsk {
+	out := make([]limits.TeamAsk, 0, len(w.GetRequests()))
+	for _, r := range w.GetRequests() {
+		out = append(out, limits.TeamAsk{Team: r.GetTeam(), Ask: limits.Ask{
+			From: from, Demand: int(r.GetDemand()), HeldSequence: r.GetHeldSequence(),
+			Held: int(r.GetHeldShare()), HeldFor: time.Duration(r.GetHeldMs()) * time.Millisecond,
+		}})
+	}
+	return out
+}
+
+func grantsToWire(grants []limits.TeamGrant) *wire.ShareGrants {
+	out := &wire.ShareGrants{}
+	for _, g := range grants {
+		out.Grants = append(out.Grants, &wire.ShareGrant{
+			Team: g.Team, Sequence: g.Sequence, Share: int64(g.Share), DurationMs: g.Duration.Milliseconds(),
+		})
+	}
+	return out
+}
+
+func grantsFromWire(w *wire.ShareGrants) []limits.TeamGrant {
+	out := make([]limits.TeamGrant, 0, len(w.GetGrants()))
+	for _, g := range w.GetGrants() {
+		out = append(out, limits.TeamGrant{Team: g.GetTeam(), Grant: limits.Grant{
+			Sequence: g.GetSequence(), Share: int(g.GetShare()), Duration: time.Duration(g.GetDurationMs()) * time.Millisecond,
+		}})
+	}
+	return out
+}
--- /dev/null
+++ b/standin/cmd/experiment/control.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"baywall.example/core/resource"
+	"baywall.example/core/vm"
+	"baywall.example/standin/fleet"
+)
+
+// controlCommand measures what control alone costs each process, at several
+// sizes, while configuration changes now and then and there are no requests.
+type controlCommand struct {
+	length time.Duration
+	teams  int
+	most   int
+}
+
+func (*controlCommand) Name() string { return "control" }
+func (*controlCommand) Synopsis() string {
+	return "measure the cost of control per process at 8 to 64 entry VMs"
+}
+func (*controlCommand) Usage() string { return "control [-length 10s] [-teams 28000] [-most 64]\n" }
+
+func (c *controlCommand) SetFlags(f *flag.FlagSet) {
+	f.DurationVar(&c.length, "length", 10*time.Second, "time measured at each size")
+	f.IntVar(&c.teams, "teams", 28_000, "number of teams configured")
+	f.IntVar(&c.most, "most", 64, "largest number of entry VMs")
+}
+
+func (c *controlCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	dir, cleanup, err := workDir("")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	defer cleanup()
+	binaries, err := fleet.Build(dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	network := 70
+	for n := 8; n <= c.most; n *= 2 {
+		if err := c.size(n, fmt.Sprintf("127.%d", network), dir, binaries); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return subcommands.ExitFailure
+		}
+		network++
+	}
+	return subcommands.ExitSuccess
+}
+
+// runnersPerService keeps services small, as at the target: 20 runners each.
+const runnersPerService = 20
+
+// changePeriod is the time between two changes of configuration: the target's
+// 1,400 a day would be one in 62 s.
+const changePeriod = 5 * time.Second
+
+func (c *controlCommand) size(entries int, network, dir string, binaries fleet.Binaries) error {
+	site := plainSite(network, entries, 1)
+	site.ZoneDelay = 0
+	agents := entries * 700 / 320
+	site.Services = nil
+	for i := 0; agents > 0; i++ {
+		n := min(runnersPerService, agents)
+		agents -= n
+		site.Services = append(site.Services, fleet.ServiceSite{Name: fmt.Sprintf("service-%d", i), Runners: n, Spec: resource.Service{EntrySubset: 4}})
+	}
+	for i := range c.teams {
+		site.Teams[fmt.Sprintf("team-%d", i)] = resource.Team{Concurrency: 10}
+	}
+	f, err := fleet.Start(site, fleet.Options{Binaries: binaries, Dir: dir, Direct: true})
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	time.Sleep(4 * time.Second)
+	before := sampleProcesses(f)
+	deadline := time.Now().Add(c.length)
+	for i := 0; time.Now().Before(deadline); i++ {
+		f.Platform.Put(resource.KindTeam, "team-1", resource.Team{Concurrency: 10 + i})
+		time.Sleep(min(changePeriod, time.Until(deadline)))
+	}
+	after := sampleProcesses(f)
+	for _, role := range []vm.Role{vm.RoleEntry, vm.RoleBackend} {
+		fmt.Printf("%3d entry VMs, %3d agents: %-8s %s\n", entries, len(f.VMs())-entries, role, summarize(before, after, role, c.length))
+	}
+	return nil
+}
+
+// usage is what one process has used so far.
+type usage struct {
+	role     vm.Role
+	cpu      time.Duration
+	resident int64 // bytes
+	heap     int64 // bytes in use
+	sent     int64 // bytes sent and received on links and probes
+}
+
+func sampleProcesses(f *fleet.Fleet) map[vm.ID]usage {
+	out := make(map[vm.ID]usage)
+	for _, v := range f.VMs() {
+		u := processUsage(f.Process(v.ID).PID())
+		u.role = v.Role
+		u.sent, u.heap = processTraffic(f.DebugAddress(v.ID))
+		out[v.ID] = u
+	}
+	return out
+}
+
+// clockTicks is the kernel's unit of processor time in /proc, per second.
+const clockTicks = 100
+
+func processUsage(pid int) usage {
+	var u usage
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return u
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	u.cpu = time.Duration(user+system) * time.Second / clockTicks
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	u.resident = pages * int64(os.Getpagesize())
+	return u
+}
+
+func processTraffic(address string) (sent, heap int64) {
+	resp, err := http.Get("http://" + address + "/debug/vars")
+	if err != nil {
+		return 0, 0
+	}
+	defer resp.Body.Close()
+	var vars struct {
+		Entry, Agent struct {
+			Links  int64 `json:"link_bytes"`
+			Probes int64 `json:"probe_bytes"`
+		}
+		Memstats struct{ HeapInuse int64 }
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&vars)
+	return vars.Entry.Links + vars.Entry.Probes + vars.Agent.Links, vars.Memstats.HeapInuse
+}
+
+func summarize(before, after map[vm.ID]usage, role vm.Role, length time.Duration) string {
+	n := 0
+	var cpu time.Duration
+	var resident, mostResident, heap, sent int64
+	for id, a := range after {
+		if a.role != role {
+			continue
+		}
+		n++
+		cpu += a.cpu - before[id].cpu
+		resident += a.resident
+		mostResident = max(mostResident, a.resident)
+		heap += a.heap
+		sent += a.sent - before[id].sent
+	}
+	per := func(x int64) float64 { return float64(x) / float64(max(1, n)) }
+	return fmt.Sprintf("%.2f%% of a core, %.1f MB resident (most %.1f), heap %.1f MB, %.1f KB/s",
+		100*float64(cpu)/float64(length)/float64(max(1, n)), per(resident)/1e6, float64(mostResident)/1e6, per(heap)/1e6, per(sent)/1e3/length.Seconds())
+}
--- /dev/null
+++ b/standin/cmd/experiment/limits.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"baywall.example/core/vm"
+	"baywall.example/entry/limits"
+)
+
+// limitsCommand replays skewed demand on 8 entry VMs, through a kill, a pause
+// and a partition, in simulated time, with the real grantor and holder.
+type limitsCommand struct {
+	limit int
+	seed  uint64
+}
+
+func (*limitsCommand) Name() string { return "limits" }
+func (*limitsCommand) Synopsis() string {
+	return "compare leased shares with a static limit: overshoot and unused share"
+}
+func (*limitsCommand) Usage() string { return "limits [-limit 400] [-seed N]\n" }
+
+func (c *limitsCommand) SetFlags(f *flag.FlagSet) {
+	f.IntVar(&c.limit, "limit", 400, "a team's concurrency")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the demand")
+}
+
+const (
+	limitVMs  = 8
+	limitTick = 5 * time.Millisecond
+	// detection is how long a fault stays unnoticed by the others.
+	detection = 900 * time.Millisecond
+	// meanService is the mean time of a request.
+	meanService = 200 * time.Millisecond
+	hotShare    = 0.9
+)
+
+// limitVM is one entry VM of the replay.
+type limitVM struct {
+	holder  limits.Holder
+	grantor *limits.Grantor
+	dead    bool
+	paused  bool
+	part    int // side of a partition
+	usable  [limitVMs]bool
+	stable  time.Time // since when usable has been the same
+}
+
+func (c *limitsCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	faults := []string{"none", "kill of the grantor", "kill of the hot VM", "pause of the grantor, 10 s", "pause of the hot VM, 10 s", "partition 4/4, 10 s"}
+	for _, fault := range faults {
+		for _, leased := range []bool{false, true} {
+			r := newLimitReplay(c.limit, c.seed, leased)
+			r.run(fault)
+			name := "static limit/N"
+			if leased {
+				name = "leased shares"
+			}
+			fmt.Printf("%-28s %-15s overshoot: most %d, %.2f s above the limit; unused share %.1f%%\n", fault, name, r.overshoot, r.above.Seconds(), 100*r.unused/r.wanted)
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+// limitReplay is one run.
+type limitReplay struct {
+	limit  int
+	leased bool
+	rnd    *rand.Rand
+	now    time.Time
+	vms    [limitVMs]*limitVM
+	hot    int
+	lead   int
+
+	overshoot      int
+	above          time.Duration
+	unused, wanted float64
+}
+
+func newLimitReplay(limit int, seed uint64, leased bool) *limitReplay {
+	r := &limitReplay{limit: limit, leased: leased, rnd: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1_700_000_000, 0), hot: 3}
+	for i := range r.vms {
+		r.vms[i] = &limitVM{grantor: limits.NewGrantor(r.now), stable: r.now.Add(-time.Hour)}
+		for j := range r.vms {
+			r.vms[i].usable[j] = true
+		}
+	}
+	return r
+}
+
+const (
+	warmUp     = 5 * time.Second
+	faultTime  = 10 * time.Second
+	replayTime = 30 * time.Second
+)
+
+func (r *limitReplay) run(fault string) {
+	began := r.now
+	for r.now.Sub(began) < replayTime {
+		r.now = r.now.Add(limitTick)
+		at := r.now.Sub(began)
+		r.inject(fault, at)
+		r.detect(fault, at)
+		for i, v := range r.vms {
+			if !v.dead && !v.paused {
+				r.serve(i, v)
+			}
+			if !v.dead {
+				r.complete(v)
+			}
+		}
+		if at > warmUp {
+			r.account()
+		}
+	}
+}
+
+func (r *limitReplay) inject(fault string, at time.Duration) {
+	active := at >= faultTime && at < 2*faultTime
+	switch fault {
+	case "kill of the grantor":
+		r.kill(r.lead, at)
+	case "kill of the hot VM":
+		r.kill(r.hot, at)
+	case "pause of the grantor, 10 s":
+		r.vms[r.lead].paused = active
+	case "pause of the hot VM, 10 s":
+		r.vms[r.hot].paused = active
+	case "partition 4/4, 10 s":
+		for i, v := range r.vms {
+			v.part = 0
+			if active && i%2 == 1 {
+				v.part = 1
+			}
+		}
+	}
+}
+
+// kill ends a VM; its requests go with it.
+func (r *limitReplay) kill(i int, at time.Duration) {
+	if at < faultTime || r.vms[i].dead {
+		return
+	}
+	r.vms[i].dead = true
+	for r.vms[i].holder.Running() > 0 {
+		r.vms[i].holder.Release()
+	}
+}
+
+func (r *limitReplay) reaches(i, j int) bool {
+	a, b := r.vms[i], r.vms[j]
+	return !b.dead && !b.paused && a.part == b.part
+}
+
+// detect lets every VM notice, some time after a change, whom it reaches.
+func (r *limitReplay) detect(_ string, at time.Duration) {
+	if at%detection >= limitTick {
+		return
+	}
+	for i, v := range r.vms {
+		if v.paused || v.dead {
+			continue
+		}
+		for j := range r.vms {
+			if now := i == j || r.reaches(i, j); now != v.usable[j] {
+				v.usable[j] = now
+				v.stable = r.now
+			}
+		}
+	}
+}
+
+func (r *limitReplay) serve(i int, v *limitVM) {
+	base := r.limit / limitVMs
+	if r.leased {
+		base = limits.Base(r.limit, limitVMs)
+		if v.holder.Due(r.now) {
+			r.ask(i, v)
+		}
+	}
+	for v.holder.Running() < r.demand(i) {
+		if v.holder.Admit(base, r.now) {
+			continue
+		}
+		if !r.leased || !v.holder.WantsMore(r.now) {
+			return
+		}
+		r.ask(i, v)
+	}
+}
+
+// demand is how many requests a VM's callers would like to have running.
+func (r *limitReplay) demand(i int) int {
+	total := 1.2 * float64(r.limit)
+	if i == r.hot {
+		return int(hotShare * total)
+	}
+	return int((1 - hotShare) * total / (limitVMs - 1))
+}
+
+func (r *limitReplay) ask(i int, v *limitVM) {
+	a := v.holder.Ask(vm.ID(fmt.Sprint(i)), r.now)
+	grantor := r.lead
+	for !v.usable[grantor] {
+		grantor = (grantor + 1) % limitVMs
+	}
+	if grantor != i && !r.reaches(i, grantor) {
+		return // no answer
+	}
+	g := r.vms[grantor]
+	reachable := 0
+	for _, u := range g.usable {
+		if u {
+			reachable++
+		}
+	}
+	fleet := limits.Fleet{Listed: limitVMs, Reachable: reachable, Stable: g.stable}
+	v.holder.Granted(g.grantor.Handle(a, r.limit, fleet, r.now), r.now)
+}
+
+// complete ends requests, on paused VMs too: their backend servers go on.
+func (r *limitReplay) complete(v *limitVM) {
+	for range v.holder.Running() {
+		if r.rnd.Float64() < float64(limitTick)/float64(meanService) {
+			v.holder.Release()
+		}
+	}
+}
+
+func (r *limitReplay) account() {
+	running, wanted := 0, 0
+	for i, v := range r.vms {
+		running += v.holder.Running()
+		if !v.dead && !v.paused {
+			wanted += r.demand(i)
+		}
+	}
+	wanted = min(wanted, r.limit)
+	if over := running - r.limit; over > 0 {
+		r.overshoot = max(r.overshoot, over)
+		r.above += limitTick
+	}
+	r.wanted += float64(wanted)
+	r.unused += float64(max(0, wanted-running))
+}
--- a/standin/cmd/experiment/main.go
+++ b/standin/cmd/experiment/main.go
@@ -19,6 +19,8 @@
 	subcommands.Register(&spreadCommand{}, "")
 	subcommands.Register(&policiesCommand{}, "")
 	subcommands.Register(&mapsCommand{}, "")
+	subcommands.Register(&limitsCommand{}, "")
+	subcommands.Register(&controlCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -121,9 +121,11 @@
 		intent.Service = svc.Name
 		f.Platform.Put(resource.KindIntent, svc.Name, intent)
 	}
+	teams := make(map[string]any, len(f.Site.Teams))
 	for name, team := range f.Site.Teams {
-		f.Platform.Put(resource.KindTeam, name, team)
+		teams[name] = team
 	}
+	f.Platform.PutAll(resource.KindTeam, teams)
 }
 
 func (f *Fleet) zoneOf(i int) string { return f.Site.Zones[i%len(f.Site.Zones)] }
--- a/standin/history/history_test.go
+++ b/standin/history/history_test.go
@@ -131,7 +131,7 @@
 		readers.Go(func() {
 			for range 100 {
 				called := time.Now()
-				revision := store.View().Versions[key]
+				revision := store.View().Version(key)
 				seen.Saw("vm", revision, called, time.Now())
 			}
 		})
@@ -170,7 +170,7 @@
 		spec := []byte(fmt.Sprintf(`{"concurrency": %d}`, rev))
 		store.Apply(configuration.Batch{Revision: rev, Records: []configuration.Record{{Key: key, Revision: rev, Spec: spec}}})
 		called := time.Now()
-		seen.Saw("vm", store.View().Versions[key], called, time.Now())
+		seen.Saw("vm", store.View().Version(key), called, time.Now())
 	}
 	return seen.Check() != nil
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -87,6 +87,19 @@
 	return p.revision
 }
 
+// PutAll publishes resources of one kind at one revision.
+func (p *Platform) PutAll(kind resource.Kind, specs map[string]any) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	for name, spec := range specs {
+		key := resource.Key{Kind: kind, Name: name}
+		p.resources[key] = client.Resource{Kind: kind, Name: name, Revision: p.revision, Spec: encode(spec)}
+	}
+	p.publish()
+	return p.revision
+}
+
 // Delete removes a resource and returns the revision of that.
 func (p *Platform) Delete(kind resource.Kind, name string) uint64 {
 	p.mu.Lock()
