Compute service subsets when the usable entry VMs change, fuzz the inputs

Cause: control cost of an entry VM grew with the fleet: 2.11, 3.73, 8.86, 20.04% of a core at 8, 16, 32, 64 entry VMs. Every 200 ms it drew the rendezvous order of all entry VMs once for each backend server. Ruled out: probes (constant fan-out) and configuration pulls (7 to 34 KB/s in all). Memory: a soft target of 26 MiB.

--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -64,3 +64,17 @@
 		})
 	}
 }
+
+// FuzzParse checks that no file makes loading panic, and that what is accepted
+// validates.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("name: a\nwait: 5s\nlink:\n  listen: 127.0.0.1:7000\n"))
+	f.Add([]byte("wait: 5 parsecs\n"))
+	f.Add([]byte("- &a [*a]\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var s sample
+		if settings.Parse("f.yaml", raw, &s) == nil && len(s.Validate()) > 0 {
+			t.Fatal("accepted what does not validate")
+		}
+	})
+}
--- a/entry/api/api.go
+++ b/entry/api/api.go
@@ -33,6 +33,7 @@
 	VMs        *configuration.VMs
 	Directory  *backend.Directory
 	Prober     *membership.Prober
+	Fleet      *membership.Fleet
 	Peers      *link.Pool
 	Recorder   *timeline.Recorder
 	Dispatcher *dispatch.Dispatcher
@@ -51,6 +52,7 @@
 	Environment
 	router  *httprouter.Router
 	metrics *metrics
+	subsets subsetCache
 }
 
 // New returns the API of one process.
--- a/entry/api/entries.go
+++ b/entry/api/entries.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -61,7 +62,7 @@
 		count = n
 	}
 	answer := EntriesAnswer{Service: service, TTLMS: a.AddressTTL.Milliseconds(), Tickets: a.tickets(r.Context(), service, count)}
-	subset := a.subset(service)
+	subset := slices.Clone(a.subset(service))
 	slices.SortStableFunc(subset, func(x, y vm.VM) int { return zone.Rank(near, x.Zone) - zone.Rank(near, y.Zone) })
 	for _, v := range subset {
 		answer.Entries = append(answer.Entries, Entry{VM: v.ID, Zone: v.Zone, Address: v.HTTP})
@@ -85,20 +86,51 @@
 
 // subset returns the entry VMs that callers of a service are told of: the
 // first usable ones in rendezvous order, from at least two availability zones
-// if there are as many.
+// if there are as many. The result is shared and must not be changed.
 func (a *API) subset(service string) []vm.VM {
-	var usable []vm.VM
-	for _, v := range a.VMs.List().WithRole(vm.RoleEntry) {
-		own := v.ID == a.Self && a.Draining()
-		if !own && a.Prober.Usable(v) {
-			usable = append(usable, v)
-		}
-	}
 	size := 0
 	if s := a.Config.View().Services[service]; s != nil {
 		size = s.EntrySubset
 	}
-	return Subset(usable, service, size)
+	snapshot, draining := a.Fleet.Snapshot(), a.Draining()
+	key := subsetKey{service: service, size: size, draining: draining}
+	return a.subsets.get(key, snapshot.Generation, func() []vm.VM {
+		usable := snapshot.Usable
+		if draining {
+			usable = slices.DeleteFunc(slices.Clone(usable), func(v vm.VM) bool { return v.ID == a.Self })
+		}
+		return Subset(usable, service, size)
+	})
+}
+
+// subsetKey is what a subset depends on, besides the usable entry VMs.
+type subsetKey struct {
+	service  string
+	size     int
+	draining bool
+}
+
+// subsetCache keeps subsets until the usable entry VMs change, as they are
+// looked up for every backend server several times a second.
+type subsetCache struct {
+	mu         sync.Mutex
+	generation uint64
+	subsets    map[subsetKey][]vm.VM
+}
+
+func (c *subsetCache) get(key subsetKey, generation uint64, compute func() []vm.VM) []vm.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.subsets == nil || c.generation != generation {
+		c.subsets = make(map[subsetKey][]vm.VM)
+		c.generation = generation
+	}
+	s, ok := c.subsets[key]
+	if !ok {
+		s = compute()
+		c.subsets[key] = s
+	}
+	return s
 }
 
 // Subset picks size VMs for a service in rendezvous order. If all of them are
--- a/entry/cmd/baywall/serve.go
+++ b/entry/cmd/baywall/serve.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/subcommands"
@@ -32,6 +33,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
+	debug.SetMemoryLimit(int64(s.MemoryTarget) << 20)
 	log := process.Logger(os.Stderr, s.LogLevel).With().Str("vm", s.VM).Logger()
 	return process.Serve(ctx, log, server.New(s, log, time.Now()))
 }
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -45,7 +45,7 @@
 	prober    *membership.Prober
 	spreader  *spread.Spreader
 	api       *api.API
-	shares    *shareNetwork
+	fleet     *membership.Fleet
 	limiter   *limits.Limiter
 
 	draining atomic.Bool
@@ -104,7 +104,7 @@
 	e.workers.Go(func() { _ = link.Accept(linkListener, e.local, e.authorize, e) })
 	e.workers.Go(func() { e.prober.Run(e.ctx) })
 	e.workers.Go(func() { e.spreader.Run(e.ctx) })
-	e.workers.Go(func() { e.shares.run(e.ctx) })
+	e.workers.Go(func() { e.fleet.Run(e.ctx) })
 	e.workers.Go(func() { e.limiter.Run(e.ctx) })
 	e.workers.Go(func() { e.directory.Run(e.ctx, e.api.InSubset) })
 	e.workers.Go(func() { _ = e.http.Serve(httpListener) })
@@ -119,12 +119,11 @@
 		Prober: e.prober, Peers: e.peers, Agents: e.directory.Pool(), Local: e.local,
 		Seeds: e.settings.Seeds, Recorder: e.recorder, Log: e.log, OnList: e.directory.SetList,
 	}
-	e.shares = &shareNetwork{server: e}
-	e.shares.refresh(time.Now())
-	e.limiter = limits.New(e.local.VM, e.shares)
+	e.fleet = membership.NewFleet(e.local.VM, e.vms, e.prober)
+	e.limiter = limits.New(e.local.VM, &shareNetwork{server: e})
 	e.api = api.New(api.Environment{
 		Self: e.local.VM, Zone: e.local.Zone, Config: e.config, VMs: e.vms,
-		Directory: e.directory, Prober: e.prober, Peers: e.peers, Recorder: e.recorder,
+		Directory: e.directory, Prober: e.prober, Fleet: e.fleet, Peers: e.peers, Recorder: e.recorder,
 		Dispatcher: dispatch.New(e.directory, e.config, e.recorder), Limiter: e.limiter,
 		Draining: e.draining.Load, LinkBytes: e.traffic.Load, Ready: e.spreader.Ready, Log: e.log,
 		AddressTTL: e.settings.Callers.AddressTTL, TicketTTL: e.settings.Callers.TicketTTL,
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -29,6 +29,10 @@
 	Callers CallerSettings `yaml:"callers"`
 	// Drain tells how the process leaves.
 	Drain DrainSettings `yaml:"drain"`
+	// MemoryTarget is what the process's heap and stacks should stay under, in
+	// MiB, as long as what it has to hold allows. It is soft: more collection
+	// work near the target, no failure beyond it. From 16 to 65536, default 26.
+	MemoryTarget int `yaml:"memory_target"`
 	// LogLevel is one of debug, info, warn, error. Default info.
 	LogLevel string `yaml:"log_level"`
 }
@@ -91,6 +95,7 @@
 	defaultTicketTTL    = 30 * time.Second
 	defaultMaxBody      = 4 << 20
 	defaultLinger       = 6 * time.Second
+	defaultMemoryTarget = 26
 	defaultDrainTimeout = 15 * time.Minute
 )
 
@@ -105,6 +110,7 @@
 		s.Drain.Linger = &linger
 	}
 	s.Drain.Timeout = settings.Or(s.Drain.Timeout, defaultDrainTimeout)
+	s.MemoryTarget = settings.Or(s.MemoryTarget, defaultMemoryTarget)
 	s.LogLevel = settings.Or(s.LogLevel, "info")
 }
 
@@ -126,6 +132,7 @@
 	c.Int("callers.max_body", s.Callers.MaxBody, 1024, 4<<20)
 	c.Duration("drain.linger", *s.Drain.Linger, 0, 10*time.Minute)
 	c.Duration("drain.timeout", s.Drain.Timeout, time.Second, 24*time.Hour)
+	c.Int("memory_target", s.MemoryTarget, 16, 65536)
 	c.OneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
 	seeds := make([]settings.Field, 0, len(s.Seeds))
 	for i, seed := range s.Seeds {
--- a/entry/server/shares.go
+++ b/entry/server/shares.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,70 +14,25 @@
 	"baywall.example/entry/limits"
 )
 
-const (
-	// refreshInterval is how often the usable entry VMs are looked over.
-	refreshInterval = 200 * time.Millisecond
-	// pauseGap is the time between two looks after which this process must
-	// have been paused.
-	pauseGap = time.Second
-)
-
 // shareNetwork connects the limiter to the fleet. It implements
 // limits.Network.
 type shareNetwork struct {
 	server *Server
-	view   atomic.Pointer[fleetView]
-}
-
-// fleetView is the set of usable entry VMs at one moment.
-type fleetView struct {
-	fleet  limits.Fleet
-	usable []vm.ID
-	looked time.Time
-}
-
-func (n *shareNetwork) run(ctx context.Context) {
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			n.refresh(now)
-		}
-	}
-}
-
-func (n *shareNetwork) refresh(now time.Time) {
-	next := &fleetView{looked: now}
-	for _, v := range n.server.vms.List().WithRole(vm.RoleEntry) {
-		next.fleet.Listed++
-		if v.ID == n.server.local.VM || n.server.prober.Usable(v) {
-			next.usable = append(next.usable, v.ID)
-		}
-	}
-	slices.Sort(next.usable)
-	next.fleet.Listed = max(1, next.fleet.Listed)
-	next.fleet.Reachable = len(next.usable)
-	next.fleet.Stable = now
-	old := n.view.Load()
-	if old != nil && slices.Equal(old.usable, next.usable) && now.Sub(old.looked) < pauseGap {
-		next.fleet.Stable = old.fleet.Stable
-	}
-	n.view.Store(next)
 }
 
 // Fleet implements limits.Network.
-func (n *shareNetwork) Fleet() limits.Fleet { return n.view.Load().fleet }
+func (n *shareNetwork) Fleet() limits.Fleet {
+	s := n.server.fleet.Snapshot()
+	return limits.Fleet{Listed: s.Listed, Reachable: len(s.Usable), Stable: s.Stable}
+}
 
 // Grantor implements limits.Network.
 func (n *shareNetwork) Grantor(team string) vm.ID {
 	key := rendezvous.Hash("team/" + team)
 	best, bestWeight := n.server.local.VM, uint64(0)
-	for _, id := range n.view.Load().usable {
-		if w := rendezvous.Weight(rendezvous.Hash(string(id)), key); w >= bestWeight {
-			best, bestWeight = id, w
+	for _, v := range n.server.fleet.Snapshot().Usable {
+		if w := rendezvous.Weight(rendezvous.Hash(string(v.ID)), key); w >= bestWeight {
+			best, bestWeight = v.ID, w
 		}
 	}
 	return best
--- a/standin/cmd/experiment/main.go
+++ b/standin/cmd/experiment/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&mapsCommand{}, "")
 	subcommands.Register(&limitsCommand{}, "")
 	subcommands.Register(&controlCommand{}, "")
+	subcommands.Register(&recoveryCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/standin/cmd/experiment/recovery.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"baywall.example/core/resource"
+	"baywall.example/core/vm"
+	"baywall.example/standin/fleet"
+	"baywall.example/standin/load"
+)
+
+// recoveryCommand measures how long after a fault the first caller notices,
+// and after which time callers notice nothing any more.
+type recoveryCommand struct {
+	seeds int
+}
+
+func (*recoveryCommand) Name() string     { return "recovery" }
+func (*recoveryCommand) Synopsis() string { return "measure the time from a fault to full service" }
+func (*recoveryCommand) Usage() string    { return "recovery [-seeds 5]\n" }
+
+func (c *recoveryCommand) SetFlags(f *flag.FlagSet) {
+	f.IntVar(&c.seeds, "seeds", 5, "repetitions of each fault")
+}
+
+// recoveryFault is a fault that is put in place and taken away again.
+type recoveryFault struct {
+	name   string
+	inject func(f *fleet.Fleet, victim int) (mend func())
+}
+
+func recoveryFaults() []recoveryFault {
+	process := func(role string) func(*fleet.Fleet, int) *fleet.Process {
+		return func(f *fleet.Fleet, i int) *fleet.Process {
+			return f.Process(vm.ID(fmt.Sprintf("%s-%d", role, 1+i%8)))
+		}
+	}
+	agent, entry := process("plain"), process("entry")
+	kill := func(of func(*fleet.Fleet, int) *fleet.Process) func(*fleet.Fleet, int) func() {
+		return func(f *fleet.Fleet, i int) func() {
+			p := of(f, i)
+			p.Kill()
+			return func() { _ = p.Restart() }
+		}
+	}
+	pause := func(of func(*fleet.Fleet, int) *fleet.Process) func(*fleet.Fleet, int) func() {
+		return func(f *fleet.Fleet, i int) func() {
+			p := of(f, i)
+			p.Pause()
+			return p.Continue
+		}
+	}
+	return []recoveryFault{
+		{"agent killed", kill(agent)},
+		{"agent paused", pause(agent)},
+		{"entry VM killed", kill(entry)},
+		{"entry VM paused", pause(entry)},
+		{"zone cut off", cutZone},
+		{"platform down", func(f *fleet.Fleet, _ int) func() {
+			f.Platform.SetDown(true)
+			return func() { f.Platform.SetDown(false) }
+		}},
+	}
+}
+
+// cutZone cuts the links between one availability zone and the others; callers
+// still reach all entry VMs.
+func cutZone(f *fleet.Fleet, i int) func() {
+	zone := f.Site.Zones[i%len(f.Site.Zones)]
+	var in, out []string
+	for _, v := range f.VMs() {
+		if string(v.Zone) == zone {
+			in = append(in, f.IP(v.ID))
+		} else {
+			out = append(out, f.IP(v.ID))
+		}
+	}
+	f.Network.Partition(in, out, true)
+	return func() { f.Network.Partition(in, out, false) }
+}
+
+const (
+	// faultAt and mendAt are when a fault begins and ends within a run.
+	faultAt = 2 * time.Second
+	mendAt  = 6 * time.Second
+	runTime = 9 * time.Second
+	// slowCall is when a caller has noticed something.
+	slowCall = 200 * time.Millisecond
+)
+
+func (c *recoveryCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	dir, cleanup, err := workDir("")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	defer cleanup()
+	binaries, err := fleet.Build(dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	site := plainSite("127.66", 8, 16)
+	site.AddressTTL = time.Second
+	site.Services[0].Spec = resource.Service{EntrySubset: 4}
+	f, err := fleet.Start(site, fleet.Options{Binaries: binaries, Dir: dir})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	defer f.Stop()
+	for _, fault := range recoveryFaults() {
+		c.measure(ctx, f, fault)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *recoveryCommand) measure(ctx context.Context, f *fleet.Fleet, fault recoveryFault) {
+	var disturbed []time.Duration
+	requests, failed, slow := 0, 0, 0
+	for seed := range c.seeds {
+		began := time.Now()
+		go func() {
+			time.Sleep(faultAt)
+			mend := fault.inject(f, seed)
+			time.Sleep(mendAt - faultAt)
+			mend()
+		}()
+		report := load.Run(ctx, load.NewCaller(f.CallerIP(), f.Entries()), f.Ledger, load.Options{
+			Seed: uint64(1000 + seed), Duration: runTime,
+			Workloads: []load.Workload{{Service: "plain", Teams: []string{"t"}, Rate: 200}},
+		})
+		last := time.Duration(0)
+		for _, r := range report.Results {
+			requests++
+			bad := r.Outcome != load.Answered
+			if bad {
+				failed++
+			}
+			if !bad && r.Total > slowCall {
+				slow++
+			}
+			if bad || r.Total > slowCall {
+				last = max(last, r.Returned.Sub(began)-faultAt)
+			}
+		}
+		disturbed = append(disturbed, last)
+	}
+	slices.Sort(disturbed)
+	q := func(p float64) float64 { return disturbed[int(p*float64(len(disturbed)-1))].Seconds() }
+	fmt.Printf("%-16s requests %d, failed %d, slower than %s %d; callers disturbed until p50 %.2f s, most %.2f s after the fault (which ends after %s)\n",
+		fault.name, requests, failed, slowCall, slow, q(0.5), q(1), mendAt-faultAt)
+}
