Spread plain services by two choices

Cause: experiment recovery showed no effect of a killed agent at all: every request without a body has the same key, and affinity sent all of them to one runner. Change: the default strategy is affinity for engines and two-choices for plain services.

--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -88,7 +88,8 @@
 type Intent struct {
 	// Service is the service the intent applies to. Required.
 	Service string `json:"service" yaml:"service"`
-	// Policy is the balancing strategy. Default affinity.
+	// Policy is the balancing strategy. Default: affinity for model engines,
+	// two-choices for plain services, which have no prompt prefix.
 	Policy Policy `json:"policy" yaml:"policy"`
 	// LoadFactor bounds a runner's load as a multiple of the mean before the
 	// affinity policy passes it over. From 1 to 10, default 1.25.
@@ -176,7 +177,6 @@
 
 // Provision fills in the defaults.
 func (i *Intent) Provision() {
-	i.Policy = settings.Or(i.Policy, PolicyAffinity)
 	i.LoadFactor = settings.Or(i.LoadFactor, DefaultLoadFactor)
 	i.MoveCost = settings.Or(i.MoveCost, DefaultMoveCost)
 	i.PeriodMS = settings.Or(i.PeriodMS, DefaultPeriod)
@@ -186,7 +186,7 @@
 func (i *Intent) Validate() []settings.Problem {
 	var c settings.Checks
 	c.Require("service", i.Service)
-	c.OneOf("policy", string(i.Policy), string(PolicyAffinity), string(PolicyRoundRobin), string(PolicyLeastLoad), string(PolicyTwoChoices))
+	c.OneOf("policy", string(i.Policy), "", string(PolicyAffinity), string(PolicyRoundRobin), string(PolicyLeastLoad), string(PolicyTwoChoices))
 	c.Float("load_factor", i.LoadFactor, 1, 10)
 	c.Float("move_cost", i.MoveCost, 0, 10)
 	c.Int("period_ms", int(i.PeriodMS), int(minPeriod), int(maxPeriod))
--- a/core/resource/resource_test.go
+++ b/core/resource/resource_test.go
@@ -21,7 +21,7 @@
 		{"wrong type", Key{KindTeam, "t"}, `{"concurrency": "many"}`, []string{"teams/t", "concurrency"}},
 		{"out of range", Key{KindTeam, "t"}, `{"priority": 11}`, []string{"priority", "11", "from -10 to 10"}},
 		{"not a number", Key{KindIntent, "i"}, `{"service": "s", "load_factor": 0.5}`, []string{"load_factor", "0.5"}},
-		{"unknown policy", Key{KindIntent, "i"}, `{"service": "s", "policy": "magic"}`, []string{"policy", "magic", "affinity"}},
+		{"unknown policy", Key{KindIntent, "i"}, `{"service": "s", "policy": "magic"}`, []string{"policy", "magic", "affinity", "two-choices"}},
 		{"too few slots", Key{KindGroup, "g"}, `{"service": "s", "ranks": ["a", "b"], "layers": 1, "experts": 9, "slots_per_rank": 4}`, []string{"slots_per_rank", "4", "from 5"}},
 		{"rank twice", Key{KindGroup, "g"}, `{"service": "s", "ranks": ["a", "a"], "layers": 1, "experts": 1, "slots_per_rank": 4}`, []string{"ranks[1]", "\"a\"", "rank 0"}},
 		{"name with a slash", Key{KindTeam, "a/b"}, `{}`, []string{"teams/a/b", "name"}},
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -92,6 +92,9 @@
 	} else {
 		intent.Provision()
 	}
+	if svc := view.Services[service]; intent.Policy == "" && svc != nil && !svc.Engine {
+		intent.Policy = resource.PolicyTwoChoices
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	have, ok := d.policies[service]
--- /dev/null
+++ b/standin/e2e/limits_test.go
@@ -0,0 +1,90 @@
+package e2e
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"baywall.example/core/resource"
+	"baywall.example/core/timeline"
+	"baywall.example/entry/api"
+	"baywall.example/standin/engine"
+	"baywall.example/standin/fleet"
+)
+
+// tryStream asks for a stream on behalf of a team and returns the response with
+// its body still open.
+func tryStream(t *testing.T, address, team, work string, tokens int) *http.Response {
+	t.Helper()
+	raw, _ := json.Marshal(engine.Prompt{Work: work, Prefix: "p", Prompt: 16, Tokens: tokens})
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/services/chat/generate", strings.NewReader(string(raw)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(api.HeaderTeam, team)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+// A team asks for far more than its limit, everything through one entry VM
+// first, then through all. It gets most of its limit at the one, never more than
+// the limit over all, and refusals that say when to come back; another team is
+// not held up.
+func TestATeamsLimitHoldsOverAllEntryVMs(t *testing.T) {
+	is := is.New(t)
+	s := site()
+	const limit = 24
+	s.Teams = map[string]resource.Team{"red": {Concurrency: limit}, "blue": {Concurrency: limit}}
+	f := start(t, s)
+	// A grantor that has seen the fleet for less than a lease grants nothing.
+	await(t, "a grantor gives more than the base share", func() bool { return admitted(t, f, f.Entries()[1:2], 1, 10) >= 8 })
+	await(t, "the limit is reached", func() bool {
+		n := admitted(t, f, f.Entries(), 600, 3*limit)
+		is.True(n <= limit)
+		return n > limit/2
+	})
+	refused := tryStream(t, f.Entries()[0], "red", "more", 5)
+	for refused.StatusCode == http.StatusOK { // the last lease may leave some room
+		refused = tryStream(t, f.Entries()[0], "red", "more", 600)
+	}
+	is.Equal(refused.StatusCode, http.StatusTooManyRequests)
+	is.Equal(refused.Header.Get(api.HeaderOutcome), "not-run")
+	is.True(refused.Header.Get("Retry-After") != "")
+	is.Equal(tryStream(t, f.Entries()[0], "blue", "other", 5).StatusCode, http.StatusOK)
+
+	// The time line says why.
+	id := refused.Header.Get(api.HeaderRequestID)
+	events := timelineOf(t, f, "request="+id).Events
+	is.Equal(len(events), 1)
+	is.Equal(events[0].Kind, timeline.KindRefused)
+	is.True(strings.Contains(events[0].Reason, "team-limit"))
+}
+
+// admitted sends requests of team red through the entry VMs in turn, and
+// returns how many were let in.
+func admitted(t *testing.T, f *fleet.Fleet, entries []string, tokens, requests int) int {
+	t.Helper()
+	results := make([]bool, requests)
+	var wg conc.WaitGroup
+	for i := range results {
+		wg.Go(func() {
+			results[i] = tryStream(t, entries[i%len(entries)], "red", "w", tokens).StatusCode == http.StatusOK
+		})
+	}
+	wg.Wait()
+	n := 0
+	for _, ok := range results {
+		if ok {
+			n++
+		}
+	}
+	return n
+}
