Accept calls only from those whose they are; merge what stood twice

Cause: any linked VM could give an agent requests and orders; a graceful stop of an agent waited for engines but not for answers still being sent; the experiments repeated their set-up, the programs their settings check. Change: requests come from entry VMs, orders about a map from the group's ranks; streams count as in flight; one set-up for experiments, one check command.

--- a/agent/cmd/baywall-agent/main.go
+++ b/agent/cmd/baywall-agent/main.go
@@ -59,11 +59,5 @@
 }
 
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	var s server.Settings
-	if err := settings.Load(c.path, &s); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	fmt.Println(c.path + ": valid")
-	return subcommands.ExitSuccess
+	return process.Check(c.path, &server.Settings{})
 }
--- a/agent/mapswitch/coordinator.go
+++ b/agent/mapswitch/coordinator.go
@@ -5,6 +5,7 @@
 
 	"baywall.example/agent/engine"
 	"baywall.example/core/expertmap"
+	"baywall.example/core/settings"
 	"baywall.example/core/vm"
 )
 
@@ -63,18 +64,10 @@
 )
 
 func (t *Timing) provision() {
-	if t.Prepare == 0 {
-		t.Prepare = DefaultPrepare
-	}
-	if t.Arm == 0 {
-		t.Arm = DefaultArm
-	}
-	if t.Resend == 0 {
-		t.Resend = DefaultResend
-	}
-	if t.Lead == 0 {
-		t.Lead = DefaultLead
-	}
+	t.Prepare = settings.Or(t.Prepare, DefaultPrepare)
+	t.Arm = settings.Or(t.Arm, DefaultArm)
+	t.Resend = settings.Or(t.Resend, DefaultResend)
+	t.Lead = settings.Or(t.Lead, DefaultLead)
 }
 
 // Outgoing is an order to one rank.
--- a/agent/record/table.go
+++ b/agent/record/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"baywall.example/core/contract"
+	"baywall.example/core/settings"
 	"baywall.example/core/vm"
 )
 
@@ -68,24 +69,12 @@
 )
 
 func (l *Limits) provision() {
-	if l.Finished == 0 {
-		l.Finished = DefaultFinished
-	}
-	if l.Tickets == 0 {
-		l.Tickets = DefaultTickets
-	}
-	if l.AnswerBytes == 0 {
-		l.AnswerBytes = DefaultAnswerBytes
-	}
-	if l.Retention == 0 {
-		l.Retention = DefaultRetention
-	}
-	if l.TicketGrace == 0 {
-		l.TicketGrace = DefaultTicketGrace
-	}
-	if l.ClockSkew == 0 {
-		l.ClockSkew = DefaultClockSkew
-	}
+	l.Finished = settings.Or(l.Finished, DefaultFinished)
+	l.Tickets = settings.Or(l.Tickets, DefaultTickets)
+	l.AnswerBytes = settings.Or(l.AnswerBytes, DefaultAnswerBytes)
+	l.Retention = settings.Or(l.Retention, DefaultRetention)
+	l.TicketGrace = settings.Or(l.TicketGrace, DefaultTicketGrace)
+	l.ClockSkew = settings.Or(l.ClockSkew, DefaultClockSkew)
 }
 
 // shardCount is the number of independently locked parts of a Table.
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -199,10 +200,18 @@
 
 // ServeStream handles one call from another VM.
 func (a *Server) ServeStream(ctx context.Context, from *link.Link, s *link.Stream, call *wire.Call) {
+	if !a.allowed(from, call) {
+		a.log.Warn().Str("vm", string(from.Remote)).Msg("call refused: not this VM's to make")
+		return
+	}
 	switch body := call.GetBody().(type) {
 	case *wire.Call_Attempt:
+		a.active.enter()
+		defer a.active.leave()
 		a.serveAttempt(ctx, s, body.Attempt)
 	case *wire.Call_Resume:
+		a.active.enter()
+		defer a.active.leave()
 		a.serveResume(ctx, s, body.Resume)
 	case *wire.Call_Fate:
 		a.serveFate(s, body.Fate)
@@ -224,6 +233,20 @@
 	}
 }
 
+// allowed reports whether a VM may make a call: requests and announcements
+// come from entry VMs, orders about a group's map from its own ranks.
+func (a *Server) allowed(from *link.Link, call *wire.Call) bool {
+	switch body := call.GetBody().(type) {
+	case *wire.Call_Attempt, *wire.Call_Resume, *wire.Call_Fate, *wire.Call_Watch, *wire.Call_Announce:
+		return from.Role == vm.RoleEntry
+	case *wire.Call_SwitchOrder:
+		g := a.config.View().Groups[body.SwitchOrder.GetGroup()]
+		return g != nil && slices.Contains(g.Ranks, from.Remote)
+	default:
+		return true
+	}
+}
+
 // pull fetches what an entry VM announced, over the link it came by.
 func (a *Server) pull(ctx context.Context, from *link.Link, n *wire.Announce) {
 	config, vms := a.revisions()
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -15,6 +15,8 @@
 
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
+
+	"baywall.example/core/settings"
 )
 
 // Logger returns a logger that writes JSON lines at the given level and above.
@@ -61,6 +63,16 @@
 	return subcommands.ExitSuccess
 }
 
+// Check loads settings from a file and says whether they are valid.
+func Check(path string, s settings.Validator) subcommands.ExitStatus {
+	if err := settings.Load(path, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	fmt.Println(path + ": valid")
+	return subcommands.ExitSuccess
+}
+
 // VersionCommand prints the program's build information.
 type VersionCommand struct{}
 
--- a/entry/cmd/baywall/serve.go
+++ b/entry/cmd/baywall/serve.go
@@ -56,11 +56,7 @@
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	switch {
 	case c.settings != "" && c.resource == "":
-		if err := settings.Load(c.settings, &server.Settings{}); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return subcommands.ExitFailure
-		}
-		fmt.Println(c.settings + ": valid")
+		return process.Check(c.settings, &server.Settings{})
 	case c.resource != "" && c.settings == "":
 		key, err := resource.CheckFile(c.resource)
 		if err != nil {
--- a/entry/limits/limits.go
+++ b/entry/limits/limits.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
 	"baywall.example/core/contract"
@@ -51,11 +52,12 @@
 // Limiter admits requests within the teams' limits. It is safe for concurrent
 // use.
 type Limiter struct {
-	self   vm.ID
-	net    Network
-	seed   maphash.Seed
-	shards [shardCount]shard
-	grants [shardCount]grantorShard
+	self    vm.ID
+	net     Network
+	seed    maphash.Seed
+	workers conc.WaitGroup
+	shards  [shardCount]shard
+	grants  [shardCount]grantorShard
 }
 
 type shard struct {
@@ -126,7 +128,7 @@
 	}
 	if t.asking == nil && t.holder.WantsMore(now) {
 		t.asking = make(chan struct{})
-		go l.askFor(name, t)
+		l.workers.Go(func() { l.askFor(name, t) })
 	}
 	if t.asking == nil {
 		return false, nil
@@ -197,6 +199,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			l.workers.Wait()
 			return
 		case now := <-ticker.C:
 			l.renew(now)
@@ -223,7 +226,7 @@
 		s.mu.Unlock()
 	}
 	for grantor, list := range asks {
-		go l.exchange(grantor, list, now)
+		l.workers.Go(func() { l.exchange(grantor, list, now) })
 	}
 }
 
--- a/entry/server/shares.go
+++ b/entry/server/shares.go
@@ -72,12 +72,15 @@
 	for _, a := range asks {
 		out.Requests = append(out.Requests, &wire.ShareRequest{
 			Team: a.Team, Demand: int64(a.Demand), HeldSequence: a.HeldSequence,
-			HeldShare: int64(a.Held), HeldMs: a.HeldFor.Milliseconds(),
+			HeldShare: int64(a.Held), HeldMs: roundUp(a.HeldFor),
 		})
 	}
 	return out
 }
 
+// roundUp returns whole milliseconds, at least as long as d.
+func roundUp(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+
 func asksFromWire(from vm.ID, w *wire.ShareRequests) []limits.TeamAsk {
 	out := make([]limits.TeamAsk, 0, len(w.GetRequests()))
 	for _, r := range w.GetRequests() {
--- a/standin/cmd/experiment/control.go
+++ b/standin/cmd/experiment/control.go
@@ -38,27 +38,19 @@
 	f.IntVar(&c.most, "most", 64, "largest number of entry VMs")
 }
 
-func (c *controlCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	dir, cleanup, err := workDir("")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	defer cleanup()
-	binaries, err := fleet.Build(dir)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
+func (c *controlCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	return withBinaries("", c.run)
+}
+
+func (c *controlCommand) run(dir string, binaries fleet.Binaries) error {
 	network := 70
 	for n := 8; n <= c.most; n *= 2 {
 		if err := c.size(n, fmt.Sprintf("127.%d", network), dir, binaries); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return subcommands.ExitFailure
+			return err
 		}
 		network++
 	}
-	return subcommands.ExitSuccess
+	return nil
 }
 
 // runnersPerService keeps services small, as at the target: 20 runners each.
--- a/standin/cmd/experiment/faults.go
+++ b/standin/cmd/experiment/faults.go
@@ -47,21 +47,13 @@
 }
 
 func (c *faultsCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	dir, cleanup, err := workDir(c.keep)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	defer cleanup()
-	binaries, err := fleet.Build(dir)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
+	return withBinaries(c.keep, func(dir string, b fleet.Binaries) error { return c.run(ctx, dir, b) })
+}
+
+func (c *faultsCommand) run(ctx context.Context, dir string, binaries fleet.Binaries) error {
 	site, err := fleet.LoadSite(c.site)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
+		return err
 	}
 	site.AddressTTL = time.Second
 	site.DrainLinger = 1500 * time.Millisecond
@@ -73,8 +65,7 @@
 		seed := c.first + uint64(i)
 		report, steps, err := c.runSeed(ctx, site, seed, dir, binaries)
 		if err != nil {
-			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
-			return subcommands.ExitFailure
+			return fmt.Errorf("seed %d: %w", seed, err)
 		}
 		mixed += steps
 		fmt.Printf("seed %d: %s\n", seed, describe(report))
@@ -89,9 +80,9 @@
 		bad += sum.Cut + sum.Unknown
 	}
 	if bad > 0 {
-		return subcommands.ExitFailure
+		return errBroken
 	}
-	return subcommands.ExitSuccess
+	return nil
 }
 
 func (c *faultsCommand) runSeed(ctx context.Context, site fleet.Site, seed uint64, dir string, binaries fleet.Binaries) (*load.Report, int, error) {
--- a/standin/cmd/experiment/overhead.go
+++ b/standin/cmd/experiment/overhead.go
@@ -100,8 +100,6 @@
 		t.failed, ms(t.quantile(0.5)-d.quantile(0.5)), t.perSecond()/d.perSecond())
 }
 
-func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // sample is the latencies of some rounds.
 type sample struct {
 	latencies []time.Duration
--- a/standin/cmd/experiment/policies.go
+++ b/standin/cmd/experiment/policies.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/google/subcommands"
@@ -49,25 +48,17 @@
 )
 
 func (c *policiesCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	dir, cleanup, err := workDir("")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	defer cleanup()
-	binaries, err := fleet.Build(dir)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
+	return withBinaries("", func(dir string, b fleet.Binaries) error { return c.compare(ctx, dir, b) })
+}
+
+func (c *policiesCommand) compare(ctx context.Context, dir string, binaries fleet.Binaries) error {
 	policies := []resource.Policy{resource.PolicyRoundRobin, resource.PolicyLeastLoad, resource.PolicyTwoChoices, resource.PolicyAffinity}
 	for i, policy := range policies {
 		if err := c.run(ctx, policy, fmt.Sprintf("127.%d", 60+i), dir, binaries); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return subcommands.ExitFailure
+			return err
 		}
 	}
-	return subcommands.ExitSuccess
+	return nil
 }
 
 func (c *policiesCommand) run(ctx context.Context, policy resource.Policy, network, dir string, binaries fleet.Binaries) error {
--- a/standin/cmd/experiment/quickstart.go
+++ b/standin/cmd/experiment/quickstart.go
@@ -47,38 +47,22 @@
 }
 
 func (c *quickstartCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	dir, cleanup, err := workDir(c.keep)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	defer cleanup()
 	fmt.Println("building baywall and baywall-agent ...")
-	binaries, err := fleet.Build(dir)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
+	return withBinaries(c.keep, func(dir string, b fleet.Binaries) error { return c.run(ctx, dir, b) })
+}
+
+func (c *quickstartCommand) run(ctx context.Context, dir string, binaries fleet.Binaries) error {
 	var rows []row
 	for _, path := range strings.Split(c.sites, ",") {
 		r, err := c.runSite(ctx, path, dir, binaries)
 		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return subcommands.ExitFailure
+			return err
 		}
 		rows = append(rows, r)
 	}
 	return printRows(rows)
 }
 
-func workDir(keep string) (string, func(), error) {
-	if keep != "" {
-		return keep, func() {}, os.MkdirAll(keep, 0o755)
-	}
-	dir, err := os.MkdirTemp("", "baywall-")
-	return dir, func() { _ = os.RemoveAll(dir) }, err
-}
-
 func (c *quickstartCommand) runSite(ctx context.Context, path, dir string, binaries fleet.Binaries) (row, error) {
 	site, err := fleet.LoadSite(path)
 	if err != nil {
@@ -131,16 +115,16 @@
 	return out
 }
 
-func printRows(rows []row) subcommands.ExitStatus {
+func printRows(rows []row) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "site\trequests\tanswered\tnot-run\tunknown\tcut\tdoubled\tcrossed\tfalse not-run\tfirst p50 ms\tfirst p99 ms\t")
-	status := subcommands.ExitSuccess
+	var err error
 	for _, r := range rows {
 		p := r.report
 		ms := func(q float64) float64 { return float64(p.First.ValueAtQuantile(q)) / 1000 }
 		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", r.site, p.Requests, p.Answered, p.NotRun, p.Unknown, p.Cut, p.Doubled, p.Crossed, p.FalseNotRun, ms(50), ms(99))
 		if p.Violations() > 0 || p.Answered == 0 {
-			status = subcommands.ExitFailure
+			err = errBroken
 		}
 	}
 	w.Flush()
@@ -150,5 +134,5 @@
 			fmt.Printf("  %d x %s\n", n, reason)
 		}
 	}
-	return status
+	return err
 }
--- a/standin/cmd/experiment/recovery.go
+++ b/standin/cmd/experiment/recovery.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"time"
 
@@ -96,30 +95,22 @@
 )
 
 func (c *recoveryCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	dir, cleanup, err := workDir("")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	defer cleanup()
-	binaries, err := fleet.Build(dir)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
+	return withBinaries("", func(dir string, b fleet.Binaries) error { return c.run(ctx, dir, b) })
+}
+
+func (c *recoveryCommand) run(ctx context.Context, dir string, binaries fleet.Binaries) error {
 	site := plainSite("127.66", 8, 16)
 	site.AddressTTL = time.Second
 	site.Services[0].Spec = resource.Service{EntrySubset: 4}
 	f, err := fleet.Start(site, fleet.Options{Binaries: binaries, Dir: dir})
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
+		return err
 	}
 	defer f.Stop()
 	for _, fault := range recoveryFaults() {
 		c.measure(ctx, f, fault)
 	}
-	return subcommands.ExitSuccess
+	return nil
 }
 
 func (c *recoveryCommand) measure(ctx context.Context, f *fleet.Fleet, fault recoveryFault) {
--- a/standin/cmd/experiment/spread.go
+++ b/standin/cmd/experiment/spread.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -41,25 +40,17 @@
 }
 
 func (c *spreadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	dir, cleanup, err := workDir("")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	defer cleanup()
-	binaries, err := fleet.Build(dir)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
+	return withBinaries("", func(dir string, b fleet.Binaries) error { return c.run(ctx, dir, b) })
+}
+
+func (c *spreadCommand) run(ctx context.Context, dir string, binaries fleet.Binaries) error {
 	for i, size := range []struct{ entries, agents int }{{8, 19}, {16, 38}, {32, 76}} {
 		site := plainSite(fmt.Sprintf("127.%d", 35+i), size.entries, size.agents)
 		if err := c.runSize(ctx, site, dir, binaries); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return subcommands.ExitFailure
+			return err
 		}
 	}
-	return subcommands.ExitSuccess
+	return nil
 }
 
 // plainSite is a site of one plain service over three availability zones.
