--- a/standin/cmd/experiment/quickstart.go
+++ b/standin/cmd/experiment/quickstart.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/subcommands"
 
+	"baywall.example/standin/engine"
 	"baywall.example/standin/fleet"
 	"baywall.example/standin/load"
 )
@@ -84,18 +85,30 @@
 			fmt.Printf("%s: %5.1fs, %d requests done\n", site.Name, time.Since(started).Seconds(), done)
 		}
 	}
+	early := make(chan map[string]engine.Stats, 1)
+	time.AfterFunc(c.duration/2, func() { early <- groupStats(f) })
 	caller := load.NewCaller(f.CallerIP(), f.Entries())
 	report := load.Run(ctx, caller, f.Ledger, load.Options{
 		Workloads: Mixed(site), Duration: c.duration, Seed: 1, Progress: progress,
 	})
 	r := row{site: site.Name, report: report}
-	for name, g := range f.Groups {
-		s := g.Stats()
-		r.groups += fmt.Sprintf("%s: skew %.3f, map version %d, %d steps with mixed maps; ", name, s.MeanSkew, s.Version, s.Mixed)
+	first := <-early
+	for name, s := range groupStats(f) {
+		r.groups += fmt.Sprintf("%s: mean skew %.3f in the first half, %.3f in the second; map version %d; %d steps with mixed maps, %d ms held by switches; ",
+			name, first[name].MeanSkew, s.MeanSkew, s.Version, s.Mixed, first[name].Held+s.Held)
 	}
 	return r, nil
 }
 
+// groupStats returns the measures of all groups since the last call.
+func groupStats(f *fleet.Fleet) map[string]engine.Stats {
+	out := make(map[string]engine.Stats)
+	for name, g := range f.Groups {
+		out[name] = g.Stats()
+	}
+	return out
+}
+
 // Mixed returns the load of a site: streamed answers of its engines, and
 // documents of its plain services, some of which may not be asked for twice.
 func Mixed(site fleet.Site) []load.Workload {
--- a/standin/cmd/experiment/spread.go
+++ b/standin/cmd/experiment/spread.go
@@ -83,12 +83,12 @@
 		all = append(all, a)
 	}
 	perChange, _ := f.Platform.Calls()
-	leaving := c.leave(ctx, f)
+	leaving, before := c.leave(ctx, f)
 	slices.Sort(entries)
 	slices.Sort(all)
 	q := func(d []time.Duration, p float64) float64 { return ms(d[int(p*float64(len(d)-1))]) }
-	fmt.Printf("%d entry VMs, %d agents: in force on every process p50 %.0f ms, p99 %.0f ms (entry VMs p99 %.0f ms); platform reads idle %.2f/s, per change %.1f, over the cap %d; last new work on a leaving backend server %.0f ms after it was published\n",
-		site.EntryVMs, site.Services[0].Runners, q(all, 0.5), q(all, 0.99), q(entries, 0.99), idleRate, float64(perChange-after)/float64(c.changes), limited, ms(leaving))
+	fmt.Printf("%d entry VMs, %d agents: in force on every process p50 %.0f ms, p99 %.0f ms (entry VMs p99 %.0f ms); platform reads idle %.2f/s, per change %.1f, over the cap %d; last new work on %d leaving backend servers at most %.0f ms after they were published (%d requests before)\n",
+		site.EntryVMs, site.Services[0].Runners, q(all, 0.5), q(all, 0.99), q(entries, 0.99), idleRate, float64(perChange-after)/float64(c.changes), limited, leavers, ms(leaving), before)
 	return nil
 }
 
@@ -137,25 +137,40 @@
 	return entries, all
 }
 
-// leave publishes a backend server as leaving under load and returns how long
-// after that it got its last new work.
-func (c *spreadCommand) leave(ctx context.Context, f *fleet.Fleet) time.Duration {
-	id := vm.ID("plain-1")
-	var published time.Time
+const (
+	leavers   = 5
+	leaveGap  = time.Second
+	leaveRate = 1500 // requests a second
+)
+
+// leave publishes some backend servers as leaving, one after the other, under
+// load. It returns how long after that one got its last new work, and the
+// requests they had got before.
+func (c *spreadCommand) leave(ctx context.Context, f *fleet.Fleet) (longest time.Duration, before int) {
+	published := make(map[string]time.Time)
+	done := make(chan struct{})
 	go func() {
-		time.Sleep(2 * time.Second)
-		published = time.Now()
-		f.SetState(id, vm.StateLeaving)
+		defer close(done)
+		for i := range leavers {
+			time.Sleep(leaveGap)
+			id := vm.ID(fmt.Sprintf("plain-%d", i+1))
+			published[f.Server(id)] = time.Now()
+			f.SetState(id, vm.StateLeaving)
+		}
 	}()
 	load.Run(ctx, load.NewCaller(f.CallerIP(), f.Entries()), f.Ledger, load.Options{
-		Seed: 3, Duration: 7 * time.Second,
-		Workloads: []load.Workload{{Service: "plain", Teams: []string{"t"}, Rate: 300}},
+		Seed: 3, Duration: (leavers + 3) * leaveGap,
+		Workloads: []load.Workload{{Service: "plain", Teams: []string{"t"}, Rate: leaveRate}},
 	})
-	last := published
+	<-done
 	for _, e := range f.Ledger.Executions() {
-		if e.Server == f.Server(id) && e.At.After(last) {
-			last = e.At
+		left, ok := published[e.Server]
+		switch {
+		case ok && e.At.After(left):
+			longest = max(longest, e.At.Sub(left))
+		case ok:
+			before++
 		}
 	}
-	return last.Sub(published)
+	return longest, before
 }
--- a/standin/engine/group.go
+++ b/standin/engine/group.go
@@ -157,9 +157,10 @@
 
 // Stats are what a run measures.
 type Stats struct {
-	Steps, Mixed, Held int
-	MeanSkew           float64
-	Version            uint64
+	Steps, Mixed int
+	Held         int // ms that the group waited at a held step or a stalled rank
+	MeanSkew     float64
+	Version      uint64
 }
 
 // Stats returns the measures since the last call.
