Restrict a grantor only if it is new to the team, refuse fractions for whole numbers

A test of the check command found that 0.5 for a whole-number field was read as 0, which stands for the default. Change: a grantor counts as new only for teams that another VM may have granted in the meantime; leases of 1 s; answers are shuffled within a zone; a fraction for a whole number is an error with its line.

--- /dev/null
+++ b/core/settings/numbers.go
@@ -0,0 +1,73 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// truncated returns a problem for each number with a fraction that stands for a
+// whole-number field: the YAML library cuts the fraction off without a word.
+func truncated(file *ast.File, target reflect.Type) []Problem {
+	f := &fractions{target: target}
+	for _, doc := range file.Docs {
+		if doc.Body != nil {
+			ast.Walk(f, doc.Body)
+		}
+	}
+	return f.problems
+}
+
+// fractions visits a document's nodes.
+type fractions struct {
+	target   reflect.Type
+	problems []Problem
+}
+
+// Visit implements ast.Visitor.
+func (f *fractions) Visit(node ast.Node) ast.Visitor {
+	number, ok := node.(*ast.FloatNode)
+	if !ok {
+		return f
+	}
+	field := strings.TrimPrefix(node.GetPath(), "$.")
+	if t := fieldType(f.target, strings.Split(field, ".")); t != nil && isInteger(t.Kind()) {
+		f.problems = append(f.problems, Problem{Field: field, Value: number.GetToken().Value, Allowed: "a whole number"})
+	}
+	return f
+}
+
+func isInteger(k reflect.Kind) bool {
+	return k >= reflect.Int && k <= reflect.Uintptr
+}
+
+// fieldType follows a path of YAML names through a type; it returns nil where
+// the path leads out of it.
+func fieldType(t reflect.Type, path []string) reflect.Type {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if len(path) == 0 {
+		return t
+	}
+	name, _, indexed := strings.Cut(path[0], "[")
+	switch t.Kind() {
+	case reflect.Struct:
+		for i := range t.NumField() {
+			if tag, _, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ","); tag == name {
+				return element(t.Field(i).Type, indexed, path[1:])
+			}
+		}
+	case reflect.Map:
+		return fieldType(t.Elem(), path[1:])
+	}
+	return nil
+}
+
+func element(t reflect.Type, indexed bool, rest []string) reflect.Type {
+	if indexed && t.Kind() == reflect.Slice {
+		t = t.Elem()
+	}
+	return fieldType(t, rest)
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"regexp"
 	"strings"
 	"time"
@@ -59,11 +60,14 @@
 	if err := yaml.UnmarshalWithOptions(raw, out, yaml.Strict()); err != nil {
 		return decodeError(path, raw, err)
 	}
-	problems := out.Validate()
+	file, err := parser.ParseBytes(raw, 0)
+	if err != nil {
+		return eris.Wrapf(ErrInvalid, "%s: %v", path, err)
+	}
+	problems := append(truncated(file, reflect.TypeOf(out)), out.Validate()...)
 	if len(problems) == 0 {
 		return nil
 	}
-	file, _ := parser.ParseBytes(raw, 0)
 	errs := make([]error, 0, len(problems)+1)
 	errs = append(errs, ErrInvalid)
 	for _, p := range problems {
--- a/entry/api/entries.go
+++ b/entry/api/entries.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	mathrand "math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -63,6 +64,8 @@
 	}
 	answer := EntriesAnswer{Service: service, TTLMS: a.AddressTTL.Milliseconds(), Tickets: a.tickets(r.Context(), service, count)}
 	subset := slices.Clone(a.subset(service))
+	// Callers keep the order; without a shuffle all of a zone would use one VM.
+	mathrand.Shuffle(len(subset), func(i, j int) { subset[i], subset[j] = subset[j], subset[i] })
 	slices.SortStableFunc(subset, func(x, y vm.VM) int { return zone.Rank(near, x.Zone) - zone.Rank(near, y.Zone) })
 	for _, v := range subset {
 		answer.Entries = append(answer.Entries, Entry{VM: v.ID, Zone: v.Zone, Address: v.HTTP})
--- a/entry/limits/grantor.go
+++ b/entry/limits/grantor.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"math"
 	"time"
 
 	"baywall.example/core/vm"
@@ -8,7 +9,7 @@
 
 const (
 	// leaseTime is how long a share may be used without renewal.
-	leaseTime = 2 * time.Second
+	leaseTime = time.Second
 	// basePart is the part of a limit that is split evenly.
 	basePart = 0.25
 	// headroom is the factor by which a grant exceeds the demand, if there is
@@ -19,7 +20,7 @@
 // Base returns the share of a limit that each of n entry VMs always owns. It
 // is at least 1.
 func Base(limit, n int) int {
-	return max(1, int(basePart*float64(limit))/max(1, n))
+	return max(1, int(math.Ceil(basePart*float64(limit)/float64(max(1, n)))))
 }
 
 // pool returns what can be leased to the reachable ones of n entry VMs.
@@ -74,8 +75,8 @@
 type Fleet struct {
 	Listed    int // entry VMs on the list
 	Reachable int // of them usable, this one included
-	// Stable is since when the usable ones have been the same. Before, another
-	// VM may have been the grantor, and its leases may be in use.
+	// Stable is since when this VM has been the team's grantor. Before, another
+	// one may have been, and its leases may be in use.
 	Stable time.Time
 }
 
--- a/entry/limits/limits.go
+++ b/entry/limits/limits.go
@@ -39,8 +39,10 @@
 
 // Network is what a Limiter needs of its process.
 type Network interface {
-	// Fleet returns how many entry VMs there are and are reachable.
-	Fleet() Fleet
+	// Listed returns how many entry VMs there are.
+	Listed() int
+	// Fleet returns how this VM sees the others, as a team's grantor.
+	Fleet(team string) Fleet
 	// Grantor returns the entry VM that grants shares of a team's limit.
 	Grantor(team string) vm.ID
 	// Ask sends asks to a grantor; to itself if that is this VM.
@@ -120,10 +122,11 @@
 		s.teams[name] = t
 	}
 	now := time.Now()
-	if !t.withinRate(team, l.net.Fleet(), now) {
+	listed := l.net.Listed()
+	if !t.withinRate(team, listed, now) {
 		return false, nil
 	}
-	if t.holder.Admit(Base(team.Concurrency, l.net.Fleet().Listed), now) {
+	if t.holder.Admit(Base(team.Concurrency, listed), now) {
 		return true, nil
 	}
 	if t.asking == nil && t.holder.WantsMore(now) {
@@ -138,13 +141,13 @@
 
 // withinRate reports whether this entry VM's part of the team's rate allows a
 // request: the part of the concurrency that it may use, and at least an even one.
-func (t *teamState) withinRate(team resource.Team, f Fleet, now time.Time) bool {
+func (t *teamState) withinRate(team resource.Team, listed int, now time.Time) bool {
 	if team.RequestsPerSecond == 0 {
 		t.rate = nil
 		return true
 	}
-	even := 1 / float64(max(1, f.Listed))
-	held := float64(t.holder.leased(now)+Base(team.Concurrency, f.Listed)) / float64(team.Concurrency)
+	even := 1 / float64(max(1, listed))
+	held := float64(t.holder.leased(now)+Base(team.Concurrency, listed)) / float64(team.Concurrency)
 	part := rate.Limit(team.RequestsPerSecond * min(1, max(even*basePart, held)))
 	if t.rate == nil {
 		t.rate = rate.NewLimiter(part, max(1, int(part)))
@@ -233,7 +236,6 @@
 // Grant answers asks as the grantor of their teams.
 func (l *Limiter) Grant(asks []TeamAsk) []TeamGrant {
 	out := make([]TeamGrant, 0, len(asks))
-	fleet := l.net.Fleet()
 	for _, a := range asks {
 		team, ok := l.net.Team(a.Team)
 		if !ok {
@@ -247,7 +249,7 @@
 			g = NewGrantor(now)
 			s.grantors[a.Team] = g
 		}
-		grant := g.Handle(a.Ask, team.Concurrency, fleet, now)
+		grant := g.Handle(a.Ask, team.Concurrency, l.net.Fleet(a.Team), now)
 		s.mu.Unlock()
 		out = append(out, TeamGrant{Team: a.Team, Grant: grant})
 	}
--- a/entry/membership/fleet.go
+++ b/entry/membership/fleet.go
@@ -26,13 +26,24 @@
 	Usable []vm.VM // that may get new work, by id; this one included
 	// Generation changes whenever Usable does.
 	Generation uint64
-	// Stable is since when Usable has been the same, without a pause of this
-	// process.
-	Stable time.Time
+	// Awake is since when this process has been running without a pause.
+	Awake time.Time
+	// Recent are the earlier sets of usable entry VMs that ended less than
+	// RecentWindow ago, with the times at which they did.
+	Recent []EndedSet
 
 	looked time.Time
 }
 
+// EndedSet is a set of usable entry VMs that is out of date.
+type EndedSet struct {
+	Usable []vm.VM
+	Ended  time.Time
+}
+
+// RecentWindow is for how long earlier sets are remembered.
+const RecentWindow = 5 * time.Second
+
 // Fleet keeps the snapshot, so that what depends on it is computed anew only
 // when it changed.
 type Fleet struct {
@@ -70,7 +81,7 @@
 }
 
 func (f *Fleet) refresh(now time.Time) {
-	next := &Snapshot{looked: now, Stable: now}
+	next := &Snapshot{looked: now, Awake: now}
 	for _, v := range f.vms.List().WithRole(vm.RoleEntry) {
 		next.Listed++
 		if v.ID == f.self || f.prober.Usable(v) {
@@ -86,11 +97,17 @@
 	}
 	next.Generation = old.Generation
 	same := slices.EqualFunc(old.Usable, next.Usable, func(a, b vm.VM) bool { return a.ID == b.ID && a.HTTP == b.HTTP && a.Zone == b.Zone })
+	if now.Sub(old.looked) < pauseGap {
+		next.Awake = old.Awake
+	}
+	for _, set := range old.Recent {
+		if now.Sub(set.Ended) < RecentWindow {
+			next.Recent = append(next.Recent, set)
+		}
+	}
 	if !same {
 		next.Generation++
-	}
-	if same && now.Sub(old.looked) < pauseGap {
-		next.Stable = old.Stable
+		next.Recent = append(next.Recent, EndedSet{Usable: old.Usable, Ended: now})
 	}
 	f.snapshot.Store(next)
 }
--- a/entry/server/shares.go
+++ b/entry/server/shares.go
@@ -20,17 +20,31 @@
 	server *Server
 }
 
+// Listed implements limits.Network.
+func (n *shareNetwork) Listed() int { return n.server.fleet.Snapshot().Listed }
+
 // Fleet implements limits.Network.
-func (n *shareNetwork) Fleet() limits.Fleet {
+func (n *shareNetwork) Fleet(team string) limits.Fleet {
 	s := n.server.fleet.Snapshot()
-	return limits.Fleet{Listed: s.Listed, Reachable: len(s.Usable), Stable: s.Stable}
+	out := limits.Fleet{Listed: s.Listed, Reachable: len(s.Usable), Stable: s.Awake}
+	for _, set := range s.Recent {
+		if set.Ended.After(out.Stable) && n.grantorAmong(set.Usable, team) != n.server.local.VM {
+			out.Stable = set.Ended
+		}
+	}
+	return out
 }
 
 // Grantor implements limits.Network.
 func (n *shareNetwork) Grantor(team string) vm.ID {
+	return n.grantorAmong(n.server.fleet.Snapshot().Usable, team)
+}
+
+// grantorAmong returns the first of the VMs in rendezvous order for the team.
+func (n *shareNetwork) grantorAmong(usable []vm.VM, team string) vm.ID {
 	key := rendezvous.Hash("team/" + team)
 	best, bestWeight := n.server.local.VM, uint64(0)
-	for _, v := range n.server.fleet.Snapshot().Usable {
+	for _, v := range usable {
 		if w := rendezvous.Weight(rendezvous.Hash(string(v.ID)), key); w >= bestWeight {
 			best, bestWeight = v.ID, w
 		}
