Collect expert counts once a planning period

Cause: a coordinator polled every rank for all its counts each 0.5 s, 40 KB a rank at 58 layers x 256 experts; only the last poll before a plan was needed. Change: the polls between are heartbeats without counts or map. Measurement: by size of the message only; the e2e tests of the switch pass. Also: callers' requests, resumption and resource checks each in their own file.

--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -37,8 +37,8 @@
 	electionStagger = 300 * time.Millisecond
 	// tickInterval drives a coordinator.
 	tickInterval = 50 * time.Millisecond
-	// pollInterval is the time between two collections of counts, which are
-	// also the coordinator's heartbeat.
+	// pollInterval is the time between two of the coordinator's heartbeats.
+	// Counts, which are large, are collected once a planning period.
 	pollInterval = 500 * time.Millisecond
 	// callTimeout bounds one order to one rank.
 	callTimeout = 2 * time.Second
@@ -165,12 +165,15 @@
 	if w.GetFence() < s.member.Promised() {
 		return &wire.SwitchReply{Superseded: true, Fence: s.member.Promised()}
 	}
-	state, err := s.env.Engine.Experts(ctx, true)
+	state, err := s.env.Engine.Experts(ctx, w.GetCounts())
 	if err != nil {
 		return &wire.SwitchReply{Reason: err.Error(), Fence: s.member.Promised()}
 	}
 	s.hear(w.GetGroup())
 	out := replyToWire(mapswitch.Reply{OK: true, Fence: s.member.Promised(), Incarnation: s.env.Incarnation, State: state})
+	if !w.GetCounts() {
+		return out
+	}
 	for _, layer := range state.Counts {
 		out.Counts = append(out.Counts, &wire.LayerCounts{Tokens: layer})
 	}
--- a/agent/group/lead.go
+++ b/agent/group/lead.go
@@ -125,23 +125,22 @@
 	return reply.GetSwitchReply(), nil
 }
 
-// whenIdle collects counts, and plans a new map once the period is over.
+// whenIdle keeps the ranks from electing another coordinator and, once the
+// period is over, collects counts and plans a new map.
 func (l *leadership) whenIdle(ctx context.Context, now time.Time) {
 	if l.coord.Stage() != mapswitch.StageIdle || now.Sub(l.polled) < pollInterval {
 		return
 	}
 	l.polled = now
-	poll, ok := l.collect(ctx)
-	if !ok {
-		return
-	}
-	l.counts.Smooth(poll.counts, l.weight())
-	l.rounds++
 	intent := l.intent()
-	if now.Sub(l.planned) < intent.PeriodMS.Duration() {
+	due := now.Sub(l.planned) >= intent.PeriodMS.Duration()
+	poll, ok := l.collect(ctx, due)
+	if !ok || !due {
 		return
 	}
 	l.planned = now
+	l.counts.Smooth(poll.counts, l.weight())
+	l.rounds++
 	l.plan(poll, intent, now)
 }
 
@@ -169,15 +168,15 @@
 	speeds []float64
 }
 
-// collect polls every rank. It fails unless all of them answered and run the
-// same map.
-func (l *leadership) collect(ctx context.Context) (collection, bool) {
+// collect polls every rank, for its counts if asked to. It fails unless all of
+// them answered and run the same map.
+func (l *leadership) collect(ctx context.Context, counts bool) (collection, bool) {
 	shape := shapeOf(&l.spec)
 	replies := make([]*wire.SwitchReply, shape.Ranks)
 	var wg conc.WaitGroup
 	for rank := range shape.Ranks {
 		wg.Go(func() {
-			order := &wire.SwitchOrder{Group: l.name, Fence: l.coord.Fence(), Phase: wire.SwitchPhase_SWITCH_COUNTS, Coordinator: string(l.set.env.VM)}
+			order := &wire.SwitchOrder{Group: l.name, Fence: l.coord.Fence(), Phase: wire.SwitchPhase_SWITCH_COUNTS, Coordinator: string(l.set.env.VM), Counts: counts}
 			if r, err := l.call(ctx, rank, order); err == nil && r.GetOk() {
 				replies[rank] = r
 			}
@@ -186,7 +185,7 @@
 	wg.Wait()
 	out := collection{counts: expertmap.NewCounts(shape), speeds: make([]float64, shape.Ranks)}
 	for rank, r := range replies {
-		if r == nil || r.GetActive() != replies[0].GetActive() || len(r.GetCounts()) != shape.Layers {
+		if r == nil || r.GetActive() != replies[0].GetActive() || counts && len(r.GetCounts()) != shape.Layers {
 			return collection{}, false
 		}
 		out.speeds[rank] = r.GetSpeed()
--- a/entry/api/requests.go
+++ b/entry/api/requests.go
@@ -15,7 +15,6 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/rotisserie/eris"
 
-	"baywall.example/core/configuration"
 	"baywall.example/core/contract"
 	"baywall.example/core/rendezvous"
 	"baywall.example/core/resource"
@@ -302,48 +301,3 @@
 		Outcome: string(r.Outcome), Reason: string(r.Reason), Request: id, RetryAfterMS: r.RetryAfter.Milliseconds(),
 	})
 }
-
-// serveCheck validates a candidate resource without storing it.
-func (a *API) serveCheck(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.MaxBody))
-	if err != nil {
-		a.badBody(w, "", err)
-		return
-	}
-	key := resource.Key{Kind: resource.Kind(r.URL.Query().Get("kind")), Name: r.URL.Query().Get("name")}
-	if _, err := resource.Decode(key, raw); err != nil {
-		a.problem(w, http.StatusUnprocessableEntity, "", notRun(contract.ReasonBadRequest), err.Error())
-		return
-	}
-	writeJSON(w, http.StatusOK, configuration.Status{Key: key})
-}
-
-// resumeTimeout bounds a resumed answer.
-const resumeTimeout = 10 * time.Minute
-
-// serveResume gives a caller the rest of an answer whose entry VM it lost. The
-// place is the Baywall-Attempt header of the first answer; the rest begins at
-// Baywall-Offset, or after the event named by Last-Event-ID.
-func (a *API) serveResume(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	place, err := parsePlace(r.Header.Get(HeaderAttempt))
-	c := contract.Contract{Request: place.Attempt.Request}
-	if err != nil {
-		a.refuse(r.Context(), w, c, &contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonBadRequest}, err.Error())
-		return
-	}
-	sink := &responseSink{w: w, request: place.Attempt.Request, partial: true}
-	if last := r.Header.Get("Last-Event-ID"); last != "" {
-		sink.skip = &eventSkipper{last: last}
-	}
-	offset := int64(0)
-	if raw := r.Header.Get(HeaderOffset); raw != "" {
-		offset, err = strconv.ParseInt(raw, 10, 64)
-		if err != nil || offset < 0 {
-			a.refuse(r.Context(), w, c, &contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonBadRequest}, fmt.Sprintf("header %s: value %q, allowed: a number of bytes", HeaderOffset, raw))
-			return
-		}
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), resumeTimeout)
-	defer cancel()
-	a.finish(ctx, w, c, a.Dispatcher.Resume(ctx, place, offset, time.Now().Add(resumeTimeout), sink))
-}
--- a/entry/api/resources.go
+++ b/entry/api/resources.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -157,3 +158,18 @@
 		}
 	}
 }
+
+// serveCheck validates a candidate resource without storing it.
+func (a *API) serveCheck(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.MaxBody))
+	if err != nil {
+		a.badBody(w, "", err)
+		return
+	}
+	key := resource.Key{Kind: resource.Kind(r.URL.Query().Get("kind")), Name: r.URL.Query().Get("name")}
+	if _, err := resource.Decode(key, raw); err != nil {
+		a.problem(w, http.StatusUnprocessableEntity, "", notRun(contract.ReasonBadRequest), err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, configuration.Status{Key: key})
+}
--- a/entry/api/resume.go
+++ b/entry/api/resume.go
@@ -2,15 +2,50 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
 
 	"baywall.example/core/contract"
 	"baywall.example/core/vm"
 	"baywall.example/entry/dispatch"
 )
 
+// resumeTimeout bounds a resumed answer.
+const resumeTimeout = 10 * time.Minute
+
+// serveResume gives a caller the rest of an answer whose entry VM it lost. The
+// place is the Baywall-Attempt header of the first answer; the rest begins at
+// Baywall-Offset, or after the event named by Last-Event-ID.
+func (a *API) serveResume(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	place, err := parsePlace(r.Header.Get(HeaderAttempt))
+	c := contract.Contract{Request: place.Attempt.Request}
+	if err != nil {
+		a.refuse(r.Context(), w, c, &contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonBadRequest}, err.Error())
+		return
+	}
+	sink := &responseSink{w: w, request: place.Attempt.Request, partial: true}
+	if last := r.Header.Get("Last-Event-ID"); last != "" {
+		sink.skip = &eventSkipper{last: last}
+	}
+	offset := int64(0)
+	if raw := r.Header.Get(HeaderOffset); raw != "" {
+		offset, err = strconv.ParseInt(raw, 10, 64)
+		if err != nil || offset < 0 {
+			a.refuse(r.Context(), w, c, &contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonBadRequest}, fmt.Sprintf("header %s: value %q, allowed: a number of bytes", HeaderOffset, raw))
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), resumeTimeout)
+	defer cancel()
+	a.finish(ctx, w, c, a.Dispatcher.Resume(ctx, place, offset, time.Now().Add(resumeTimeout), sink))
+}
+
 // formatPlace writes a place as vm/incarnation/request/attempt.
 func formatPlace(p dispatch.Place) string {
 	return fmt.Sprintf("%s/%d/%s/%d", p.VM, p.Incarnation, p.Attempt.Request, p.Attempt.Number)
--- a/standin/cmd/experiment/control.go
+++ b/standin/cmd/experiment/control.go
@@ -22,6 +22,7 @@
 // sizes, while configuration changes now and then and there are no requests.
 type controlCommand struct {
 	length time.Duration
+	period time.Duration
 	teams  int
 	most   int
 }
@@ -30,10 +31,14 @@
 func (*controlCommand) Synopsis() string {
 	return "measure the cost of control per process at 8 to 64 entry VMs"
 }
-func (*controlCommand) Usage() string { return "control [-length 10s] [-teams 28000] [-most 64]\n" }
+
+func (*controlCommand) Usage() string {
+	return "control [-length 10s] [-period 5s] [-teams 28000] [-most 64]\n"
+}
 
 func (c *controlCommand) SetFlags(f *flag.FlagSet) {
 	f.DurationVar(&c.length, "length", 10*time.Second, "time measured at each size")
+	f.DurationVar(&c.period, "period", 5*time.Second, "time between two changes of configuration; the target's 1,400 a day are one in 62 s")
 	f.IntVar(&c.teams, "teams", 28_000, "number of teams configured")
 	f.IntVar(&c.most, "most", 64, "largest number of entry VMs")
 }
@@ -56,10 +61,6 @@
 // runnersPerService keeps services small, as at the target: 20 runners each.
 const runnersPerService = 20
 
-// changePeriod is the time between two changes of configuration: the target's
-// 1,400 a day would be one in 62 s.
-const changePeriod = 5 * time.Second
-
 // settle is the time before measuring, longer for larger fleets: the start of
 // some hundred processes on one machine is not what is measured.
 const settle = 4 * time.Second
@@ -85,9 +86,12 @@
 	time.Sleep(settle + time.Duration(entries)*100*time.Millisecond)
 	before := sampleProcesses(f)
 	deadline := time.Now().Add(c.length)
-	for i := 0; time.Now().Before(deadline); i++ {
+	for i := 0; ; i++ {
+		time.Sleep(min(c.period, time.Until(deadline)))
+		if !time.Now().Before(deadline) {
+			break
+		}
 		f.Platform.Put(resource.KindTeam, "team-1", resource.Team{Concurrency: 10 + i})
-		time.Sleep(min(changePeriod, time.Until(deadline)))
 	}
 	after := sampleProcesses(f)
 	for _, role := range []vm.Role{vm.RoleEntry, vm.RoleBackend} {
