--- a/entry/limits/doc.go
+++ b/entry/limits/doc.go
@@ -20,6 +20,9 @@
 // of the pool that belongs to those it reaches, since the others may have a
 // grantor of their own.
 //
+// While a team's grantor does not answer, the second VM in rendezvous order
+// confirms what holders have, and nothing more.
+//
 // Bound: the sum of all shares exceeds the limit by at most one for each entry
 // VM where the limit is smaller than four times their number; and while views of
 // who is usable differ, for at most a lease time after they agree again, by at
--- a/entry/limits/limits.go
+++ b/entry/limits/limits.go
@@ -43,8 +43,10 @@
 	Listed() int
 	// Fleet returns how this VM sees the others, as a team's grantor.
 	Fleet(team string) Fleet
-	// Grantor returns the entry VM that grants shares of a team's limit.
-	Grantor(team string) vm.ID
+	// Grantors returns the entry VMs that grant shares of a team's limit, in
+	// order of preference. The second one, asked when the first does not
+	// answer, confirms what a holder has, so that it outlives the first.
+	Grantors(team string) [2]vm.ID
 	// Ask sends asks to a grantor; to itself if that is this VM.
 	Ask(ctx context.Context, grantor vm.ID, asks []TeamAsk) ([]TeamGrant, error)
 	// Team returns a team's resource.
@@ -164,19 +166,38 @@
 	sent := time.Now()
 	ask := TeamAsk{Team: name, Ask: t.holder.Ask(l.self, sent)}
 	s.mu.Unlock()
-	l.exchange(l.net.Grantor(name), []TeamAsk{ask}, sent)
+	l.exchange([]TeamAsk{ask}, sent)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(t.asking)
 	t.asking = nil
 }
 
-func (l *Limiter) exchange(grantor vm.ID, asks []TeamAsk, sent time.Time) {
+// exchange asks the teams' grantors and, for those that do not answer, the
+// second ones. Without any answer leases run out and base shares stay.
+func (l *Limiter) exchange(asks []TeamAsk, sent time.Time) {
+	for choice := range 2 {
+		byGrantor := make(map[vm.ID][]TeamAsk)
+		for _, a := range asks {
+			to := l.net.Grantors(a.Team)[choice]
+			byGrantor[to] = append(byGrantor[to], a)
+		}
+		asks = nil
+		for grantor, list := range byGrantor {
+			if !l.ask(grantor, list, sent) {
+				asks = append(asks, list...)
+			}
+		}
+	}
+}
+
+// ask makes one exchange with one grantor and reports whether it answered.
+func (l *Limiter) ask(grantor vm.ID, asks []TeamAsk, sent time.Time) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	grants, err := l.net.Ask(ctx, grantor, asks)
 	if err != nil {
-		return // the lease runs out; the base share stays
+		return false
 	}
 	for _, g := range grants {
 		s := &l.shards[l.index(g.Team)]
@@ -186,6 +207,7 @@
 		}
 		s.mu.Unlock()
 	}
+	return true
 }
 
 func (l *Limiter) release(name string) {
@@ -222,14 +244,14 @@
 			case t.holder.Idle(now) && t.asking == nil:
 				delete(s.teams, name)
 			case t.holder.Due(now):
-				to := l.net.Grantor(name)
+				to := l.net.Grantors(name)[0]
 				asks[to] = append(asks[to], TeamAsk{Team: name, Ask: t.holder.Ask(l.self, now)})
 			}
 		}
 		s.mu.Unlock()
 	}
-	for grantor, list := range asks {
-		l.workers.Go(func() { l.exchange(grantor, list, now) })
+	for _, list := range asks {
+		l.workers.Go(func() { l.exchange(list, now) })
 	}
 }
 
--- a/entry/server/shares.go
+++ b/entry/server/shares.go
@@ -27,26 +27,37 @@
 func (n *shareNetwork) Fleet(team string) limits.Fleet {
 	s := n.server.fleet.Snapshot()
 	out := limits.Fleet{Listed: s.Listed, Reachable: len(s.Usable), Stable: s.Awake}
+	if n.grantorsAmong(s.Usable, team)[0] != n.server.local.VM {
+		out.Stable = time.Now() // another VM is the grantor
+		return out
+	}
 	for _, set := range s.Recent {
-		if set.Ended.After(out.Stable) && n.grantorAmong(set.Usable, team) != n.server.local.VM {
+		if set.Ended.After(out.Stable) && n.grantorsAmong(set.Usable, team)[0] != n.server.local.VM {
 			out.Stable = set.Ended
 		}
 	}
 	return out
 }
 
-// Grantor implements limits.Network.
-func (n *shareNetwork) Grantor(team string) vm.ID {
-	return n.grantorAmong(n.server.fleet.Snapshot().Usable, team)
+// Grantors implements limits.Network.
+func (n *shareNetwork) Grantors(team string) [2]vm.ID {
+	return n.grantorsAmong(n.server.fleet.Snapshot().Usable, team)
 }
 
-// grantorAmong returns the first of the VMs in rendezvous order for the team.
-func (n *shareNetwork) grantorAmong(usable []vm.VM, team string) vm.ID {
+// grantorsAmong returns the first two of the VMs in rendezvous order for the
+// team; this VM where there are not as many.
+func (n *shareNetwork) grantorsAmong(usable []vm.VM, team string) [2]vm.ID {
 	key := rendezvous.Hash("team/" + team)
-	best, bestWeight := n.server.local.VM, uint64(0)
+	best := [2]vm.ID{n.server.local.VM, n.server.local.VM}
+	var weights [2]uint64
 	for _, v := range usable {
-		if w := rendezvous.Weight(rendezvous.Hash(string(v.ID)), key); w >= bestWeight {
-			best, bestWeight = v.ID, w
+		w := rendezvous.Weight(rendezvous.Hash(string(v.ID)), key)
+		switch {
+		case w > weights[0]:
+			best[0], best[1] = v.ID, best[0]
+			weights[0], weights[1] = w, weights[0]
+		case w > weights[1]:
+			best[1], weights[1] = v.ID, w
 		}
 	}
 	return best
--- a/standin/cmd/experiment/faults.go
+++ b/standin/cmd/experiment/faults.go
@@ -57,8 +57,10 @@
 	}
 	site.AddressTTL = time.Second
 	site.DrainLinger = 1500 * time.Millisecond
-	site.TicketTTL = 1500 * time.Millisecond
-	site.AgentLinger = 2 * time.Second
+	if c.graceful { // restarts wait until tickets have expired
+		site.TicketTTL = 1500 * time.Millisecond
+		site.AgentLinger = 2 * time.Second
+	}
 	sum := &load.Report{Reasons: make(map[string]int)}
 	mixed := 0
 	for i := range c.seeds {
