Say not-run about a ticket only with its agent's proof, and void the ticket

An entry VM refused a resent ticket for its team's limit as not-run, though an earlier presentation through another entry VM had run. Reading on showed two more ways: a ticket of which one attempt was tombstoned could still run through a presentation on its way, and a ticket refused for lack of memory was not remembered. Change: refusals of an entry VM leave a ticket's outcome unknown; a ticket that its agent denied once is void; one that cannot be remembered is not denied; a tombstone alone is no denial. Unused cache events, calls and message fields are removed.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -120,11 +120,9 @@
 
 // Load is a backend server's own report, which lags behind.
 type Load struct {
-	Running       int      `json:"running"`
-	Waiting       int      `json:"waiting"`
-	Load          float64  `json:"load"` // 0 = idle, 1 = full
-	Prefixes      []uint64 `json:"prefixes,omitempty"`
-	CacheSequence uint64   `json:"cache_sequence"`
+	Running int     `json:"running"`
+	Waiting int     `json:"waiting"`
+	Load    float64 `json:"load"` // 0 = idle, 1 = full
 }
 
 // Load reads the backend server's report.
--- a/agent/group/lead.go
+++ b/agent/group/lead.go
@@ -56,7 +56,7 @@
 	}
 	defer l.calls.Wait()
 	defer cancel()
-	l.record(timeline.KindEpoch, "lead", fmt.Sprintf("no coordinator heard; fence %d", fence))
+	l.record(timeline.KindLead, "coordinate", fmt.Sprintf("no coordinator heard; fence %d", fence))
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	stage := l.coord.Stage()
--- a/agent/record/doc.go
+++ b/agent/record/doc.go
@@ -9,7 +9,9 @@
 //
 // A ticket binds a non-idempotent request to this incarnation. Its nonce is
 // remembered until the ticket can no longer be presented, and a second
-// presentation joins the first execution or gets its saved answer. Once that
+// presentation joins the first execution or gets its saved answer. A ticket of
+// which one presentation was refused as "not-run" is void: further ones, which
+// may be on their way through other entry VMs, do not run either. Once that
 // memory may be gone the answer is "unknown", never "not-run". An incarnation
 // knows nothing of the ones before it, so a ticket for an earlier one is
 // "unknown" too, unless it was issued after this incarnation had started by
--- a/agent/record/table.go
+++ b/agent/record/table.go
@@ -153,28 +153,31 @@
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	t.forgetTickets(shard, now)
-	first := shard.nonces[ticket.Nonce]
-	if first != nil && t.stateOf(first) != StateTombstoned {
-		return Verdict{Action: ActionJoin, Attempt: first}
+	if first := shard.nonces[ticket.Nonce]; first != nil {
+		return t.presentAgain(first)
 	}
 	if now.After(ticket.Expires) {
 		return refuse(contract.NotRun, contract.ReasonTicketExpired)
 	}
-	if first == nil && t.tickets.Load() >= int64(t.limits.Tickets) {
-		return refuse(contract.NotRun, contract.ReasonOverload)
+	if t.tickets.Load() >= int64(t.limits.Tickets) {
+		return refuse(contract.Unknown, contract.ReasonOverload) // not remembered: it may run later
 	}
 	v := t.accept(id, true, now)
-	if v.Action != ActionRun {
-		return v
-	}
-	if first == nil {
-		t.tickets.Add(1)
-		shard.queue = append(shard.queue, ticketExpiry{ticket.Nonce, t.forgetAt(ticket)})
-	}
+	t.tickets.Add(1)
+	shard.queue = append(shard.queue, ticketExpiry{ticket.Nonce, t.forgetAt(ticket)})
 	shard.nonces[ticket.Nonce] = v.Attempt
 	return v
 }
 
+// presentAgain decides on a further presentation of a ticket. Once a caller was
+// told "not-run" the ticket is void: another presentation may be on its way.
+func (t *Table) presentAgain(first *Attempt) Verdict {
+	if t.stateOf(first) == StateTombstoned {
+		return refuse(contract.NotRun, contract.ReasonTombstoned)
+	}
+	return Verdict{Action: ActionJoin, Attempt: first}
+}
+
 // forgetAt returns when a ticket's nonce may be forgotten.
 func (t *Table) forgetAt(ticket *contract.Ticket) time.Time {
 	return ticket.Expires.Add(t.limits.TicketGrace)
@@ -249,7 +252,9 @@
 	t.expire(shard, now)
 	if old := shard.attempts[id]; old != nil {
 		if old.state == StateTombstoned {
-			return refuse(contract.NotRun, contract.ReasonTombstoned)
+			v := refuse(contract.NotRun, contract.ReasonTombstoned)
+			v.Attempt = old
+			return v
 		}
 		return Verdict{Action: ActionJoin, Attempt: old}
 	}
--- a/agent/server/attempts.go
+++ b/agent/server/attempts.go
@@ -94,9 +94,10 @@
 	_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Refusal{Refusal: out}})
 }
 
-// run hands the attempt over and streams its answer. Before the hand-over it
-// makes sure that the stream still stands, so that an attempt which waited
-// while this process was paused, and was given up meanwhile, does not run.
+// run hands the attempt over and streams its answer. It does not hand over if
+// the stream is known to have ended: an attempt that waited while this process
+// was paused, and was given up meanwhile, should not run. The end may be noticed
+// too late for that, so nobody may conclude "not-run" from it.
 func (a *Server) run(ctx context.Context, s *link.Stream, at *record.Attempt, w *wire.Attempt) {
 	until := time.UnixMilli(w.GetDeadlineUnixMs()).Add(2 * a.settings.Record.ClockSkew)
 	if w.GetTicket() != nil && a.draining.Load() {
@@ -112,6 +113,11 @@
 			cancel()
 		}
 	})
+	if streamCtx.Err() != nil {
+		cancel()
+		a.withdraw(s, at, w, until, contract.ReasonLinkLost)
+		return
+	}
 	if !a.table.HandOver(at) {
 		cancel()
 		a.refuse(s, at.ID, &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonTombstoned}, w)
--- a/agent/server/reports.go
+++ b/agent/server/reports.go
@@ -41,14 +41,8 @@
 func (a *Server) serveReports(ctx context.Context, s *link.Stream) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
-	sent := uint64(0)
 	for {
-		report := a.report()
-		if report.CacheSequence == sent {
-			report.CachedPrefixes = nil
-		}
-		sent = report.CacheSequence
-		if s.SendReply(&wire.Reply{Body: &wire.Reply_Report{Report: report}}) != nil {
+		if s.SendReply(&wire.Reply{Body: &wire.Reply_Report{Report: a.report()}}) != nil {
 			return
 		}
 		select {
@@ -70,8 +64,6 @@
 		Queued:         int64(load.Waiting),
 		Load:           load.Load,
 		Draining:       a.draining.Load(),
-		CachedPrefixes: load.Prefixes,
-		CacheSequence:  load.CacheSequence,
 	}
 }
 
--- a/core/contract/contract.go
+++ b/core/contract/contract.go
@@ -74,7 +74,6 @@
 	ReasonReplacedAgent   Reason = "agent-replaced"
 	ReasonAnswerEvicted   Reason = "answer-evicted"
 	ReasonUnknownAttempt  Reason = "unknown-attempt"
-	ReasonCanceled        Reason = "canceled"
 	ReasonBadRequest      Reason = "bad-request"
 	ReasonStarting        Reason = "starting"
 	ReasonRetryBudget     Reason = "retry-budget"
--- a/core/timeline/timeline.go
+++ b/core/timeline/timeline.go
@@ -30,7 +30,6 @@
 	KindRetry         Kind = "retry"
 	KindResume        Kind = "resume"
 	KindFate          Kind = "fate"
-	KindTombstone     Kind = "tombstone"
 	KindLinkUp        Kind = "link-up"
 	KindLinkDown      Kind = "link-down"
 	KindSuspect       Kind = "suspect"
@@ -41,7 +40,7 @@
 	KindPlatform      Kind = "platform"
 	KindPlan          Kind = "map-plan"
 	KindSwitch        Kind = "map-switch"
-	KindEpoch         Kind = "epoch"
+	KindLead          Kind = "lead"
 )
 
 // Event is one decision: what was chosen about which subject, and why.
--- a/core/vm/vm.go
+++ b/core/vm/vm.go
@@ -3,7 +3,6 @@
 package vm
 
 import (
-	"slices"
 	"time"
 
 	"baywall.example/core/zone"
@@ -55,11 +54,6 @@
 	State    State    `json:"state"`
 }
 
-// Serves reports whether the VM is a backend server of the service.
-func (v VM) Serves(service string) bool {
-	return v.Role == RoleBackend && slices.Contains(v.Services, service)
-}
-
 // List is the platform's list of live and leaving VMs at one revision. It is
 // never changed after it was made.
 type List struct {
@@ -87,14 +81,3 @@
 	}
 	return out
 }
-
-// Serving returns the backend servers of a service, leaving ones included.
-func (l List) Serving(service string) []VM {
-	var out []VM
-	for _, v := range l.VMs {
-		if v.Serves(service) {
-			out = append(out, v)
-		}
-	}
-	return out
-}
--- a/entry/api/requests.go
+++ b/entry/api/requests.go
@@ -50,17 +50,17 @@
 	w.Header().Set(HeaderRequestID, string(id))
 	c, refusal, detail := a.contract(id, r, p.ByName("service"))
 	if refusal != nil {
-		a.refuse(r.Context(), w, c, refusal, detail)
+		a.refuse(r.Context(), w, c, undecided(r, refusal), detail)
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.MaxBody))
 	if err != nil {
-		a.badBody(w, id, err)
+		a.badBody(w, r, id, err)
 		return
 	}
 	release, limited := a.Limiter.Admit(r.Context(), c.Team)
 	if limited != nil {
-		a.refuse(r.Context(), w, c, limited, "team "+c.Team+" has its share of requests running")
+		a.refuse(r.Context(), w, c, undecided(r, limited), "team "+c.Team+" has its share of requests running")
 		return
 	}
 	defer release()
@@ -118,6 +118,17 @@
 	return &contract.Refusal{Outcome: contract.NotRun, Reason: r}
 }
 
+// undecided turns the refusal of a request that carries a ticket into an
+// unknown outcome. The ticket may have been presented before, through another
+// entry VM, so only its agent can say that the request did not run.
+func undecided(r *http.Request, refusal *contract.Refusal) *contract.Refusal {
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if _, err := contract.ParseTicket(key); key != "" && err == nil {
+		refusal.Outcome = contract.Unknown
+	}
+	return refusal
+}
+
 func idempotent(r *http.Request, svc *resource.Service) bool {
 	if r.Method == http.MethodGet || r.Method == http.MethodHead {
 		return r.Header.Get(HeaderNonIdempotent) == ""
@@ -152,19 +163,19 @@
 		return c, notRun(contract.ReasonTicketRequired), "header Idempotency-Key: not a ticket; send the request again with the one in header Baywall-Ticket"
 	}
 	if t.Service != c.Service {
-		return c, notRun(contract.ReasonTicketInvalid), fmt.Sprintf("header Idempotency-Key: the ticket is for service %q", t.Service)
+		return c, &contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonTicketInvalid}, fmt.Sprintf("header Idempotency-Key: the ticket is for service %q", t.Service)
 	}
 	c.Ticket = &t
 	return c, nil, ""
 }
 
-func (a *API) badBody(w http.ResponseWriter, id contract.RequestID, err error) {
+func (a *API) badBody(w http.ResponseWriter, r *http.Request, id contract.RequestID, err error) {
 	status, detail := http.StatusBadRequest, "body: "+err.Error()
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		status, detail = http.StatusRequestEntityTooLarge, fmt.Sprintf("body: allowed: at most %d bytes", tooLarge.Limit)
 	}
-	a.problem(w, status, string(id), notRun(contract.ReasonBadRequest), detail)
+	a.problem(w, status, string(id), undecided(r, notRun(contract.ReasonBadRequest)), detail)
 }
 
 func backendPath(r *http.Request, path string) string {
--- a/entry/api/resources.go
+++ b/entry/api/resources.go
@@ -163,7 +163,7 @@
 func (a *API) serveCheck(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.MaxBody))
 	if err != nil {
-		a.badBody(w, "", err)
+		a.badBody(w, r, "", err)
 		return
 	}
 	key := resource.Key{Kind: resource.Kind(r.URL.Query().Get("kind")), Name: r.URL.Query().Get("name")}
--- a/entry/backend/backend.go
+++ b/entry/backend/backend.go
@@ -32,8 +32,6 @@
 	suspect     bool
 	draining    bool
 	revision    uint64
-	cache       map[uint64]struct{}
-	cacheSeq    uint64
 	alive       context.Context
 	kill        context.CancelFunc
 }
@@ -104,7 +102,6 @@
 	if b.incarnation != l.Incarnation {
 		b.incarnation = l.Incarnation
 		b.draining = false
-		b.cache, b.cacheSeq = nil, 0
 	}
 }
 
@@ -114,27 +111,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.revision = r.GetConfigRevision()
-	b.noteCache(r)
 	changed := b.draining != r.GetDraining()
 	b.draining = r.GetDraining()
 	return changed
 }
 
-// noteCache takes in cache events. A gap in their sequence means that some
-// were lost; then everything known is forgotten rather than trusted.
-func (b *Backend) noteCache(r *wire.Report) {
-	if r.GetCacheSequence() == b.cacheSeq {
-		return
-	}
-	if r.GetCacheSequence() != b.cacheSeq+1 || b.cache == nil {
-		b.cache = make(map[uint64]struct{})
-	}
-	b.cacheSeq = r.GetCacheSequence()
-	for _, p := range r.GetCachedPrefixes() {
-		b.cache[p] = struct{}{}
-	}
-}
-
 // ConfigRevision returns the configuration revision the agent reported.
 func (b *Backend) ConfigRevision() uint64 {
 	b.mu.Lock()
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -120,8 +120,8 @@
 	if r.Reason == "" {
 		r.Reason = contract.ReasonNoBackend
 	}
-	if s.Ticketed && ev == EventNotSent {
-		s.maybeRan = true // an earlier presentation of the ticket may have run
+	if s.Ticketed && ev != EventRefused {
+		s.maybeRan = true // only the agent's refusal voids the ticket
 	}
 	if s.Ticketed && ev != EventTombstoned {
 		return s.refuse(r)
@@ -159,8 +159,9 @@
 }
 
 func (s *Sequence) refuse(r contract.Refusal) Decision {
+	denied := s.Ticketed && r.Outcome == contract.NotRun // proved by the ticket's agent
 	r.Outcome = contract.NotRun
-	if s.maybeRan {
+	if s.maybeRan && !denied {
 		r.Outcome = contract.Unknown
 	}
 	if r.RetryAfter == 0 {
--- a/entry/retry/retry_test.go
+++ b/entry/retry/retry_test.go
@@ -107,6 +107,20 @@
 	is.True(retries >= requests*budgetShare-1)
 }
 
+// The agent's refusal voids a ticket; a tombstone of one attempt does not.
+func TestOnlyTheAgentsRefusalDeniesATicket(t *testing.T) {
+	is := is.New(t)
+	s := sequence(false, true)
+	is.Equal(s.Next(EventTombstoned, contract.Refusal{Reason: contract.ReasonLinkLost}, now).Action, ActionRetry)
+	s.Begin()
+	d := s.Next(EventRefused, contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonTombstoned}, now)
+	is.Equal(d.Refusal.Outcome, contract.NotRun)
+
+	s = sequence(false, true)
+	d = s.Next(EventTombstoned, contract.Refusal{Reason: contract.ReasonLinkLost}, now.Add(time.Hour))
+	is.Equal(d.Refusal.Outcome, contract.Unknown)
+}
+
 func TestNoRetryAfterTheDeadline(t *testing.T) {
 	is := is.New(t)
 	s := sequence(true, false)
--- a/standin/e2e/limits_test.go
+++ b/standin/e2e/limits_test.go
@@ -60,6 +60,17 @@
 	is.True(refused.Header.Get("Retry-After") != "")
 	is.Equal(tryStream(t, f.Entries()[0], "blue", "other", 5).StatusCode, http.StatusOK)
 
+	// A refusal of an entry VM promises nothing about a ticket: it may have been
+	// presented before, as it is here.
+	key, _ := ticket(t, f)
+	resp, _ := post(t, f.Entries()[1], "archive", "certificate", key)
+	if resp.StatusCode == http.StatusTooManyRequests {
+		is.Equal(resp.Header.Get(api.HeaderOutcome), "unknown")
+	}
+	resp, _ = post(t, f.Entries()[0], "nowhere", "certificate", key)
+	is.Equal(resp.StatusCode, http.StatusNotFound)
+	is.Equal(resp.Header.Get(api.HeaderOutcome), "unknown")
+
 	// The time line says why.
 	id := refused.Header.Get(api.HeaderRequestID)
 	events := timelineOf(t, f, "request="+id).Events
