Close unused links between entry VMs; wait for a lease time before ready

Cause: entry VMs kept a link to every peer they had ever pulled from, some tens of kilobytes each; at 64 a few processes reached their memory target and collected without end (most 237% of a core). Team limits refused requests in a fleet's first second, when no grantor may grant yet. Change: links unused for 4 s are closed; a process is ready once it may grant.

--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -152,3 +152,15 @@
 		<-done
 	})
 }
+
+func TestTrimClosesOnlyUnusedLinks(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(local("a"), nil, nil, nil)
+	defer p.Close()
+	_, err := p.Get(t.Context(), vm.VM{ID: "b", Link: listen(t, nil, &echoHandler{})})
+	is.NoErr(err)
+	p.Trim(time.Now().Add(-time.Hour))
+	is.Equal(len(p.Links()), 1)
+	p.Trim(time.Now().Add(time.Hour))
+	is.Equal(len(p.Links()), 0)
+}
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -34,6 +34,7 @@
 	address string
 	backoff time.Duration
 	retryAt time.Time
+	used    time.Time // when the link was last asked for
 }
 
 // NewPool returns an empty pool. The callbacks, which may be nil, run once for
@@ -56,6 +57,7 @@
 func (p *Pool) getOrDial(ctx context.Context, s *slot, v vm.VM) (l *Link, isNew bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.used = time.Now()
 	if s.link != nil && !s.link.Closed() && s.address == v.Link {
 		return s.link, false, nil
 	}
@@ -125,6 +127,26 @@
 	}
 }
 
+// Trim closes the links that nobody has asked for since the given time. Each
+// link costs both sides some tens of kilobytes, so links that are needed now and
+// then only must not add up to one for every VM.
+func (p *Pool) Trim(since time.Time) {
+	p.mu.Lock()
+	slots := make([]*slot, 0, len(p.slots))
+	for _, s := range p.slots {
+		slots = append(slots, s)
+	}
+	p.mu.Unlock()
+	for _, s := range slots {
+		s.mu.Lock()
+		if s.link != nil && s.used.Before(since) {
+			s.link.Close()
+			s.link = nil
+		}
+		s.mu.Unlock()
+	}
+}
+
 // Links returns the live links.
 func (p *Pool) Links() []*Link {
 	p.mu.Lock()
--- a/entry/cmd/baywall/serve.go
+++ b/entry/cmd/baywall/serve.go
@@ -16,10 +16,6 @@
 	"baywall.example/entry/server"
 )
 
-// gcPercent is how much garbage, in percent of what is in use, may pile up
-// before it is collected. Half of the usual: memory is scarcer than time here.
-const gcPercent = 50
-
 // serveCommand runs the entry VM's process until it is told to stop.
 type serveCommand struct{ path string }
 
@@ -37,7 +33,6 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
-	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(s.MemoryTarget) << 20)
 	log := process.Logger(os.Stderr, s.LogLevel).With().Str("vm", s.VM).Logger()
 	return process.Serve(ctx, log, server.New(s, log, time.Now()))
--- a/entry/limits/grantor.go
+++ b/entry/limits/grantor.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// leaseTime is how long a share may be used without renewal.
-	leaseTime = time.Second
+	// LeaseTime is how long a share may be used without renewal. A process
+	// that has run for as long may grant shares.
+	LeaseTime = time.Second
 	// basePart is the part of a limit that is split evenly.
 	basePart = 0.25
 	// headroom is the factor by which a grant exceeds the demand, if there is
@@ -93,12 +94,12 @@
 	available := pool(limit, f.Listed, f.Reachable) - g.heldByOthers(a.From)
 	target := g.target(a.From, pool(limit, f.Listed, f.Reachable), Base(limit, f.Listed))
 	share := max(0, min(target, available))
-	if now.Sub(f.Stable) < leaseTime {
+	if now.Sub(f.Stable) < LeaseTime {
 		share = min(share, a.Held) // leases of another grantor may be in use
 	}
 	g.next++
-	h.leases = append(h.leases, lease{sequence: g.next, share: share, until: now.Add(leaseTime)})
-	return Grant{Sequence: g.next, Share: share, Duration: leaseTime}
+	h.leases = append(h.leases, lease{sequence: g.next, share: share, until: now.Add(LeaseTime)})
+	return Grant{Sequence: g.next, Share: share, Duration: LeaseTime}
 }
 
 // confirm drops the leases before the one that the holder says it uses. One
@@ -111,7 +112,7 @@
 		}
 	}
 	if a.Held > 0 && a.HeldFor > 0 {
-		h.leases = append(h.leases, lease{sequence: a.HeldSequence, share: a.Held, until: now.Add(min(a.HeldFor, leaseTime))})
+		h.leases = append(h.leases, lease{sequence: a.HeldSequence, share: a.Held, until: now.Add(min(a.HeldFor, LeaseTime))})
 	}
 }
 
--- a/entry/limits/holder.go
+++ b/entry/limits/holder.go
@@ -8,7 +8,7 @@
 
 const (
 	// renewAfter is the age at which a lease in use is renewed.
-	renewAfter = leaseTime / 3
+	renewAfter = LeaseTime / 3
 	// askAgainAfter is the least time between two asks for more.
 	askAgainAfter = 20 * time.Millisecond
 	// demandWindow is how long refused requests count as demand.
@@ -63,7 +63,7 @@
 
 // Idle reports whether the holder can be forgotten.
 func (h *Holder) Idle(now time.Time) bool {
-	return h.running == 0 && !now.Before(h.until) && now.Sub(h.used) > leaseTime
+	return h.running == 0 && !now.Before(h.until) && now.Sub(h.used) > LeaseTime
 }
 
 // Ask returns the request to send at now.
--- a/entry/limits/limits_test.go
+++ b/entry/limits/limits_test.go
@@ -74,10 +74,10 @@
 	is := is.New(t)
 	fleet := Fleet{Listed: 4, Reachable: 4, Stable: start}
 	g := NewGrantor(start)
-	is.Equal(g.Handle(Ask{From: "a", Demand: 50}, 100, fleet, start.Add(leaseTime/2)).Share, 0)
-	held := g.Handle(Ask{From: "b", Demand: 50, HeldSequence: 7, Held: 30, HeldFor: leaseTime / 4}, 100, fleet, start.Add(leaseTime/2))
+	is.Equal(g.Handle(Ask{From: "a", Demand: 50}, 100, fleet, start.Add(LeaseTime/2)).Share, 0)
+	held := g.Handle(Ask{From: "b", Demand: 50, HeldSequence: 7, Held: 30, HeldFor: LeaseTime / 4}, 100, fleet, start.Add(LeaseTime/2))
 	is.Equal(held.Share, 30)
-	is.True(g.Handle(Ask{From: "a", Demand: 20}, 100, fleet, start.Add(2*leaseTime)).Share > 0)
+	is.True(g.Handle(Ask{From: "a", Demand: 20}, 100, fleet, start.Add(2*LeaseTime)).Share > 0)
 }
 
 func TestASilentHoldersShareReturnsAfterItsLease(t *testing.T) {
@@ -86,8 +86,8 @@
 	g := NewGrantor(start)
 	first := g.Handle(Ask{From: "a", Demand: 100}, 100, fleet, start)
 	is.Equal(first.Share, pool(100, 2, 2))
-	is.Equal(g.Handle(Ask{From: "b", Demand: 100}, 100, fleet, start.Add(leaseTime/2)).Share, 0)
-	late := g.Handle(Ask{From: "b", Demand: 100}, 100, fleet, start.Add(leaseTime+time.Millisecond))
+	is.Equal(g.Handle(Ask{From: "b", Demand: 100}, 100, fleet, start.Add(LeaseTime/2)).Share, 0)
+	late := g.Handle(Ask{From: "b", Demand: 100}, 100, fleet, start.Add(LeaseTime+time.Millisecond))
 	is.Equal(late.Share, pool(100, 2, 2))
 }
 
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -125,7 +125,7 @@
 		Self: e.local.VM, Zone: e.local.Zone, Config: e.config, VMs: e.vms,
 		Directory: e.directory, Prober: e.prober, Fleet: e.fleet, Peers: e.peers, Recorder: e.recorder,
 		Dispatcher: dispatch.New(e.directory, e.config, e.recorder), Limiter: e.limiter,
-		Draining: e.draining.Load, LinkBytes: e.traffic.Load, Ready: e.spreader.Ready, Log: e.log,
+		Draining: e.draining.Load, LinkBytes: e.traffic.Load, Ready: e.ready, Log: e.log,
 		AddressTTL: e.settings.Callers.AddressTTL, TicketTTL: e.settings.Callers.TicketTTL,
 		MaxBody: int64(e.settings.Callers.MaxBody),
 	})
@@ -164,6 +164,13 @@
 	return nil
 }
 
+// ready reports whether callers may come: the process is up to date, and has
+// run for a lease time, so that it can grant shares of team limits.
+func (e *Server) ready() bool {
+	awake := e.fleet.Snapshot().Awake
+	return e.spreader.Ready() && time.Since(awake) >= limits.LeaseTime
+}
+
 func (e *Server) self() membership.Self {
 	d := e.config.Digest()
 	return membership.Self{
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -32,7 +32,7 @@
 	// MemoryTarget is what the process's heap and stacks should stay under, in
 	// MiB, as long as what it has to hold allows. It is soft, but a process that
 	// needs more spends much processor time on collection: leave a quarter of
-	// room. From 16 to 65536, default 30.
+	// room. From 16 to 65536, default 28.
 	MemoryTarget int `yaml:"memory_target"`
 	// LogLevel is one of debug, info, warn, error. Default info.
 	LogLevel string `yaml:"log_level"`
@@ -96,7 +96,7 @@
 	defaultTicketTTL    = 30 * time.Second
 	defaultMaxBody      = 4 << 20
 	defaultLinger       = 6 * time.Second
-	defaultMemoryTarget = 30
+	defaultMemoryTarget = 28
 	defaultDrainTimeout = 15 * time.Minute
 )
 
--- a/entry/spread/spread.go
+++ b/entry/spread/spread.go
@@ -46,6 +46,8 @@
 	firstPeers = 3
 	// askTimeout bounds how long a new process waits for them.
 	askTimeout = 2 * time.Second
+	// peerIdle is how long an unused link to a peer is kept.
+	peerIdle = 4 * time.Second
 	// repairInterval is the least time between two full exchanges with one
 	// peer that has the same revision but other content.
 	repairInterval = 2 * time.Second
@@ -81,6 +83,7 @@
 	s.workers.Go(func() { s.watchConfig(ctx) })
 	s.workers.Go(func() { s.watchVMs(ctx) })
 	s.workers.Go(func() { s.announceChanges(ctx) })
+	s.workers.Go(func() { s.trimPeers(ctx) })
 	s.workers.Wait()
 }
 
@@ -242,6 +245,14 @@
 	s.OnList(list)
 }
 
+// trimPeers closes links to peers that are not used any more.
+func (s *Spreader) trimPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, peerIdle/4)
+		s.Peers.Trim(time.Now().Add(-peerIdle))
+	}
+}
+
 // announceChanges tells peers and agents of every change.
 func (s *Spreader) announceChanges(ctx context.Context) {
 	for {
