--- a/agent/server/attempts.go
+++ b/agent/server/attempts.go
@@ -68,8 +68,7 @@
 	if a.draining.Load() {
 		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonDraining, RetryAfter: drainRetryAfter}
 	}
-	key := resource.Key{Kind: resource.KindService, Name: w.GetService()}
-	if w.GetServiceRevision() < a.config.View().Version(key) {
+	if w.GetServiceRevision() < a.config.View().Version(resource.ServiceKey(w.GetService())) {
 		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonStaleConfig}
 	}
 	if a.inFlight.Load() >= int64(a.settings.Engine.MaxInFlight) {
@@ -82,8 +81,7 @@
 	a.metrics.refused.Add(string(r.Reason), 1)
 	out := refusal(id, r)
 	if r.Reason == contract.ReasonStaleConfig {
-		key := resource.Key{Kind: resource.KindService, Name: w.GetService()}
-		if rec, ok := a.config.Resource(key); ok {
+		if rec, ok := a.config.Resource(resource.ServiceKey(w.GetService())); ok {
 			out.Newer = append(out.Newer, configuration.RecordToWire(rec))
 		}
 	}
@@ -342,6 +340,14 @@
 	a.stream(ctx, s, id, at, w.GetOffset())
 }
 
+// wireFates are the fates as they travel on a link.
+var wireFates = map[record.Fate]wire.Fate{
+	record.FateTombstoned: wire.Fate_FATE_TOMBSTONED,
+	record.FateRunning:    wire.Fate_FATE_RUNNING,
+	record.FateAnswered:   wire.Fate_FATE_ANSWERED,
+	record.FateLost:       wire.Fate_FATE_LOST,
+}
+
 // serveFate answers what became of an attempt.
 func (a *Server) serveFate(s *link.Stream, w *wire.FateQuery) {
 	q := record.Query{
@@ -350,13 +356,7 @@
 		Sent:        time.UnixMilli(w.GetSentUnixMs()),
 		Deadline:    time.UnixMilli(w.GetDeadlineUnixMs()),
 	}
-	fate := a.table.Fate(q, time.Now())
-	names := map[record.Fate]wire.Fate{
-		record.FateTombstoned: wire.Fate_FATE_TOMBSTONED,
-		record.FateRunning:    wire.Fate_FATE_RUNNING,
-		record.FateAnswered:   wire.Fate_FATE_ANSWERED,
-		record.FateLost:       wire.Fate_FATE_LOST,
-	}
-	a.recorder.Record(timeline.Event{Kind: timeline.KindFate, Request: q.ID.String(), Choice: names[fate].String()})
-	_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Fate{Fate: &wire.FateReply{Fate: names[fate]}}})
+	fate := wireFates[a.table.Fate(q, time.Now())]
+	a.recorder.Record(timeline.Event{Kind: timeline.KindFate, Request: q.ID.String(), Choice: fate.String()})
+	_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Fate{Fate: &wire.FateReply{Fate: fate}}})
 }
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -131,13 +131,7 @@
 // link costs both sides some tens of kilobytes, so links that are needed now and
 // then only must not add up to one for every VM.
 func (p *Pool) Trim(since time.Time) {
-	p.mu.Lock()
-	slots := make([]*slot, 0, len(p.slots))
-	for _, s := range p.slots {
-		slots = append(slots, s)
-	}
-	p.mu.Unlock()
-	for _, s := range slots {
+	for _, s := range p.all() {
 		s.mu.Lock()
 		if s.link != nil && s.used.Before(since) {
 			s.link.Close()
@@ -149,14 +143,8 @@
 
 // Links returns the live links.
 func (p *Pool) Links() []*Link {
-	p.mu.Lock()
-	slots := make([]*slot, 0, len(p.slots))
-	for _, s := range p.slots {
-		slots = append(slots, s)
-	}
-	p.mu.Unlock()
 	var out []*Link
-	for _, s := range slots {
+	for _, s := range p.all() {
 		s.mu.Lock()
 		if s.link != nil && !s.link.Closed() {
 			out = append(out, s.link)
@@ -177,6 +165,17 @@
 	}
 }
 
+// all returns the present slots, so that each can be locked on its own.
+func (p *Pool) all() []*slot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]*slot, 0, len(p.slots))
+	for _, s := range p.slots {
+		out = append(out, s)
+	}
+	return out
+}
+
 func (p *Pool) slot(id vm.ID) *slot {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -38,6 +38,9 @@
 	Name string
 }
 
+// ServiceKey returns the key of a service.
+func ServiceKey(name string) Key { return Key{Kind: KindService, Name: name} }
+
 // String returns "kind/name".
 func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
 
--- a/entry/api/entries.go
+++ b/entry/api/entries.go
@@ -41,7 +41,7 @@
 // serveEntries answers which entry VMs a caller should use.
 func (a *API) serveEntries(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	if !a.Ready() {
-		a.problem(w, http.StatusServiceUnavailable, "", &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonStarting, RetryAfter: startRetryAfter}, "this entry VM has just started")
+		a.problem(w, http.StatusServiceUnavailable, "", starting(), startingDetail)
 		return
 	}
 	service := r.URL.Query().Get("service")
--- a/entry/api/requests.go
+++ b/entry/api/requests.go
@@ -68,7 +68,7 @@
 		Method: r.Method, Path: backendPath(r, p.ByName("path")), Headers: passedHeaders(r.Header),
 		Body: body, Key: rendezvous.Hash(string(body[:min(prefixLength, len(body))])),
 	}
-	sink := &responseSink{w: w, request: id}
+	sink := &responseSink{w: w}
 	a.finish(r.Context(), w, c, a.Dispatcher.Serve(r.Context(), c, request, sink))
 }
 
@@ -90,7 +90,7 @@
 func (a *API) contract(id contract.RequestID, r *http.Request, service string) (contract.Contract, *contract.Refusal, string) {
 	c := contract.Contract{Request: id, Service: service, Team: r.Header.Get(HeaderTeam)}
 	if !a.Ready() {
-		return c, &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonStarting, RetryAfter: startRetryAfter}, "this entry VM has just started"
+		return c, starting(), startingDetail
 	}
 	view := a.Config.View()
 	svc := view.Services[service]
@@ -114,6 +114,13 @@
 	return a.withTicket(c, r)
 }
 
+// startingDetail explains the refusals of a process that is not ready.
+const startingDetail = "this entry VM has just started"
+
+func starting() *contract.Refusal {
+	return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonStarting, RetryAfter: startRetryAfter}
+}
+
 func notRun(r contract.Reason) *contract.Refusal {
 	return &contract.Refusal{Outcome: contract.NotRun, Reason: r}
 }
@@ -202,7 +209,6 @@
 // responseSink writes an answer to the caller.
 type responseSink struct {
 	w       http.ResponseWriter
-	request contract.RequestID
 	stream  bool
 	partial bool          // only the rest of the answer is written
 	skip    *eventSkipper // set when resuming after an event id
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -198,7 +198,3 @@
 	}
 	return out
 }
-
-func serviceKey(service string) resource.Key {
-	return resource.Key{Kind: resource.KindService, Name: service}
-}
--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -9,6 +9,7 @@
 	"baywall.example/core/configuration"
 	"baywall.example/core/contract"
 	"baywall.example/core/link"
+	"baywall.example/core/resource"
 	"baywall.example/core/timeline"
 	"baywall.example/core/wire"
 	"baywall.example/entry/backend"
@@ -418,5 +419,5 @@
 }
 
 func (d *Dispatcher) serviceRevision(service string) uint64 {
-	return d.config.View().Version(serviceKey(service))
+	return d.config.View().Version(resource.ServiceKey(service))
 }
