--- /dev/null
+++ b/core/process/logwriter.go
@@ -0,0 +1,77 @@
+package process
+
+import (
+	"io"
+	"sync/atomic"
+)
+
+// logQueue is how many lines may wait to be written: some seconds of a busy
+// gateway's log, at most a few hundred kilobytes.
+const logQueue = 2048
+
+// LogWriter writes log lines in the background and drops them when the reader
+// of the log does not keep up, so that logging never blocks. It is safe for
+// concurrent use.
+type LogWriter struct {
+	out     io.Writer
+	lines   chan []byte
+	flush   chan chan struct{}
+	dropped atomic.Int64
+}
+
+// NewLogWriter returns a writer to out and starts its goroutine.
+func NewLogWriter(out io.Writer) *LogWriter {
+	w := &LogWriter{out: out, lines: make(chan []byte, logQueue), flush: make(chan chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write queues one line. It always reports success.
+func (w *LogWriter) Write(line []byte) (int, error) {
+	kept := append([]byte(nil), line...) // the logger reuses its buffer
+	select {
+	case w.lines <- kept:
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were not written.
+func (w *LogWriter) Dropped() int64 { return w.dropped.Load() }
+
+// Flush waits until the lines queued so far are written.
+func (w *LogWriter) Flush() {
+	done := make(chan struct{})
+	w.flush <- done
+	<-done
+}
+
+func (w *LogWriter) run() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		case done := <-w.flush:
+			w.drain()
+			close(done)
+		}
+	}
+}
+
+func (w *LogWriter) drain() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		default:
+			return
+		}
+	}
+}
+
+func (w *LogWriter) write(line []byte) {
+	if _, err := w.out.Write(line); err != nil {
+		w.dropped.Add(1) // there is nowhere else to say so but the counter
+	}
+}
--- /dev/null
+++ b/core/source/follower_test.go
@@ -0,0 +1,104 @@
+package source
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// script answers each call with the next step; after the last one it ends the
+// follower.
+type script struct {
+	steps []step
+	calls []string
+	end   context.CancelFunc
+}
+
+type step struct {
+	call     string // expected
+	items    []Item
+	events   []Event
+	revision uint64
+	err      error
+}
+
+func (s *script) take(call string) step {
+	s.calls = append(s.calls, call)
+	if len(s.steps) == 0 {
+		s.end()
+		return step{err: ErrUnavailable}
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	return next
+}
+
+func (s *script) List(context.Context, string, Freshness) ([]Item, uint64, error) {
+	st := s.take("list")
+	return st.items, st.revision, st.err
+}
+
+func (s *script) Watch(context.Context, string, uint64, time.Duration) ([]Event, uint64, error) {
+	st := s.take("watch")
+	return st.events, st.revision, st.err
+}
+
+func follow(steps ...step) (updates []Update, calls []string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &script{steps: steps, end: cancel}
+	f := &Follower{Store: s, Prefix: "p/", Log: zerolog.Nop(), Deliver: func(u Update) { updates = append(updates, u) }}
+	f.Run(ctx)
+	return updates, s.calls
+}
+
+func item(key string, revision uint64) Item { return Item{Key: key, Revision: revision} }
+
+func TestEventsChangeTheListedState(t *testing.T) {
+	is := is.New(t)
+	updates, _ := follow(
+		step{items: []Item{item("a", 1), item("b", 2)}, revision: 2},
+		step{events: []Event{{Item: item("a", 3), Removed: true}, {Item: item("c", 4)}}, revision: 4},
+	)
+	is.Equal(len(updates), 2)
+	is.Equal(len(updates[0].Items), 2)
+	_, kept := updates[1].Items["a"]
+	is.True(!kept)
+	is.Equal(updates[1].Revision, uint64(4))
+	is.True(!updates[1].Recovering)
+}
+
+func TestLostHistoryIsListedAgain(t *testing.T) {
+	is := is.New(t)
+	updates, calls := follow(
+		step{items: []Item{item("a", 1)}, revision: 1},
+		step{err: ErrHistoryLost},
+		step{items: []Item{item("b", 9)}, revision: 9},
+	)
+	is.Equal(calls[:3], []string{"list", "watch", "list"})
+	is.Equal(updates[1].Revision, uint64(9))
+}
+
+func TestAnOlderListIsIgnored(t *testing.T) {
+	is := is.New(t)
+	updates, _ := follow(
+		step{items: []Item{item("a", 5)}, revision: 5},
+		step{err: ErrHistoryLost},
+		step{items: []Item{item("a", 3)}, revision: 3},
+		step{items: []Item{item("a", 6)}, revision: 6},
+	)
+	is.Equal(len(updates), 2)
+	is.Equal(updates[1].Revision, uint64(6))
+}
+
+func TestWhatComesAfterAnOutageIsMarked(t *testing.T) {
+	is := is.New(t)
+	updates, _ := follow(
+		step{items: []Item{item("a", 1)}, revision: 1},
+		step{err: ErrUnavailable},
+		step{events: []Event{{Item: item("a", 2), Removed: true}}, revision: 2},
+	)
+	is.True(updates[1].Recovering)
+}
--- /dev/null
+++ b/entry/balance/doc.go
@@ -0,0 +1,17 @@
+// Package balance chooses a backend server for each request.
+//
+// A Registry holds the backend servers that a configuration source lists, one
+// shard a service, each under its own lock. A choice is the least loaded
+// server: load is what this gateway has in flight to it plus what the other
+// gateways said they have, over the server's slots. Ties are broken at random,
+// so that gateways with the same view do not herd.
+//
+// Servers that fail are ejected for a while that doubles with each ejection in
+// a row, then tried with one request at a time. At most half of a service's
+// servers are ejected at a time: beyond that it is more likely that the
+// requests or the network are at fault.
+//
+// A server that the source no longer lists takes no new requests. When the
+// source itself was away, a missing server may only have missed its own
+// heartbeat, so it is kept for a grace period.
+package balance
--- /dev/null
+++ b/entry/balance/registry.go
@@ -0,0 +1,287 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// lapseGrace is how long a server that went missing while the source was away
+// is kept after the source is back: live servers are listed again within two
+// seconds.
+const lapseGrace = 2200 * time.Millisecond
+
+// Registry holds the backend servers of all services. It is safe for
+// concurrent use.
+type Registry struct {
+	log   zerolog.Logger
+	peers PeerLoad
+
+	mu     sync.RWMutex
+	shards map[string]*shard
+}
+
+// PeerLoad tells what the other gateways have in flight.
+type PeerLoad interface {
+	// InFlight fills out with the requests that peers have in flight to each
+	// of the servers.
+	InFlight(servers []uint32, out []int)
+}
+
+// shard is one service's servers.
+type shard struct {
+	mu      sync.Mutex
+	servers map[string]*Server
+	keys    []uint32 // scratch
+	peers   []int    // scratch
+	usable  []*Server
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(peers PeerLoad, log zerolog.Logger) *Registry {
+	return &Registry{log: log, peers: peers, shards: make(map[string]*shard)}
+}
+
+func (r *Registry) shard(service string) *shard {
+	r.mu.RLock()
+	s := r.shards[service]
+	r.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s = r.shards[service]; s == nil {
+		s = &shard{servers: make(map[string]*Server)}
+		r.shards[service] = s
+	}
+	return s
+}
+
+// Update takes over a full list. With recovering set, the source has been away
+// until now: servers that are missing are kept for a grace period.
+func (r *Registry) Update(list []Info, revision uint64, recovering bool, now time.Time) {
+	byService := make(map[string][]Info)
+	for _, info := range list {
+		byService[info.Service] = append(byService[info.Service], info)
+	}
+	r.mu.RLock()
+	for service := range r.shards {
+		if _, ok := byService[service]; !ok {
+			byService[service] = nil
+		}
+	}
+	r.mu.RUnlock()
+	for service, infos := range byService {
+		r.updateShard(r.shard(service), infos, revision, recovering, now)
+	}
+}
+
+func (r *Registry) updateShard(s *shard, infos []Info, revision uint64, recovering bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := make(map[string]bool, len(infos))
+	for _, info := range infos {
+		listed[info.ID] = true
+		old := s.servers[info.ID]
+		if old == nil || old.Address != info.Address {
+			s.servers[info.ID] = newServer(info)
+			r.log.Info().Str("server", info.ID).Str("service", info.Service).Str("address", info.Address).
+				Uint64("revision", revision).Bool("draining", info.Draining).Msg("backend server listed")
+			continue
+		}
+		old.lapsed = time.Time{}
+		if info.Draining && !old.draining {
+			old.draining = true
+			r.log.Info().Str("server", info.ID).Uint64("revision", revision).Msg("backend server drains")
+		}
+	}
+	for id, server := range s.servers {
+		if !listed[id] {
+			r.miss(s, server, revision, recovering, now)
+		}
+	}
+}
+
+// miss handles a server that is no longer listed.
+func (r *Registry) miss(s *shard, server *Server, revision uint64, recovering bool, now time.Time) {
+	if server.lapsed.IsZero() && recovering && !server.draining {
+		server.lapsed = now
+		r.log.Info().Str("server", server.ID).Uint64("revision", revision).Msg("backend server missing after the source was away")
+	}
+	if !server.lapsed.IsZero() && now.Sub(server.lapsed) < lapseGrace {
+		return
+	}
+	server.gone = true
+	delete(s.servers, server.ID)
+	server.Pool.Close()
+	r.log.Info().Str("server", server.ID).Str("service", server.Service).Uint64("revision", revision).Msg("backend server gone")
+}
+
+// Expire removes servers whose grace period is over.
+func (r *Registry) Expire(revision uint64, now time.Time) {
+	for _, s := range r.all() {
+		s.mu.Lock()
+		for _, server := range s.servers {
+			if !server.lapsed.IsZero() {
+				r.miss(s, server, revision, false, now)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (r *Registry) all() []*shard {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]*shard, 0, len(r.shards))
+	for _, s := range r.shards {
+		out = append(out, s)
+	}
+	return out
+}
+
+// InFlight returns this gateway's requests in flight by server key.
+func (r *Registry) InFlight() map[uint32]int {
+	out := make(map[uint32]int)
+	for _, s := range r.all() {
+		s.mu.Lock()
+		for _, server := range s.servers {
+			if n := server.InFlight(); n > 0 {
+				out[server.Key] = n
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// Load is the state of a service's servers as one gateway sees it.
+type Load struct {
+	Servers  int // that may take requests
+	Slots    int // of these together
+	InFlight int // requests of all gateways to these
+	Own      int // of which this gateway's
+}
+
+// Choice is a picked server with the load that decided.
+type Choice struct {
+	Server *Server
+	// InFlight is the number of requests of all gateways to the server, this
+	// one not counted.
+	InFlight int
+	Load     Load
+}
+
+// Release ends the use of the choice.
+func (c Choice) Release() { c.Server.inFlight.Add(-1) }
+
+// Pick returns the least loaded server of the service that is not excluded and
+// counts a request to it, which the caller releases. It reports false if there
+// is none.
+func (r *Registry) Pick(service string, exclude map[string]bool, now time.Time) (Choice, bool) {
+	s := r.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load := r.refresh(s, now)
+	best, bestLoad, ties := -1, 0.0, 0
+	for i, server := range s.usable {
+		if exclude[server.ID] {
+			continue
+		}
+		score := float64(s.peers[i]+server.InFlight()) / float64(max(1, server.Slots))
+		switch {
+		case best < 0 || score < bestLoad:
+			best, bestLoad, ties = i, score, 1
+		case score == bestLoad:
+			if ties++; rand.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	if best < 0 {
+		return Choice{}, false
+	}
+	server := s.usable[best]
+	inFlight := s.peers[best] + server.InFlight()
+	if server.health.onTrial() {
+		server.health.trial = true
+	}
+	server.inFlight.Add(1)
+	return Choice{Server: server, InFlight: inFlight, Load: load}, true
+}
+
+// Load returns the state of the service's servers.
+func (r *Registry) Load(service string, now time.Time) Load {
+	s := r.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return r.refresh(s, now)
+}
+
+// refresh fills the shard's scratch lists with the servers that may take
+// requests and what peers have in flight to them.
+func (r *Registry) refresh(s *shard, now time.Time) Load {
+	s.usable, s.keys = s.usable[:0], s.keys[:0]
+	for _, server := range s.servers {
+		if !server.draining && !server.health.ejected(now) {
+			s.usable = append(s.usable, server)
+			s.keys = append(s.keys, server.Key)
+		}
+	}
+	s.peers = append(s.peers[:0], make([]int, len(s.keys))...)
+	r.peers.InFlight(s.keys, s.peers)
+	load := Load{Servers: len(s.usable)}
+	for i, server := range s.usable {
+		own := server.InFlight()
+		load.Slots += server.Slots
+		load.Own += own
+		load.InFlight += own + s.peers[i]
+	}
+	return load
+}
+
+// Succeeded notes a whole answer of the server.
+func (r *Registry) Succeeded(server *Server) {
+	s := r.shard(server.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server.health.success()
+}
+
+// Released notes a request that ended without a verdict on the server, such as
+// one whose caller left.
+func (r *Registry) Released(server *Server) {
+	s := r.shard(server.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server.health.trial = false
+}
+
+// Failed notes a failed request to the server, which may eject it.
+func (r *Registry) Failed(server *Server, reason string, now time.Time) {
+	s := r.shard(server.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	trial := server.health.onTrial()
+	if !trial && s.ejected(now) >= len(s.servers)/2 {
+		server.health.note(1)
+		return
+	}
+	if server.health.failure(now) {
+		r.log.Warn().Str("server", server.ID).Str("service", server.Service).Str("reason", reason).
+			Int("ejections", server.health.ejections).Dur("for", server.health.until.Sub(now)).Msg("backend server ejected")
+	}
+}
+
+func (s *shard) ejected(now time.Time) int {
+	n := 0
+	for _, server := range s.servers {
+		if server.health.ejected(now) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/entry/balance/server.go
@@ -0,0 +1,124 @@
+package balance
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"baywall.example/entry/upstream"
+)
+
+// Info is what a configuration source lists of a backend server.
+type Info struct {
+	ID       string
+	Service  string
+	Address  string // IP:port
+	Zone     string
+	Slots    int  // requests that it runs at a time
+	Draining bool // it finishes what it has and takes nothing new
+}
+
+// Server is one incarnation of a backend server.
+type Server struct {
+	Info
+	Key  uint32 // hash of the id, as gateways exchange it
+	Pool *upstream.Pool
+
+	inFlight atomic.Int32
+
+	// under the shard's lock
+	draining bool
+	gone     bool
+	lapsed   time.Time // when it went missing while the source was away
+	health   health
+}
+
+// dialTimeout bounds a connection attempt: a backend server answers within a
+// few milliseconds, and the request still has to be served elsewhere.
+const dialTimeout = 400 * time.Millisecond
+
+func newServer(info Info) *Server {
+	return &Server{
+		Info: info, Key: uint32(xxhash.Sum64String(info.ID)), draining: info.Draining,
+		Pool: upstream.NewPool(info.Address, dialTimeout),
+	}
+}
+
+// InFlight returns how many requests this gateway has in flight to the server.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+const (
+	// failuresToEject is how many failures in a row eject a server. Servers of
+	// the users' sites fail up to one request in seven by themselves; three in
+	// a row are then one in 343.
+	failuresToEject = 3
+	// firstEjection is the length of the first ejection; each further one in a
+	// row is twice as long, up to maxEjection.
+	firstEjection = time.Second
+	maxEjection   = 8 * time.Second
+	// resultWeight is the weight of the newest result in the failure rate.
+	resultWeight = 0.1
+	// rateToEject is the smoothed failure rate that ejects a server.
+	rateToEject = 0.35
+	// resultsToJudge is how many results a failure rate needs.
+	resultsToJudge = 8
+)
+
+// health is the outlier detection of one server.
+type health struct {
+	failures  int // in a row
+	results   int
+	rate      float64 // smoothed share of failures
+	ejections int     // in a row
+	until     time.Time
+	trial     bool // one request is trying the server after an ejection
+}
+
+// ejected reports whether the server takes no requests at now.
+func (h *health) ejected(now time.Time) bool {
+	if h.until.IsZero() {
+		return false
+	}
+	return now.Before(h.until) || h.trial
+}
+
+// onTrial reports whether an ejection is over and no request has succeeded.
+func (h *health) onTrial() bool { return !h.until.IsZero() }
+
+// success notes a whole answer.
+func (h *health) success() {
+	switch {
+	case h.onTrial() && !h.trial: // to a request from before the ejection
+	case h.onTrial():
+		*h = health{ejections: h.ejections}
+	default:
+		h.failures = 0
+		h.note(0)
+		if h.results > 4*resultsToJudge {
+			h.ejections = 0
+		}
+	}
+}
+
+// failure notes a failed request and reports whether it ejects the server.
+func (h *health) failure(now time.Time) bool {
+	if h.onTrial() && !h.trial {
+		return false // of a request from before the ejection
+	}
+	h.failures++
+	h.note(1)
+	failing := h.failures >= failuresToEject || h.results >= resultsToJudge && h.rate >= rateToEject
+	if !h.onTrial() && !failing {
+		return false
+	}
+	wait := min(maxEjection, firstEjection<<min(h.ejections, 8))
+	*h = health{ejections: h.ejections + 1, until: now.Add(wait)}
+	return true
+}
+
+func (h *health) note(failed float64) {
+	h.results++
+	weight := max(resultWeight, 1/float64(h.results))
+	h.rate += weight * (failed - h.rate)
+}
--- /dev/null
+++ b/entry/catalog/catalog.go
@@ -0,0 +1,214 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrInvalid means that a configuration cannot be put in force.
+var ErrInvalid = eris.New("catalog: invalid configuration")
+
+// Kind tells how often a request of a route may run.
+type Kind int
+
+// Kinds of routes.
+const (
+	// KindIdempotent requests may run more than once.
+	KindIdempotent Kind = iota + 1
+	// KindNonIdempotent requests may run at most once per caller attempt.
+	KindNonIdempotent
+	// KindStream requests are answered by a stream of events. They run at most
+	// once unless the route is Resumable.
+	KindStream
+)
+
+// Route sends requests of one host and path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string // begins and ends with a slash
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting, 0 = unbounded.
+	Timeout time.Duration
+	// Objective is the time to the answer (streams: to the first event) within
+	// which it is on time.
+	Objective time.Duration
+	// GapTarget is the longest pause between two events of a stream that is on
+	// time, 0 = none declared.
+	GapTarget time.Duration
+	// MaxAttempts is how many backend servers one caller attempt may run on.
+	MaxAttempts int
+	// Priority is the route's rank, 0 is the most urgent.
+	Priority int
+	// Public routes need no API key.
+	Public bool
+	// Resumable streams may go on at another backend server.
+	Resumable bool
+	// Targets are the services by weight; there is at least one.
+	Targets []Target
+}
+
+// Idempotent reports whether a request of the route may run again.
+func (r *Route) Idempotent() bool {
+	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
+}
+
+// Target is one service of a route with its share of the requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Pick returns the service for a number drawn uniformly from [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := int(draw * float64(total))
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Service is a set of interchangeable backend servers.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int // connections of all callers together to one backend server
+	// Engine describes the model engines of the service; nil for plain ones.
+	Engine *Engine
+}
+
+// Engine is what operators publish about a service's model engines. Times are
+// those of one token step.
+type Engine struct {
+	Slots           int           // requests in one batch
+	StepTime        time.Duration // a step with an empty batch
+	SequenceTime    time.Duration // added for each sequence in the batch
+	StepsPerPass    int
+	PrefillPerSec   float64 // prompt tokens
+	PrefillChunk    int     // prompt tokens per step at most
+	Layers          int     // layer sets of the expert map
+	Experts         int     // per layer set
+	SlotsPerRank    int     // expert replicas per rank and layer set
+	MaxNewExperts   int     // per layer set in one preparation
+	ExpertBytes     float64
+	LinkBytesPerSec float64
+	ExpertShare     float64 // of a token's work
+}
+
+// Team is a tenant with its API keys.
+type Team struct {
+	Name     string
+	Keys     []string
+	Priority *int // takes precedence over the route's, nil = none
+}
+
+// Limits bound what a caller may send. Zero means unbounded.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Content is a configuration in full, as a source decoded it.
+type Content struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Teams    []Team
+	Limits   Limits
+}
+
+// Snapshot is a configuration with its lookup tables. It never changes.
+type Snapshot struct {
+	Version  uint64
+	Limits   Limits
+	hosts    map[string][]*Route // longest prefix first
+	services map[string]*Service
+	teams    map[string]*Team // by API key
+	keyed    bool             // there are teams, so requests need a key
+}
+
+// New builds a snapshot.
+func New(c Content) (*Snapshot, error) {
+	s := &Snapshot{
+		Version:  c.Version,
+		Limits:   c.Limits,
+		hosts:    make(map[string][]*Route),
+		services: make(map[string]*Service, len(c.Services)),
+		teams:    make(map[string]*Team),
+		keyed:    len(c.Teams) > 0,
+	}
+	for i := range c.Services {
+		s.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		if err := s.addRoute(&c.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for _, routes := range s.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range c.Teams {
+		for _, key := range c.Teams[i].Keys {
+			s.teams[key] = &c.Teams[i]
+		}
+	}
+	return s, nil
+}
+
+func (s *Snapshot) addRoute(r *Route) error {
+	if len(r.Targets) == 0 {
+		return eris.Wrapf(ErrInvalid, "version %d: route %q: targets: none, allowed: at least one", s.Version, r.Name)
+	}
+	total := 0
+	for _, t := range r.Targets {
+		if t.Weight < 0 {
+			return eris.Wrapf(ErrInvalid, "version %d: route %q: weight of %q: %d, allowed: 0 or more", s.Version, r.Name, t.Service, t.Weight)
+		}
+		total += t.Weight
+	}
+	if total == 0 {
+		return eris.Wrapf(ErrInvalid, "version %d: route %q: weights: sum 0, allowed: above 0", s.Version, r.Name)
+	}
+	if !strings.HasPrefix(r.Prefix, "/") {
+		return eris.Wrapf(ErrInvalid, "version %d: route %q: prefix: %q, allowed: begins with a slash", s.Version, r.Name, r.Prefix)
+	}
+	host := strings.ToLower(r.Host)
+	s.hosts[host] = append(s.hosts[host], r)
+	return nil
+}
+
+// Match returns the route with the longest prefix of the path, or nil.
+func (s *Snapshot) Match(host, path string) *Route {
+	for _, r := range s.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns the service of the name, or nil.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// Services returns all services.
+func (s *Snapshot) Services() map[string]*Service { return s.services }
+
+// Keyed reports whether requests need an API key, public routes apart.
+func (s *Snapshot) Keyed() bool { return s.keyed }
+
+// Team returns the team that holds the API key, or nil.
+func (s *Snapshot) Team(key string) *Team { return s.teams[key] }
--- /dev/null
+++ b/entry/cluster/node.go
@@ -0,0 +1,169 @@
+package cluster
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"baywall.example/core/wire"
+)
+
+const (
+	// tick is how often due heartbeats are looked for.
+	tick = 50 * time.Millisecond
+	// maxDatagram is the largest heartbeat, in bytes.
+	maxDatagram = 8 << 10
+	// receivePause is the pause after a receive that failed.
+	receivePause = 50 * time.Millisecond
+)
+
+// ErrListen means that the heartbeat socket could not be opened.
+var ErrListen = eris.New("cluster: cannot listen")
+
+// Node runs the heartbeat protocol on a socket. It is safe for concurrent use.
+type Node struct {
+	conn *net.UDPConn
+	self func() Self
+	log  zerolog.Logger
+
+	mu    sync.Mutex
+	table *Table
+	rnd   *rand.Rand
+}
+
+// NewNode opens the socket at the address, an IP:port. What the node says about
+// itself is asked for each time.
+func NewNode(address string, seeds []string, self func() Self, log zerolog.Logger) (*Node, error) {
+	udp, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, eris.Wrapf(ErrListen, "%s: %v", address, err)
+	}
+	conn, err := net.ListenUDP("udp4", udp)
+	if err != nil {
+		return nil, eris.Wrapf(ErrListen, "%s: %v", address, err)
+	}
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Node{conn: conn, self: self, log: log, table: NewTable(address, seeds), rnd: rnd}, nil
+}
+
+// Run sends and receives until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = n.conn.Close() }) // ends receive
+	defer stop()
+	go n.receive(ctx)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.beat(time.Now())
+		}
+	}
+}
+
+func (n *Node) beat(now time.Time) {
+	self := n.self()
+	n.mu.Lock()
+	out, changes := n.table.Tick(self, n.rnd, now)
+	n.mu.Unlock()
+	n.note(changes)
+	n.send(out)
+}
+
+// Announce tells every peer at once, as when this gateway begins to leave.
+func (n *Node) Announce() {
+	self := n.self()
+	n.mu.Lock()
+	out := n.table.All(self, n.rnd)
+	n.mu.Unlock()
+	n.send(out)
+}
+
+func (n *Node) send(out []Datagram) {
+	var encoded []byte
+	var of *wire.Heartbeat
+	for _, d := range out {
+		if d.Heartbeat != of {
+			raw, err := proto.Marshal(d.Heartbeat)
+			if err != nil {
+				n.log.Error().Err(err).Msg("heartbeat not encoded")
+				return
+			}
+			encoded, of = raw, d.Heartbeat
+		}
+		to, err := net.ResolveUDPAddr("udp4", d.Address)
+		if err != nil {
+			n.log.Warn().Err(err).Str("peer", d.Address).Msg("heartbeat not sent")
+			continue
+		}
+		// A datagram that cannot be sent is as good as lost: the next follows.
+		_, _ = n.conn.WriteToUDP(encoded, to)
+	}
+}
+
+func (n *Node) receive(ctx context.Context) {
+	buf := make([]byte, maxDatagram)
+	for {
+		size, _, err := n.conn.ReadFromUDP(buf)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			n.log.Warn().Err(err).Msg("heartbeat socket failed")
+			time.Sleep(receivePause)
+			continue
+		}
+		var hb wire.Heartbeat
+		if err := proto.Unmarshal(buf[:size], &hb); err != nil {
+			n.log.Warn().Err(err).Int("bytes", size).Msg("heartbeat not understood")
+			continue
+		}
+		n.mu.Lock()
+		changes := n.table.Receive(&hb, time.Now())
+		n.mu.Unlock()
+		n.note(changes)
+	}
+}
+
+func (n *Node) note(changes []Change) {
+	for _, c := range changes {
+		event := n.log.Info().Str("peer", string(c.Peer.VM)).Uint64("incarnation", uint64(c.Peer.Incarnation))
+		if c.Alive {
+			event.Bool("new", c.Met).Msg("peer regained")
+			continue
+		}
+		event.Dur("silent_for", time.Since(c.Peer.Heard)).Msg("peer lost")
+	}
+}
+
+// SetSeeds replaces the seeds.
+func (n *Node) SetSeeds(seeds []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.SetSeeds(seeds)
+}
+
+// Live returns the peers that were heard lately.
+func (n *Node) Live() []Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Live()
+}
+
+// InFlight returns the requests that peers have in flight to each of the
+// backend servers, in the same order.
+func (n *Node) InFlight(servers []uint32, out []int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, s := range servers {
+		out[i] = n.table.InFlight(s)
+	}
+}
--- /dev/null
+++ b/entry/cluster/table.go
@@ -0,0 +1,267 @@
+package cluster
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"baywall.example/core/vm"
+	"baywall.example/core/wire"
+)
+
+const (
+	// minInterval is the time between two heartbeats to one peer: in-flight
+	// counts are then at most one pass of an engine old.
+	minInterval = 100 * time.Millisecond
+	// intervalPerPeer stretches the interval in larger fleets, which bounds a
+	// gateway to 200 heartbeats a second.
+	intervalPerPeer = 5 * time.Millisecond
+	// silence is how long a peer may be silent and still be handed out: a few
+	// heartbeats, as datagrams may be lost.
+	silence = 900 * time.Millisecond
+	// forgetAfter is when a silent peer is no longer sent heartbeats.
+	forgetAfter = 60 * time.Second
+	// silentInterval is the time between heartbeats to a silent peer.
+	silentInterval = time.Second
+	// contactsPerHeartbeat bounds the addresses passed on in one datagram.
+	contactsPerHeartbeat = 4
+)
+
+// Self is what this gateway says about itself.
+type Self struct {
+	VM               vm.ID
+	Incarnation      vm.Incarnation
+	Zone             string
+	Address          string // where heartbeats and links are taken, IP:port
+	Front            string // where callers connect, IP:port
+	Ready            bool
+	CatalogVersion   uint64
+	BackendsRevision uint64
+	InFlight         map[uint32]int // by backend server key
+}
+
+// Peer is what another gateway last said about itself.
+type Peer struct {
+	VM               vm.ID
+	Incarnation      vm.Incarnation
+	Zone             string
+	Address          string
+	Front            string
+	Ready            bool
+	CatalogVersion   uint64
+	BackendsRevision uint64
+	Heard            time.Time
+
+	sequence uint64
+	inFlight map[uint32]int
+	sent     time.Time
+}
+
+// Change is a peer that was met, lost or regained.
+type Change struct {
+	Peer  Peer
+	Alive bool
+	Met   bool // heard for the first time, or in a new incarnation
+}
+
+// Datagram is a heartbeat to send.
+type Datagram struct {
+	Address   string
+	Heartbeat *wire.Heartbeat
+}
+
+// Table is the state of the heartbeat protocol. It is not safe for concurrent
+// use.
+type Table struct {
+	self     string // own address
+	seeds    map[string]time.Time
+	peers    map[string]*Peer
+	alive    map[string]bool
+	totals   map[uint32]int
+	sequence uint64
+}
+
+// NewTable returns the table of the gateway at the address.
+func NewTable(self string, seeds []string) *Table {
+	t := &Table{
+		self:  self,
+		peers: make(map[string]*Peer), alive: make(map[string]bool), totals: make(map[uint32]int),
+	}
+	t.SetSeeds(seeds)
+	return t
+}
+
+// SetSeeds replaces the addresses that are asked until they answer.
+func (t *Table) SetSeeds(seeds []string) {
+	t.seeds = make(map[string]time.Time, len(seeds))
+	for _, s := range seeds {
+		if s != t.self {
+			t.seeds[s] = time.Time{}
+		}
+	}
+}
+
+// Interval returns the time between two heartbeats to one peer.
+func (t *Table) Interval() time.Duration {
+	return max(minInterval, time.Duration(len(t.alive))*intervalPerPeer)
+}
+
+// Tick returns the heartbeats that are due and the peers that fell silent.
+func (t *Table) Tick(self Self, rnd *rand.Rand, now time.Time) ([]Datagram, []Change) {
+	changes := t.expire(now)
+	var due []string
+	for address, p := range t.peers {
+		if now.Sub(p.sent) >= t.intervalTo(address) {
+			p.sent = now
+			due = append(due, address)
+		}
+	}
+	for address, sent := range t.seeds {
+		if t.peers[address] == nil && now.Sub(sent) >= silentInterval/2 {
+			t.seeds[address] = now
+			due = append(due, address)
+		}
+	}
+	if len(due) == 0 {
+		return nil, changes
+	}
+	hb := t.heartbeat(self, rnd)
+	out := make([]Datagram, 0, len(due))
+	for _, address := range due {
+		out = append(out, Datagram{address, hb})
+	}
+	return out, changes
+}
+
+func (t *Table) intervalTo(address string) time.Duration {
+	if t.alive[address] {
+		return t.Interval()
+	}
+	return silentInterval
+}
+
+// All returns a heartbeat to every peer, whether due or not.
+func (t *Table) All(self Self, rnd *rand.Rand) []Datagram {
+	hb := t.heartbeat(self, rnd)
+	out := make([]Datagram, 0, len(t.peers))
+	for address := range t.peers {
+		out = append(out, Datagram{address, hb})
+	}
+	return out
+}
+
+func (t *Table) heartbeat(self Self, rnd *rand.Rand) *wire.Heartbeat {
+	t.sequence++
+	hb := &wire.Heartbeat{
+		Vm: string(self.VM), Incarnation: uint64(self.Incarnation), Sequence: t.sequence, Zone: self.Zone,
+		Address: self.Address, Front: self.Front, Ready: self.Ready,
+		CatalogVersion: self.CatalogVersion, BackendsRevision: self.BackendsRevision,
+		Contacts: t.contacts(rnd),
+	}
+	for server, n := range self.InFlight {
+		if n > 0 {
+			hb.InFlight = append(hb.InFlight, &wire.InFlight{Server: server, Requests: uint32(n)})
+		}
+	}
+	return hb
+}
+
+func (t *Table) contacts(rnd *rand.Rand) []string {
+	live := make([]string, 0, len(t.alive))
+	for address := range t.alive {
+		live = append(live, address)
+	}
+	rnd.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(len(live), contactsPerHeartbeat)]
+}
+
+// Receive takes a heartbeat. A doubled or overtaken one is ignored.
+func (t *Table) Receive(hb *wire.Heartbeat, now time.Time) []Change {
+	address := hb.GetAddress()
+	if address == "" || address == t.self {
+		return nil
+	}
+	p := t.peers[address]
+	met := p == nil || p.Incarnation != vm.Incarnation(hb.GetIncarnation())
+	if p != nil && !met && hb.GetSequence() <= p.sequence {
+		return nil
+	}
+	if p != nil && vm.Incarnation(hb.GetIncarnation()) < p.Incarnation && now.Sub(p.Heard) < silence {
+		return nil // an earlier process's datagram that was on its way
+	}
+	next := t.replace(p, hb, now)
+	t.learn(hb.GetContacts())
+	if met || !t.alive[address] {
+		t.alive[address] = true
+		return []Change{{Peer: *next, Alive: true, Met: met}}
+	}
+	return nil
+}
+
+func (t *Table) replace(old *Peer, hb *wire.Heartbeat, now time.Time) *Peer {
+	next := &Peer{
+		VM: vm.ID(hb.GetVm()), Incarnation: vm.Incarnation(hb.GetIncarnation()), Zone: hb.GetZone(),
+		Address: hb.GetAddress(), Front: hb.GetFront(), Ready: hb.GetReady(),
+		CatalogVersion: hb.GetCatalogVersion(), BackendsRevision: hb.GetBackendsRevision(),
+		Heard: now, sequence: hb.GetSequence(), inFlight: make(map[uint32]int, len(hb.GetInFlight())),
+	}
+	if old != nil {
+		next.sent = old.sent
+		t.subtract(old)
+	}
+	for _, f := range hb.GetInFlight() {
+		next.inFlight[f.GetServer()] = int(f.GetRequests())
+		t.totals[f.GetServer()] += int(f.GetRequests())
+	}
+	t.peers[next.Address] = next
+	return next
+}
+
+func (t *Table) subtract(p *Peer) {
+	for server, n := range p.inFlight {
+		if t.totals[server] -= n; t.totals[server] <= 0 {
+			delete(t.totals, server)
+		}
+	}
+	p.inFlight = nil
+}
+
+// learn notes addresses of gateways that have not been heard yet.
+func (t *Table) learn(contacts []string) {
+	for _, address := range contacts {
+		if address != t.self && t.peers[address] == nil {
+			if _, known := t.seeds[address]; !known {
+				t.seeds[address] = time.Time{}
+			}
+		}
+	}
+}
+
+func (t *Table) expire(now time.Time) []Change {
+	var out []Change
+	limit := max(silence, 4*t.Interval())
+	for address, p := range t.peers {
+		quiet := now.Sub(p.Heard)
+		if quiet > limit && t.alive[address] {
+			delete(t.alive, address)
+			t.subtract(p)
+			out = append(out, Change{Peer: *p})
+		}
+		if quiet > forgetAfter {
+			delete(t.peers, address)
+		}
+	}
+	return out
+}
+
+// Live returns the peers that were heard lately.
+func (t *Table) Live() []Peer {
+	out := make([]Peer, 0, len(t.alive))
+	for address := range t.alive {
+		out = append(out, *t.peers[address])
+	}
+	return out
+}
+
+// InFlight returns the requests that live peers have in flight to the backend
+// server.
+func (t *Table) InFlight(server uint32) int { return t.totals[server] }
--- a/entry/cmd/baywall/main.go
+++ b/entry/cmd/baywall/main.go
@@ -10,11 +10,14 @@
 	"github.com/google/subcommands"
 
 	"baywall.example/core/process"
+	"baywall.example/entry/gateway"
+	"baywall.example/platform"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(gateway.NewCommand(platform.Adapter{}), "")
 	subcommands.Register(&checkCommand{}, "")
 	subcommands.Register(&entriesCommand{}, "client")
 	subcommands.Register(&getCommand{}, "client")
--- /dev/null
+++ b/entry/gateway/answer.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"baywall.example/core/contract"
+	"baywall.example/entry/balance"
+	"baywall.example/entry/retry"
+	"baywall.example/entry/upstream"
+)
+
+// Header fields that a gateway adds to its own refusals.
+const (
+	headerOutcome = "Baywall-Outcome"
+	headerReason  = "Baywall-Reason"
+)
+
+// maxBuffered is the largest part of an answer, in bytes, that is read before
+// the caller sees anything of it. Up to there a broken answer can be replaced.
+const maxBuffered = 256 << 10
+
+// forwardAnswer passes on an answer that is no stream.
+func (q *request) forwardAnswer(answer *upstream.Answer, stream *streamState) attempt {
+	var body bytes.Buffer
+	n, err := io.Copy(&body, io.LimitReader(answer.Body, maxBuffered))
+	if err != nil {
+		return attempt{verdict: verdictLost, err: err}
+	}
+	whole := n < maxBuffered
+	if answer.Status >= http.StatusInternalServerError && whole {
+		return attempt{verdict: verdictFailed, status: answer.Status, header: answer.Header, body: body.Bytes()}
+	}
+	if stream.begun {
+		// A stream cannot go on with an answer that is none.
+		return attempt{verdict: verdictCut, status: answer.Status}
+	}
+	q.firstAnswer = time.Since(q.began)
+	q.writeHead(answer.Status, answer.Header)
+	if whole {
+		q.w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
+	}
+	q.w.WriteHeader(answer.Status)
+	if _, err := q.w.Write(body.Bytes()); err != nil {
+		return attempt{verdict: verdictLeft, err: err}
+	}
+	if whole {
+		return attempt{verdict: verdictAnswered}
+	}
+	stream.begun = true
+	if _, err := io.Copy(q.w, answer.Body); err != nil {
+		return attempt{verdict: verdictCut, err: err}
+	}
+	return attempt{verdict: verdictAnswered}
+}
+
+// writeHead copies the backend server's header fields.
+func (q *request) writeHead(_ int, from http.Header) {
+	h := q.w.Header()
+	named := connectionFields(from)
+	for name, values := range from {
+		if !contract.HopByHop(name) && !named[name] && name != "Content-Length" {
+			h[name] = values
+		}
+	}
+	h["Date"] = nil
+	if date := from["Date"]; date != nil {
+		h["Date"] = date
+	}
+}
+
+// finish ends a request that got no answer.
+func (q *request) finish(d retry.Decision, a attempt, stream *streamState) {
+	if stream.begun {
+		q.abort(a)
+		return
+	}
+	if a.verdict == verdictFailed {
+		q.passFailure(a)
+		return
+	}
+	q.refuse(statusOf(d.Refusal), d.Refusal)
+}
+
+// passFailure gives the caller the backend server's own error.
+func (q *request) passFailure(a attempt) {
+	q.writeHead(a.status, a.header)
+	q.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	q.w.WriteHeader(a.status)
+	_, err := q.w.Write(a.body)
+	q.describe(q.log.Info()).AnErr("write", err).Int("status", a.status).Msg("backend server's failure passed on")
+}
+
+// abort breaks the answer off, so that the caller cannot take it for whole.
+func (q *request) abort(a attempt) {
+	q.g.inst.aborted.Inc()
+	q.describe(q.log.Warn()).Str("verdict", a.verdict.String()).AnErr("cause", a.err).Msg("answer aborted")
+	panic(http.ErrAbortHandler)
+}
+
+// left ends a request whose caller is gone.
+func (q *request) left(stream *streamState) {
+	q.g.inst.left.Inc()
+	q.describe(q.log.Info()).Bool("begun", stream.begun).Msg("caller left")
+	panic(http.ErrAbortHandler)
+}
+
+// statusOf returns the status of a refusal: 502 and 504 promise nothing, 503
+// promises that the request did not run.
+func statusOf(r contract.Refusal) int {
+	switch {
+	case r.Outcome == contract.NotRun:
+		return http.StatusServiceUnavailable
+	case r.Reason == contract.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// problem is the body of a refusal (RFC 9457).
+type problem struct {
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Request string `json:"request"`
+}
+
+// refuse answers with the gateway's own refusal.
+func (q *request) refuse(status int, r contract.Refusal) {
+	q.g.inst.refused(string(r.Outcome), string(r.Reason))
+	h := q.w.Header()
+	h.Set(headerOutcome, string(r.Outcome))
+	h.Set(headerReason, string(r.Reason))
+	h.Set("Content-Type", "application/problem+json")
+	if q.id != "" {
+		h.Set(q.g.headers.RequestID, q.id)
+	}
+	if status == http.StatusServiceUnavailable {
+		after := max(r.RetryAfter, minRetryAfter)
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	q.w.WriteHeader(status)
+	err := json.NewEncoder(q.w).Encode(problem{
+		Title: http.StatusText(status), Status: status, Outcome: string(r.Outcome), Reason: string(r.Reason), Request: q.id,
+	})
+	q.describe(q.log.Info()).AnErr("write", err).Int("status", status).Str("outcome", string(r.Outcome)).
+		Str("reason", string(r.Reason)).Dur("retry_after", r.RetryAfter).Msg("request refused")
+}
+
+// describe adds what decided the request.
+func (q *request) describe(e *zerolog.Event) *zerolog.Event {
+	e = e.Str("request", q.id).Uint64("catalog", q.version).Dur("elapsed", time.Since(q.began)).Int("attempts", q.sequence.Attempts())
+	if q.route != nil {
+		e = e.Str("route", q.route.Name).Str("service", q.service).Str("team", q.team)
+	} else {
+		e = e.Str("host", q.r.Host).Str("path", q.r.URL.Path)
+	}
+	if q.server != "" {
+		e = e.Str("server", q.server).Int("server_load", q.serverLoad)
+	}
+	return e
+}
+
+func (q *request) logAnswer(number uint32) {
+	q.g.inst.answered(q.route.Name, q.firstAnswer)
+	e := q.describe(q.log.Info()).Dur("first", q.firstAnswer)
+	if q.events > 0 {
+		q.g.inst.gap(q.route.Name, q.longestGap)
+		e = e.Int("events", q.events).Dur("longest_gap", q.longestGap)
+	}
+	e.Uint32("attempt", number).Msg("request answered")
+}
+
+func (q *request) logAttempt(number uint32, c balance.Choice, a attempt) {
+	q.describe(q.log.Info()).Uint32("attempt", number).Str("verdict", a.verdict.String()).Int("answer_status", a.status).
+		AnErr("cause", a.err).Int("service_load", c.Load.InFlight).Int("service_slots", c.Load.Slots).
+		Uint64("backends", q.g.revision.Load()).Msg("attempt ended")
+}
--- /dev/null
+++ b/entry/gateway/dispatch.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"baywall.example/core/contract"
+	"baywall.example/entry/balance"
+	"baywall.example/entry/catalog"
+	"baywall.example/entry/retry"
+	"baywall.example/entry/upstream"
+)
+
+// verdict is how one attempt ended.
+type verdict int
+
+// Verdicts of an attempt.
+const (
+	verdictAnswered verdict = iota + 1 // the caller has its answer
+	verdictNotSent                     // it did not reach the backend server
+	verdictRejected                    // the backend server says that it did not run
+	verdictFailed                      // it ran, and the backend server answered with an error
+	verdictLost                        // it may have run
+	verdictCut                         // as lost, after the caller has seen a part
+	verdictLeft                        // the caller left
+	verdictDeadline                    // the time was up; it may have run
+)
+
+var verdictNames = [...]string{"", "answered", "not-sent", "rejected", "failed", "lost", "cut", "caller-left", "deadline"}
+
+func (v verdict) String() string { return verdictNames[v] }
+
+// attempt is one try at one backend server.
+type attempt struct {
+	verdict verdict
+	// status, header and body are the answer of a failed attempt.
+	status int
+	header http.Header
+	body   []byte
+	err    error
+	reason contract.Reason
+}
+
+// minRetryAfter is when a caller may come back after a refusal: the queues of
+// backend servers turn over in a few hundred milliseconds.
+const minRetryAfter = 250 * time.Millisecond
+
+// dispatch attempts the request until it has an end.
+func (q *request) dispatch() {
+	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
+	defer cancel()
+	stream := &streamState{}
+	for {
+		choice, ok := q.g.registry.Pick(q.service, q.excluded, time.Now())
+		if !ok {
+			q.finish(q.sequence.Next(retry.EventNotSent, contract.Refusal{Reason: contract.ReasonNoBackend}, q.deadline), attempt{verdict: verdictNotSent}, stream)
+			return
+		}
+		number := q.sequence.Begin()
+		a := q.try(ctx, choice, stream)
+		q.g.inst.attempted(q.service, a.verdict.String())
+		if a.verdict == verdictAnswered {
+			q.logAnswer(number)
+			return
+		}
+		q.logAttempt(number, choice, a)
+		if a.verdict == verdictLeft {
+			q.left(stream)
+			return
+		}
+		decision := q.next(a)
+		if decision.Action != retry.ActionRetry {
+			q.finish(decision, a, stream)
+			return
+		}
+		q.g.inst.retries.Inc()
+		q.excluded[choice.Server.ID] = true
+	}
+}
+
+// next decides what follows an attempt without an answer.
+func (q *request) next(a attempt) retry.Decision {
+	now := time.Now()
+	switch a.verdict {
+	case verdictNotSent:
+		return q.sequence.Next(retry.EventNotSent, contract.Refusal{Reason: contract.ReasonEngineDial}, now)
+	case verdictRejected:
+		return q.sequence.Next(retry.EventRefused, contract.Refusal{Outcome: contract.NotRun, Reason: a.reason}, now)
+	case verdictDeadline:
+		return q.sequence.Next(retry.EventNoFate, contract.Refusal{Reason: contract.ReasonDeadline}, q.deadline)
+	default:
+		return q.sequence.Next(retry.EventNoFate, contract.Refusal{Reason: contract.ReasonEngineFailed}, now)
+	}
+}
+
+// try makes one attempt.
+func (q *request) try(ctx context.Context, c balance.Choice, stream *streamState) attempt {
+	defer c.Release()
+	q.server, q.serverLoad = c.Server.ID, c.InFlight
+	answer, err := c.Server.Pool.Do(ctx, q.upstreamRequest(c, stream))
+	if err != nil {
+		return q.judge(ctx, c, attempt{verdict: lostOrNotSent(err), err: err, reason: contract.ReasonEngineDial})
+	}
+	defer answer.Close()
+	if a, done := q.rejected(answer); done {
+		return q.judge(ctx, c, a)
+	}
+	if q.route.Kind == catalog.KindStream && answer.Status == http.StatusOK {
+		return q.judge(ctx, c, q.forwardStream(ctx, answer, stream))
+	}
+	return q.judge(ctx, c, q.forwardAnswer(answer, stream))
+}
+
+func lostOrNotSent(err error) verdict {
+	if errors.Is(err, upstream.ErrNotSent) {
+		return verdictNotSent
+	}
+	return verdictLost
+}
+
+// judge tells an end of the caller or of its time from one of the backend
+// server, and notes the latter.
+func (q *request) judge(ctx context.Context, c balance.Choice, a attempt) attempt {
+	failed := a.verdict != verdictAnswered && a.verdict != verdictRejected && a.verdict != verdictFailed
+	if failed && ctx.Err() != nil {
+		q.g.registry.Released(c.Server)
+		switch {
+		case q.ctx.Err() != nil:
+			a.verdict = verdictLeft
+		case a.verdict != verdictNotSent && a.verdict != verdictCut:
+			a.verdict = verdictDeadline
+		}
+		return a
+	}
+	switch a.verdict {
+	case verdictAnswered:
+		q.g.registry.Succeeded(c.Server)
+	case verdictRejected:
+		q.g.registry.Released(c.Server)
+	default:
+		q.g.registry.Failed(c.Server, a.verdict.String(), time.Now())
+	}
+	return a
+}
+
+func (q *request) upstreamRequest(c balance.Choice, stream *streamState) *upstream.Request {
+	h := q.header.Clone()
+	left := max(0, time.Until(q.deadline))
+	h.Set(q.g.headers.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+	h.Set(q.g.headers.ExpectServer, c.Server.ID)
+	if stream.lastID != "" {
+		h.Set(q.g.headers.ResumeAfter, stream.lastID)
+	}
+	return &upstream.Request{
+		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
+		IDHeader: q.g.headers.RequestID, Fresh: !q.route.Idempotent(),
+	}
+}
+
+// rejected recognizes an answer that says that the request did not run.
+func (q *request) rejected(answer *upstream.Answer) (attempt, bool) {
+	notRun := answer.Header.Get(q.g.headers.NotRun) != ""
+	switch {
+	case answer.Status == http.StatusMisdirectedRequest:
+		return attempt{verdict: verdictRejected, status: answer.Status, reason: contract.ReasonStaleConfig}, true
+	case notRun && answer.Status >= http.StatusInternalServerError, notRun && answer.Status == http.StatusTooManyRequests:
+		return attempt{verdict: verdictRejected, status: answer.Status, reason: contract.ReasonOverload}, true
+	default:
+		return attempt{}, false
+	}
+}
+
+// splitList splits a header's comma-separated value.
+func splitList(value string) []string {
+	parts := strings.Split(value, ",")
+	for i := range parts {
+		parts[i] = strings.TrimSpace(parts[i])
+	}
+	return parts
+}
--- /dev/null
+++ b/entry/gateway/gateway.go
@@ -0,0 +1,221 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"baywall.example/core/process"
+	"baywall.example/core/source"
+	"baywall.example/core/vm"
+	"baywall.example/entry/balance"
+	"baywall.example/entry/catalog"
+	"baywall.example/entry/cluster"
+	"baywall.example/entry/retry"
+)
+
+// ErrStart means that the gateway could not begin to serve.
+var ErrStart = eris.New("gateway: cannot start")
+
+const (
+	// idleTimeout is how long a caller's idle connection is kept: longer than
+	// any limit that operators publish, since callers rely on that.
+	idleTimeout = 75 * time.Second
+	// headerTimeout bounds how long a caller may take to send a header.
+	headerTimeout = 15 * time.Second
+	// maxHeader bounds a caller's header, in bytes.
+	maxHeader = 64 << 10
+	// expireInterval is how often grace periods are looked at.
+	expireInterval = 200 * time.Millisecond
+)
+
+// Gateway is the process of an entry VM that dispatches straight to backend
+// servers. It implements process.Service and Directory.
+type Gateway struct {
+	settings Settings
+	adapter  Adapter
+	headers  Headers
+	log      zerolog.Logger
+	lines    *process.LogWriter
+
+	incarnation vm.Incarnation
+	catalog     catalog.Store
+	registry    *balance.Registry
+	node        *cluster.Node
+	inst        *instruments
+	shares      sync.Map // service -> *retry.Share
+
+	revision atomic.Uint64 // of the list of backend servers
+	listed   atomic.Bool
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+
+	servers []*http.Server
+	front   *http.Server
+	run     conc.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// New returns a gateway that is not yet started.
+func New(s Settings, a Adapter, log zerolog.Logger, lines *process.LogWriter, now time.Time) (*Gateway, error) {
+	g := &Gateway{
+		settings: s, adapter: a, headers: a.Headers(), log: log, lines: lines,
+		incarnation: vm.NewIncarnation(now),
+	}
+	node, err := cluster.NewNode(s.Listen.Peers, s.Seeds, g.self, log)
+	if err != nil {
+		return nil, eris.Wrapf(ErrStart, "%v", err)
+	}
+	g.node = node
+	g.registry = balance.NewRegistry(node, log)
+	g.inst = newInstruments(gauges{
+		catalogVersion:   func() float64 { return float64(g.catalog.Version()) },
+		backendsRevision: func() float64 { return float64(g.revision.Load()) },
+		peers:            func() float64 { return float64(len(node.Live())) },
+		logDropped:       func() float64 { return float64(lines.Dropped()) },
+	})
+	return g, nil
+}
+
+func (g *Gateway) self() cluster.Self {
+	return cluster.Self{
+		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Zone: g.settings.Zone,
+		Address: g.settings.Listen.Peers, Front: g.settings.Listen.Front, Ready: g.Ready(),
+		CatalogVersion: g.catalog.Version(), BackendsRevision: g.revision.Load(),
+		InFlight: g.registry.InFlight(),
+	}
+}
+
+// Start listens and begins to follow the store and the other gateways.
+func (g *Gateway) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	g.front = &http.Server{
+		Handler: http.HandlerFunc(g.serveRequest), IdleTimeout: idleTimeout,
+		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
+	}
+	listeners := []struct {
+		address string
+		server  *http.Server
+	}{
+		{g.settings.Listen.Front, g.front},
+		{g.settings.Listen.Ready, &http.Server{Handler: g.adapter.Ready(g), ReadHeaderTimeout: headerTimeout}},
+		{g.settings.Listen.Directory, &http.Server{Handler: g.adapter.Directory(g), ReadHeaderTimeout: headerTimeout}},
+		{g.settings.Listen.Metrics, &http.Server{Handler: g.inst, ReadHeaderTimeout: headerTimeout}},
+	}
+	for _, l := range listeners {
+		if l.address == "" {
+			continue
+		}
+		if err := g.listen(l.address, l.server); err != nil {
+			cancel()
+			return err
+		}
+	}
+	g.run.Go(func() { g.node.Run(ctx) })
+	g.run.Go(func() { g.follow(ctx) })
+	g.run.Go(func() { g.expire(ctx) })
+	g.log.Info().Str("adapter", g.adapter.Name()).Uint64("incarnation", uint64(g.incarnation)).
+		Str("front", g.settings.Listen.Front).Str("store", g.settings.Store).Strs("seeds", g.settings.Seeds).Msg("started")
+	return nil
+}
+
+func (g *Gateway) listen(address string, server *http.Server) error {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return eris.Wrapf(ErrStart, "%s: %v", address, err)
+	}
+	g.servers = append(g.servers, server)
+	g.run.Go(func() {
+		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			g.log.Error().Err(err).Str("address", address).Msg("listener failed")
+		}
+	})
+	return nil
+}
+
+// follow keeps configuration and backend servers up to date.
+func (g *Gateway) follow(ctx context.Context) {
+	store := g.adapter.Store(g.settings.Store, g.log)
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		f := source.Follower{Store: store, Prefix: g.adapter.CatalogKey(), Log: g.log, Deliver: g.takeCatalog}
+		f.Run(ctx)
+	})
+	wg.Go(func() {
+		f := source.Follower{Store: store, Prefix: g.adapter.BackendsPrefix(), Log: g.log, Deliver: g.takeBackends}
+		f.Run(ctx)
+	})
+	wg.Wait()
+}
+
+// takeCatalog puts a published configuration in force.
+func (g *Gateway) takeCatalog(u source.Update) {
+	item, ok := u.Items[g.adapter.CatalogKey()]
+	if !ok {
+		g.log.Warn().Uint64("revision", u.Revision).Msg("no configuration is published")
+		return
+	}
+	content, err := g.adapter.DecodeCatalog(item.Value)
+	var next *catalog.Snapshot
+	if err == nil {
+		next, err = catalog.New(content)
+	}
+	if err != nil {
+		g.log.Error().Err(err).Uint64("revision", item.Revision).Uint64("in_force", g.catalog.Version()).Msg("configuration refused")
+		return
+	}
+	before := g.catalog.Version()
+	if g.catalog.Apply(next) {
+		g.log.Info().Uint64("version", next.Version).Uint64("before", before).Uint64("revision", item.Revision).
+			Int("routes", len(content.Routes)).Int("teams", len(content.Teams)).Msg("configuration in force")
+	}
+}
+
+// takeBackends takes over the list of backend servers.
+func (g *Gateway) takeBackends(u source.Update) {
+	list := make([]balance.Info, 0, len(u.Items))
+	for key, item := range u.Items {
+		info, err := g.adapter.DecodeBackend(key, item.Value)
+		if err != nil {
+			g.log.Error().Err(err).Str("key", key).Uint64("revision", item.Revision).Msg("backend server refused")
+			continue
+		}
+		list = append(list, info)
+	}
+	g.registry.Update(list, u.Revision, u.Recovering, time.Now())
+	g.revision.Store(u.Revision)
+	g.listed.Store(true)
+}
+
+func (g *Gateway) expire(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.registry.Expire(g.revision.Load(), now)
+		}
+	}
+}
+
+// share returns this gateway's part of the service's retries.
+func (g *Gateway) share(service string) *retry.Share {
+	if s, ok := g.shares.Load(service); ok {
+		return s.(*retry.Share)
+	}
+	limit := retry.Limit{Ratio: g.settings.Retry.Ratio, Slack: g.settings.Retry.Slack, Window: g.settings.Retry.Window}
+	members := func() int { return len(g.node.Live()) + 1 }
+	s, _ := g.shares.LoadOrStore(service, retry.NewShare(limit, members, time.Now))
+	return s.(*retry.Share)
+}
--- /dev/null
+++ b/entry/gateway/metrics.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// gauges are read when the metrics are fetched.
+type gauges struct {
+	catalogVersion   func() float64
+	backendsRevision func() float64
+	peers            func() float64
+	logDropped       func() float64
+}
+
+// instruments are a gateway's counters and histograms.
+type instruments struct {
+	set      *metrics.Set
+	requests *metrics.Counter
+	aborted  *metrics.Counter
+	left     *metrics.Counter
+	resumed  *metrics.Counter
+	retries  *metrics.Counter
+}
+
+func newInstruments(g gauges) *instruments {
+	set := metrics.NewSet()
+	set.NewGauge("baywall_catalog_version", g.catalogVersion)
+	set.NewGauge("baywall_backends_revision", g.backendsRevision)
+	set.NewGauge("baywall_peers", g.peers)
+	set.NewGauge("baywall_log_lines_dropped", g.logDropped)
+	return &instruments{
+		set:      set,
+		requests: set.NewCounter("baywall_requests_total"),
+		aborted:  set.NewCounter("baywall_answers_aborted_total"),
+		left:     set.NewCounter("baywall_callers_left_total"),
+		resumed:  set.NewCounter("baywall_streams_resumed_total"),
+		retries:  set.NewCounter("baywall_retries_total"),
+	}
+}
+
+func (i *instruments) refused(outcome, reason string) {
+	i.set.GetOrCreateCounter(fmt.Sprintf("baywall_refusals_total{outcome=%q,reason=%q}", outcome, reason)).Inc()
+}
+
+func (i *instruments) attempted(service, result string) {
+	i.set.GetOrCreateCounter(fmt.Sprintf("baywall_attempts_total{service=%q,result=%q}", service, result)).Inc()
+}
+
+// answered notes the time to a whole answer, for streams to the first event.
+func (i *instruments) answered(route string, d time.Duration) {
+	i.set.GetOrCreateHistogram(fmt.Sprintf("baywall_answer_seconds{route=%q}", route)).Update(d.Seconds())
+}
+
+// gap notes the longest pause between two events of a stream.
+func (i *instruments) gap(route string, d time.Duration) {
+	i.set.GetOrCreateHistogram(fmt.Sprintf("baywall_stream_longest_gap_seconds{route=%q}", route)).Update(d.Seconds())
+}
+
+// ServeHTTP writes all metrics as text.
+func (i *instruments) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	i.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/entry/gateway/request.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"baywall.example/core/contract"
+	"baywall.example/entry/catalog"
+	"baywall.example/entry/retry"
+)
+
+const (
+	// defaultBody is the largest body, in bytes, where operators set no limit.
+	defaultBody = 8 << 20
+	// defaultTimeout bounds a request that names no deadline on a route without
+	// a timeout.
+	defaultTimeout = 60 * time.Second
+)
+
+// request is one caller's request on its way through the gateway.
+type request struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	log     zerolog.Logger
+	began   time.Time
+	id      string
+	route   *catalog.Route
+	version uint64
+	team    string
+	service string
+	body    []byte
+	header  http.Header // for backend servers
+
+	deadline time.Time // the caller's or the route's timeout, whichever is first
+	sequence retry.Sequence
+	excluded map[string]bool
+
+	server      string // of the latest attempt
+	serverLoad  int    // requests of all gateways to it when it was picked
+	firstAnswer time.Duration
+	longestGap  time.Duration
+	events      int
+}
+
+func (g *Gateway) serveRequest(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	g.inst.requests.Inc()
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := &request{g: g, w: w, r: r, ctx: r.Context(), began: time.Now(), id: r.Header.Get(g.headers.RequestID)}
+	q.log = g.log
+	if refusal, status := q.match(); refusal != nil {
+		q.refuse(status, *refusal)
+		return
+	}
+	if !q.readBody() {
+		return
+	}
+	q.prepare()
+	q.dispatch()
+}
+
+// match finds the route, the team and the service. A refusal comes with its
+// status.
+func (q *request) match() (*contract.Refusal, int) {
+	snapshot := q.g.catalog.Current()
+	if snapshot == nil {
+		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonStarting}, http.StatusServiceUnavailable
+	}
+	q.version = snapshot.Version
+	q.route = snapshot.Match(hostOf(q.r.Host), q.r.URL.EscapedPath())
+	if q.route == nil {
+		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonUnknownService}, http.StatusNotFound
+	}
+	if snapshot.Keyed() && !q.route.Public {
+		team := snapshot.Team(q.r.Header.Get(q.g.headers.APIKey))
+		if team == nil {
+			return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonUnknownTeam}, http.StatusUnauthorized
+		}
+		q.team = team.Name
+	}
+	q.service = q.route.Pick(rand.Float64())
+	return nil, 0
+}
+
+// hostOf returns the host without a port.
+func hostOf(host string) string {
+	for i := len(host) - 1; i >= 0; i-- {
+		switch {
+		case host[i] == ':':
+			return host[:i]
+		case host[i] < '0' || host[i] > '9':
+			return host
+		}
+	}
+	return host
+}
+
+// readBody takes in the whole body, so that it can be sent more than once.
+func (q *request) readBody() bool {
+	limit := int64(defaultBody)
+	if s := q.g.catalog.Current(); s.Limits.BodyBytes > 0 {
+		limit = int64(s.Limits.BodyBytes)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	if err == nil {
+		q.body = body
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		q.refuse(http.StatusRequestEntityTooLarge, contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonBadRequest})
+		return false
+	}
+	q.refuse(http.StatusBadRequest, contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonBadRequest})
+	return false
+}
+
+// prepare sets the deadline and the headers for backend servers.
+func (q *request) prepare() {
+	q.deadline = q.began.Add(q.timeLimit())
+	q.sequence = retry.Sequence{
+		Idempotent: q.route.Idempotent(), Deadline: q.deadline,
+		Budget: q.g.share(q.service), MaxRuns: max(1, q.route.MaxAttempts),
+	}
+	q.g.share(q.service).Request()
+	q.excluded = make(map[string]bool)
+	h := q.g.headers
+	q.header = make(http.Header, len(q.r.Header)+3)
+	named := connectionFields(q.r.Header)
+	for name, values := range q.r.Header {
+		if !contract.HopByHop(name) && !named[name] && name != "Content-Length" {
+			q.header[name] = values
+		}
+	}
+	for _, own := range []string{h.APIKey, h.Team, h.ExpectServer, h.Priority, h.ExpectVersion, h.Deadline} {
+		q.header.Del(own)
+	}
+	if q.team != "" {
+		q.header.Set(h.Team, q.team)
+	}
+}
+
+// connectionFields returns the header fields that the Connection header names.
+func connectionFields(h http.Header) map[string]bool {
+	var out map[string]bool
+	for _, value := range h["Connection"] {
+		for _, name := range splitList(value) {
+			if out == nil {
+				out = make(map[string]bool)
+			}
+			out[http.CanonicalHeaderKey(name)] = true
+		}
+	}
+	return out
+}
+
+// timeLimit returns how long the caller or the route allows.
+func (q *request) timeLimit() time.Duration {
+	limit := defaultTimeout
+	if ms, err := strconv.ParseInt(q.r.Header.Get(q.g.headers.Deadline), 10, 64); err == nil && ms >= 0 {
+		limit = min(limit, time.Duration(min(ms, defaultTimeout.Milliseconds()))*time.Millisecond)
+	}
+	if q.route.Timeout > 0 {
+		limit = min(limit, q.route.Timeout)
+	}
+	return limit
+}
--- /dev/null
+++ b/entry/gateway/stream.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"baywall.example/entry/upstream"
+)
+
+// streamState is what the caller has seen of its answer so far, over all
+// attempts.
+type streamState struct {
+	begun  bool   // the head was sent
+	lastID string // id of the last event sent
+}
+
+const (
+	// eventBuffer is the size of a stream's read buffer, in bytes.
+	eventBuffer = 2048
+	// maxEvent is the largest event, in bytes.
+	maxEvent = 1 << 20
+)
+
+var errEvent = errors.New("event too large")
+
+// event is one event of a text/event-stream, its blank line included.
+type event struct {
+	raw []byte
+	id  string
+}
+
+// eventReader splits a stream into events.
+type eventReader struct {
+	in  *bufio.Reader
+	buf []byte
+}
+
+func newEventReader(in io.Reader) *eventReader {
+	return &eventReader{in: bufio.NewReaderSize(in, eventBuffer)}
+}
+
+// next returns the next whole event. io.EOF means that the stream ended between
+// two events, io.ErrUnexpectedEOF that it ended within one.
+func (r *eventReader) next() (event, error) {
+	r.buf = r.buf[:0]
+	var id string
+	for {
+		line, err := r.in.ReadSlice('\n')
+		r.buf = append(r.buf, line...)
+		if errors.Is(err, bufio.ErrBufferFull) && len(r.buf) < maxEvent {
+			continue
+		}
+		if err == io.EOF && len(r.buf) > 0 {
+			return event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return event{}, err
+		}
+		if len(r.buf) > maxEvent {
+			return event{}, errEvent
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			id = string(bytes.TrimPrefix(value, []byte(" ")))
+		}
+		if len(text) == 0 && len(r.buf) > len(line) {
+			return event{raw: r.buf, id: id}, nil
+		}
+	}
+}
+
+// more reports whether part of another event was read already.
+func (r *eventReader) more() bool { return r.in.Buffered() > 0 }
+
+// forwardStream passes on a stream, whole event by whole event.
+func (q *request) forwardStream(ctx context.Context, answer *upstream.Answer, s *streamState) attempt {
+	events := newEventReader(answer.Body)
+	last := time.Now()
+	flusher := http.NewResponseController(q.w)
+	for {
+		e, err := events.next()
+		if err == io.EOF {
+			return q.endStream(answer, s)
+		}
+		if err != nil {
+			return brokenStream(s, err)
+		}
+		if ctx.Err() != nil {
+			return brokenStream(s, ctx.Err())
+		}
+		if !s.begun {
+			s.begun = true
+			q.firstAnswer = time.Since(q.began)
+			q.writeHead(answer.Status, answer.Header)
+			q.w.WriteHeader(answer.Status)
+		} else if q.events > 0 {
+			q.longestGap = max(q.longestGap, time.Since(last))
+		}
+		last = time.Now()
+		q.events++
+		if e.id != "" {
+			s.lastID = e.id
+		}
+		if _, err := q.w.Write(e.raw); err != nil {
+			return attempt{verdict: verdictLeft, err: err}
+		}
+		if events.more() {
+			continue
+		}
+		if err := flusher.Flush(); err != nil {
+			return attempt{verdict: verdictLeft, err: err}
+		}
+	}
+}
+
+// endStream ends a stream that the backend server ended. One without an event
+// is passed on as it is.
+func (q *request) endStream(answer *upstream.Answer, s *streamState) attempt {
+	if !s.begun {
+		s.begun = true
+		q.firstAnswer = time.Since(q.began)
+		q.writeHead(answer.Status, answer.Header)
+		q.w.WriteHeader(answer.Status)
+	}
+	return attempt{verdict: verdictAnswered}
+}
+
+func brokenStream(s *streamState, err error) attempt {
+	if s.begun {
+		return attempt{verdict: verdictCut, err: err}
+	}
+	return attempt{verdict: verdictLost, err: err}
+}
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -77,10 +77,19 @@
 	Idempotent bool
 	Ticketed   bool
 	Deadline   time.Time
-	Budget     *Budget
+	Budget     Taker
+	// MaxRuns bounds the attempts that may have run, 0 = only all attempts
+	// together are bounded.
+	MaxRuns int
 
 	attempts int
-	maybeRan bool // some attempt may have run
+	runs     int // attempts that may have run
+}
+
+// Taker is a budget of retries.
+type Taker interface {
+	// Take uses up one retry and reports false if none is left.
+	Take() bool
 }
 
 // Attempts returns the number of attempts begun.
@@ -121,7 +130,7 @@
 		r.Reason = contract.ReasonNoBackend
 	}
 	if s.Ticketed && ev != EventRefused {
-		s.maybeRan = true // only the agent's refusal voids the ticket
+		s.runs++ // only the agent's refusal voids the ticket
 	}
 	if s.Ticketed && ev != EventTombstoned {
 		return s.refuse(r)
@@ -143,8 +152,8 @@
 
 // uncertain handles an attempt that may have run.
 func (s *Sequence) uncertain(r contract.Refusal, now time.Time) Decision {
-	s.maybeRan = true
-	if !s.Idempotent || !s.mayRetry(now) {
+	s.runs++
+	if !s.Idempotent || !s.mayRetry(now) || s.MaxRuns > 0 && s.runs >= s.MaxRuns {
 		return s.refuse(r)
 	}
 	if !s.Budget.Take() {
@@ -161,7 +170,7 @@
 func (s *Sequence) refuse(r contract.Refusal) Decision {
 	denied := s.Ticketed && r.Outcome == contract.NotRun // proved by the ticket's agent
 	r.Outcome = contract.NotRun
-	if s.maybeRan && !denied {
+	if s.runs > 0 && !denied {
 		r.Outcome = contract.Unknown
 	}
 	if r.RetryAfter == 0 {
--- /dev/null
+++ b/entry/retry/share.go
@@ -0,0 +1,84 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// bucket is the resolution of a share's window.
+const bucket = 500 * time.Millisecond
+
+// shareMargin is the part of its share that a gateway uses: requests near the
+// window's edges are counted by others in another order.
+const shareMargin = 0.8
+
+// Limit bounds the retries of one service over all gateways together: in any
+// window, Ratio times the requests plus Slack.
+type Limit struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Share is one gateway's part of a Limit: the ratio of its own requests, and an
+// equal part of the slack. Nothing is exchanged: where all gateways are counted,
+// the parts sum up to the limit. It is safe for concurrent use.
+type Share struct {
+	limit   Limit
+	members func() int
+	now     func() time.Time
+	start   time.Time
+
+	mu       sync.Mutex
+	at       int64 // number of the newest bucket
+	requests []int
+	retries  []int
+}
+
+// NewShare returns the share of a gateway in a fleet of members, itself
+// included.
+func NewShare(limit Limit, members func() int, now func() time.Time) *Share {
+	n := int(limit.Window/bucket) + 1
+	return &Share{limit: limit, members: members, now: now, start: now(), requests: make([]int, n), retries: make([]int, n)}
+}
+
+// Request counts a request, which earns its part of a retry.
+func (s *Share) Request() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests[s.advance()]++
+}
+
+// Take uses up one retry and reports false if none is left.
+func (s *Share) Take() bool {
+	members := max(1, s.members())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.advance()
+	allowed := shareMargin * (s.limit.Ratio*float64(sum(s.requests)) + s.limit.Slack/float64(members))
+	if float64(sum(s.retries)+1) > allowed {
+		return false
+	}
+	s.retries[i]++
+	return true
+}
+
+// advance clears the buckets that have left the window and returns the index
+// of the newest.
+func (s *Share) advance() int {
+	n := int64(len(s.requests))
+	at := int64(s.now().Sub(s.start) / bucket) // monotonic: the time of day may jump
+	for step := max(s.at+1, at-n+1); step <= at; step++ {
+		s.requests[step%n], s.retries[step%n] = 0, 0
+	}
+	s.at = max(s.at, at)
+	return int(s.at % n)
+}
+
+func sum(counts []int) int {
+	total := 0
+	for _, c := range counts {
+		total += c
+	}
+	return total
+}
--- /dev/null
+++ b/entry/upstream/exchange.go
@@ -0,0 +1,219 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// maxStrays is how many answers to earlier requests are skipped before the
+	// connection is given up.
+	maxStrays = 4
+	// inlineBody is the largest body, in bytes, that is written before the
+	// answer is read: it fits a socket's send buffer. Larger ones are written
+	// beside reading, as a backend server may answer before it has read all.
+	inlineBody = 16 << 10
+)
+
+// Request is one request to one backend server.
+type Request struct {
+	Method string
+	// Target is the path with the query, as the caller sent it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// IDHeader names the header whose echo in an answer identifies the request.
+	IDHeader string
+	// Fresh demands a new connection: a kept one may be closing, and then
+	// nobody can tell whether the request ran.
+	Fresh bool
+}
+
+// Answer is a backend server's answer. Close it.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body fails with an error unless it ends as the backend server meant it.
+	Body io.Reader
+	// Reused tells that the connection had carried an earlier request.
+	Reused bool
+	// Length is the announced length in bytes, -1 if there is none.
+	Length int64
+
+	pool    *Pool
+	conn    *conn
+	resp    *http.Response
+	stop    func() bool
+	written atomic.Bool
+	ended   bool
+}
+
+// Do sends the request and returns the head of the answer. The context bounds
+// the whole exchange, the body included: its end closes the connection. The
+// error is ErrNotSent or ErrLost.
+func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
+	c, reused, err := p.connect(ctx, r.Fresh)
+	if err != nil {
+		return nil, err
+	}
+	a := &Answer{pool: p, conn: c, Reused: reused}
+	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if err := a.exchange(r); err != nil {
+		a.Close()
+		return nil, err
+	}
+	return a, nil
+}
+
+func (p *Pool) connect(ctx context.Context, fresh bool) (c *conn, reused bool, err error) {
+	if !fresh {
+		if c := p.take(time.Now()); c != nil {
+			return c, true, nil
+		}
+	}
+	c, err = p.dial(ctx)
+	return c, false, err
+}
+
+func (a *Answer) exchange(r *Request) error {
+	if err := a.send(r); err != nil {
+		return eris.Wrapf(ErrLost, "write to %s: %v", a.pool.address, err)
+	}
+	for range maxStrays {
+		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return eris.Wrapf(ErrLost, "read from %s: %v", a.pool.address, err)
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue // an interim answer
+		}
+		if echo := resp.Header.Get(r.IDHeader); echo != "" && echo != r.Header.Get(r.IDHeader) {
+			if err := skip(resp); err != nil {
+				return eris.Wrapf(ErrLost, "answer to another request from %s: %v", a.pool.address, err)
+			}
+			continue
+		}
+		a.accept(resp)
+		return nil
+	}
+	return eris.Wrapf(ErrLost, "%s: only answers to other requests", a.pool.address)
+}
+
+// skip reads over an answer that belongs to an earlier request.
+func skip(resp *http.Response) error {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return errors.New("it ends with the connection")
+	}
+	_, err := io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+func (a *Answer) accept(resp *http.Response) {
+	a.resp = resp
+	a.Status = resp.StatusCode
+	a.Header = resp.Header
+	a.Length = resp.ContentLength
+	a.Body = bodyReader{a}
+}
+
+func (a *Answer) send(r *Request) error {
+	head := encodeHead(r)
+	if len(r.Body) <= inlineBody {
+		_, err := a.conn.Write(append(head, r.Body...))
+		a.written.Store(err == nil)
+		return err
+	}
+	if _, err := a.conn.Write(head); err != nil {
+		return err
+	}
+	go func() {
+		_, err := a.conn.Write(r.Body)
+		a.written.Store(err == nil) // a failed write shows in the answer
+	}()
+	return nil
+}
+
+func encodeHead(r *Request) []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			b.WriteString(name)
+			b.WriteString(": ")
+			b.WriteString(v)
+			b.WriteString("\r\n")
+		}
+	}
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// bodyReader notes when the body has ended as announced.
+type bodyReader struct{ a *Answer }
+
+func (r bodyReader) Read(p []byte) (int, error) {
+	n, err := r.a.resp.Body.Read(p)
+	if err == io.EOF {
+		r.a.ended = true
+	} else if err != nil {
+		err = eris.Wrapf(ErrLost, "read from %s: %v", r.a.pool.address, err)
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept if all of the request was
+// written and all of the answer read; else it is closed, which tells the
+// backend server to stop.
+func (a *Answer) Close() {
+	aborted := !a.stop()
+	if aborted || !a.reusable() {
+		_ = a.conn.Close() // the exchange is over; its outcome is known
+		return
+	}
+	a.conn.until = time.Now().Add(idleTime(a.Header))
+	a.pool.put(a.conn)
+}
+
+func (a *Answer) reusable() bool {
+	if a.resp == nil || !a.ended || !a.written.Load() || a.resp.Close {
+		return false
+	}
+	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+	return framed && a.conn.reader.Buffered() == 0
+}
+
+// idleTime returns for how long the backend server keeps an idle connection,
+// less a margin.
+func idleTime(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return time.Duration(seconds)*time.Second - idleMargin
+		}
+	}
+	return defaultIdle
+}
