Watch the store in one call, take nothing new after the linger time

Ruled out: decoding, slow application (14 ms). Change: one watch over all keys, whose wait grows with the number of gateways, and a nudge when a peer knows a newer revision; after 2.5 s of lingering the listener and idle connections close.

--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -4,15 +4,23 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 )
 
 const (
-	// watchWait is how long one watch waits for events: a call in ten seconds
-	// is cheap, and a connection that hangs is found by its keep-alive probes.
-	watchWait = 10 * time.Second
+	// shortestWait is how long one watch waits for events where nobody else
+	// follows the store: a watch may go deaf without an error, and a change has
+	// to be in force two seconds after it was published.
+	shortestWait = 1200 * time.Millisecond
+	// waitPerFollower stretches the wait where others follow too: each hears of
+	// a change from the first whose watch ends, so the calls of all together
+	// stay the same.
+	waitPerFollower = 300 * time.Millisecond
+	// longestWait keeps watches within the store's own limit of 30 s.
+	longestWait = 10 * time.Second
 	// watchSlack is how much longer than the wait an answer may take.
 	watchSlack = 2 * time.Second
 	// listTimeout bounds a list; the store answers in milliseconds, in some
@@ -31,6 +39,8 @@
 type Update struct {
 	Items    map[string]Item // by key; the receiver does not change it
 	Revision uint64
+	// Changed is the revision of the newest change that is known.
+	Changed uint64
 	// Recovering is set for a while after the store was away.
 	Recovering bool
 }
@@ -42,9 +52,17 @@
 	Log    zerolog.Logger
 	// Deliver takes each state. It is called from one goroutine.
 	Deliver func(Update)
+	// Others returns how many others follow the same store and are heard, nil
+	// means none.
+	Others func() int
+
+	mu     sync.Mutex
+	cancel context.CancelFunc // of the waiting watch
+	nudged uint64             // revision of the latest nudge
 
 	items    map[string]Item
 	revision uint64
+	changed  uint64
 	listed   bool
 	failing  time.Time // since when, zero = not
 	failures int
@@ -77,9 +95,15 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	wait := f.wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	events, revision, err := f.Store.Watch(ctx, f.Prefix, f.revision, watchWait)
+	f.arm(cancel)
+	events, revision, err := f.Store.Watch(ctx, f.Prefix, f.revision, wait)
+	f.arm(nil)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return nil // nudged: watch again, or the follower ends
+	}
 	if err != nil {
 		return err
 	}
@@ -88,6 +112,36 @@
 	return nil
 }
 
+// wait returns how long the next watch waits, jittered so that followers that
+// began together do not stay together.
+func (f *Follower) wait() time.Duration {
+	wait := shortestWait
+	if f.Others != nil {
+		wait = min(longestWait, max(wait, time.Duration(f.Others()+1)*waitPerFollower))
+	}
+	return wait*3/4 + rand.N(wait/2)
+}
+
+func (f *Follower) arm(cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel = cancel
+}
+
+// Nudge tells that somebody else knows of a change with the revision. If the
+// waiting watch has not brought it, it is asked again, once a revision. It is
+// safe for concurrent use.
+func (f *Follower) Nudge(revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision <= f.nudged || f.cancel == nil {
+		return
+	}
+	f.nudged = revision
+	f.Log.Info().Str("prefix", f.Prefix).Uint64("revision", revision).Msg("others know a newer revision, watching again")
+	f.cancel()
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -104,7 +158,7 @@
 	for _, item := range items {
 		f.items[item.Key] = item
 	}
-	f.revision, f.listed = revision, true
+	f.revision, f.changed, f.listed = revision, revision, true
 	f.deliver()
 	return nil
 }
@@ -119,6 +173,7 @@
 		next[key] = item
 	}
 	for _, e := range events {
+		f.changed = max(f.changed, e.Revision)
 		if e.Removed {
 			delete(next, e.Key)
 			continue
@@ -131,7 +186,7 @@
 
 func (f *Follower) deliver() {
 	recovering := !f.regained.IsZero() && time.Since(f.regained) < recoveryTime
-	f.Deliver(Update{Items: f.items, Revision: f.revision, Recovering: recovering})
+	f.Deliver(Update{Items: f.items, Revision: f.revision, Changed: f.changed, Recovering: recovering})
 }
 
 func (f *Follower) succeeded(now time.Time) {
--- a/core/source/follower_test.go
+++ b/core/source/follower_test.go
@@ -102,3 +102,55 @@
 	)
 	is.True(updates[1].Recovering)
 }
+
+// deaf is a store whose watches bring nothing until they are asked again.
+type deaf struct{ watches chan struct{} }
+
+func (d deaf) List(context.Context, string, Freshness) ([]Item, uint64, error) {
+	return []Item{item("a", 1)}, 1, nil
+}
+
+func (d deaf) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]Event, uint64, error) {
+	select {
+	case d.watches <- struct{}{}:
+	default:
+		return []Event{{Item: item("b", after+1)}}, after + 1, nil
+	}
+	<-ctx.Done()
+	return nil, 0, ErrUnavailable
+}
+
+func TestANudgeAsksADeafWatchAgain(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := deaf{make(chan struct{}, 1)}
+	updates := make(chan Update, 8)
+	f := &Follower{Store: store, Log: zerolog.Nop(), Deliver: func(u Update) {
+		select {
+		case updates <- u:
+		default:
+		}
+	}}
+	go f.Run(ctx)
+	is.Equal((<-updates).Changed, uint64(1))
+	for len(store.watches) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.Nudge(2)
+	is.True((<-updates).Changed >= 2)
+}
+
+func TestWaitsGrowWithTheNumberOfFollowers(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		others int
+		most   time.Duration
+	}{{0, shortestWait}, {7, 8 * waitPerFollower}, {100, longestWait}} {
+		f := &Follower{Others: func() int { return c.others }}
+		for range 100 {
+			w := f.wait()
+			is.True(w >= c.most*3/4 && w <= c.most*5/4)
+		}
+	}
+}
--- a/entry/gateway/drain.go
+++ b/entry/gateway/drain.go
@@ -12,15 +12,14 @@
 	lingerTime = 2500 * time.Millisecond
 	// killMargin is left before the platform kills the process.
 	killMargin = 600 * time.Millisecond
-	// drainPoll is how often a draining gateway looks whether it is idle.
-	drainPoll = 50 * time.Millisecond
 	// closeTimeout bounds the closing of idle connections.
 	closeTimeout = 100 * time.Millisecond
 )
 
-// Stop leaves the fleet: callers are told at once that they should connect
-// elsewhere, requests are served until none is in flight, and then the process
-// ends. The context's end cuts that short.
+// Stop leaves the fleet. Callers are told at once that they should connect
+// elsewhere. Those that come all the same are served for the linger time; then
+// nothing new is taken, as it might not end in time, and the process ends when
+// no request is in flight. The context's end cuts that short.
 func (g *Gateway) Stop(ctx context.Context) error {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, g.settings.Drain.Grace-killMargin)
@@ -28,29 +27,23 @@
 	g.leaving.Store(true)
 	g.node.Announce()
 	g.log.Info().Int64("in_flight", g.inFlight.Load()).Msg("leaving")
-	idle := g.waitIdle(ctx, began)
+	linger(ctx)
+	err := g.front.Shutdown(ctx) // closes the listener and idle connections
+	g.log.Info().AnErr("cut_short", err).Int64("in_flight", g.inFlight.Load()).Dur("after", time.Since(began)).Msg("left")
 	for _, s := range g.servers {
 		g.closeServer(s)
 	}
 	g.cancel()
-	g.log.Info().Bool("idle", idle).Int64("in_flight", g.inFlight.Load()).Dur("after", time.Since(began)).Msg("left")
 	g.lines.Flush()
 	return nil
 }
 
-// waitIdle waits until the linger time is over and no request is in flight.
-func (g *Gateway) waitIdle(ctx context.Context, began time.Time) bool {
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-ticker.C:
-			if time.Since(began) >= lingerTime && g.inFlight.Load() == 0 {
-				return true
-			}
-		}
+func linger(ctx context.Context) {
+	timer := time.NewTimer(lingerTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,7 +54,10 @@
 	inst        *instruments
 	shares      sync.Map // service -> *retry.Share
 
-	revision atomic.Uint64 // of the list of backend servers
+	follower *source.Follower
+	document uint64        // revision of the latest configuration looked at
+	revision atomic.Uint64 // of the store, when it was last heard
+	changed  atomic.Uint64 // of the newest change known
 	listed   atomic.Bool
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -76,6 +80,10 @@
 	}
 	g.node = node
 	g.registry = balance.NewRegistry(node, log)
+	g.follower = &source.Follower{
+		Store: a.Store(s.Store, log), Log: log, Deliver: g.take,
+		Others: func() int { return len(node.Live()) },
+	}
 	g.inst = newInstruments(gauges{
 		catalogVersion:   func() float64 { return float64(g.catalog.Version()) },
 		backendsRevision: func() float64 { return float64(g.revision.Load()) },
@@ -89,7 +97,7 @@
 	return cluster.Self{
 		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Zone: g.settings.Zone,
 		Address: g.settings.Listen.Peers, Front: g.settings.Listen.Front, Ready: g.Ready(),
-		CatalogVersion: g.catalog.Version(), BackendsRevision: g.revision.Load(),
+		CatalogVersion: g.catalog.Version(), BackendsRevision: g.changed.Load(),
 		InFlight: g.registry.InFlight(),
 	}
 }
@@ -121,7 +129,7 @@
 		}
 	}
 	g.run.Go(func() { g.node.Run(ctx) })
-	g.run.Go(func() { g.follow(ctx) })
+	g.run.Go(func() { g.follower.Run(ctx) })
 	g.run.Go(func() { g.expire(ctx) })
 	g.log.Info().Str("adapter", g.adapter.Name()).Uint64("incarnation", uint64(g.incarnation)).
 		Str("front", g.settings.Listen.Front).Str("store", g.settings.Store).Strs("seeds", g.settings.Seeds).Msg("started")
@@ -142,19 +150,11 @@
 	return nil
 }
 
-// follow keeps configuration and backend servers up to date.
-func (g *Gateway) follow(ctx context.Context) {
-	store := g.adapter.Store(g.settings.Store, g.log)
-	var wg conc.WaitGroup
-	wg.Go(func() {
-		f := source.Follower{Store: store, Prefix: g.adapter.CatalogKey(), Log: g.log, Deliver: g.takeCatalog}
-		f.Run(ctx)
-	})
-	wg.Go(func() {
-		f := source.Follower{Store: store, Prefix: g.adapter.BackendsPrefix(), Log: g.log, Deliver: g.takeBackends}
-		f.Run(ctx)
-	})
-	wg.Wait()
+// take takes over what the store holds.
+func (g *Gateway) take(u source.Update) {
+	g.takeCatalog(u)
+	g.takeBackends(u)
+	g.changed.Store(u.Changed)
 }
 
 // takeCatalog puts a published configuration in force.
@@ -164,6 +164,10 @@
 		g.log.Warn().Uint64("revision", u.Revision).Msg("no configuration is published")
 		return
 	}
+	if item.Revision == g.document {
+		return
+	}
+	g.document = item.Revision
 	content, err := g.adapter.DecodeCatalog(item.Value)
 	var next *catalog.Snapshot
 	if err == nil {
@@ -184,6 +188,9 @@
 func (g *Gateway) takeBackends(u source.Update) {
 	list := make([]balance.Info, 0, len(u.Items))
 	for key, item := range u.Items {
+		if !strings.HasPrefix(key, g.adapter.BackendsPrefix()) {
+			continue
+		}
 		info, err := g.adapter.DecodeBackend(key, item.Value)
 		if err != nil {
 			g.log.Error().Err(err).Str("key", key).Uint64("revision", item.Revision).Msg("backend server refused")
@@ -199,16 +206,35 @@
 func (g *Gateway) expire(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
+	behind := uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
 			g.registry.Expire(g.revision.Load(), now)
+			g.catchUp(&behind)
 		}
 	}
 }
 
+// catchUp asks the store again when another gateway has known of a newer change
+// for a whole interval.
+func (g *Gateway) catchUp(behind *uint64) {
+	newest := uint64(0)
+	for _, p := range g.node.Live() {
+		newest = max(newest, p.BackendsRevision)
+	}
+	if newest <= g.changed.Load() {
+		*behind = 0
+		return
+	}
+	if *behind != 0 {
+		g.follower.Nudge(newest)
+	}
+	*behind = newest
+}
+
 // share returns this gateway's part of the service's retries.
 func (g *Gateway) share(service string) *retry.Share {
 	if s, ok := g.shares.Load(service); ok {
