Switch expert maps through agents beside the ranks

The agent of each rank gives it orders from the same VM, finds the other ranks' agents by heartbeats, and the lowest rank coordinates with the existing two-phase switch. Orders without an answer are given again until their effect shows.

--- a/agent/cmd/baywall-agent/main.go
+++ b/agent/cmd/baywall-agent/main.go
@@ -11,14 +11,17 @@
 
 	"github.com/google/subcommands"
 
+	"baywall.example/agent/rankserver"
 	"baywall.example/agent/server"
 	"baywall.example/core/process"
 	"baywall.example/core/settings"
+	"baywall.example/platform"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(rankserver.NewCommand(platform.Adapter{}), "")
 	subcommands.Register(&checkCommand{}, "")
 	subcommands.Register(&process.VersionCommand{}, "")
 	flag.Parse()
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -133,15 +133,21 @@
 
 // ExpertState is what an engine says about the expert maps it holds.
 type ExpertState struct {
-	Fence     uint64    `json:"fence"`
-	Step      uint64    `json:"step"`      // the step it runs or will run next
-	Active    uint64    `json:"active"`    // version of the map in use
-	Loaded    uint64    `json:"loaded"`    // version loaded beside it, 0 = none
-	Hold      uint64    `json:"hold"`      // step it will not begin, 0 = none
-	Activate  uint64    `json:"activate"`  // step at which Loaded becomes active
-	Counts    [][]int64 `json:"counts"`    // tokens by layer and expert since the last read
-	Speed     float64   `json:"speed"`     // measured, 1 = nominal
-	ActiveMap [][]int32 `json:"activemap"` // slots by layer
+	Fence    uint64    `json:"fence"`
+	Step     uint64    `json:"step"`     // the step it runs or will run next
+	Active   uint64    `json:"active"`   // version of the map in use
+	Loaded   uint64    `json:"loaded"`   // version loaded beside it, 0 = none
+	Hold     uint64    `json:"hold"`     // step it will not begin, 0 = none
+	Activate uint64    `json:"activate"` // step at which Loaded becomes active
+	Counts   [][]int64 `json:"counts"`   // tokens by layer and expert since the last read
+	Speed    float64   `json:"speed"`    // measured, 1 = nominal
+	// Epoch numbers the formations of a group, in each of which all ranks begin
+	// with the initial map; 0 where the engine does not count them.
+	Epoch uint64 `json:"epoch"`
+	// Blocked means that the rank will use Loaded from step Activate on, but
+	// still holds that step.
+	Blocked   bool      `json:"blocked"`
+	ActiveMap [][]int32 `json:"activemap"` // slots by layer, of all ranks or of this one
 	LoadedMap [][]int32 `json:"loadedmap"`
 }
 
--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -18,44 +18,83 @@
 
 	"baywall.example/agent/engine"
 	"baywall.example/agent/mapswitch"
-	"baywall.example/core/configuration"
 	"baywall.example/core/expertmap"
 	"baywall.example/core/link"
 	"baywall.example/core/resource"
+	"baywall.example/core/settings"
 	"baywall.example/core/timeline"
 	"baywall.example/core/vm"
 	"baywall.example/core/wire"
 )
 
-const (
-	// orderLifetime is the longest time that an order to an engine may be on
+// Timing holds the times of a group's agents. Zero fields get the defaults.
+type Timing struct {
+	// OrderLifetime is the longest time that an order to an engine may be on
 	// its way; a restarted agent waits it out before it promises anything.
-	orderLifetime = 2500 * time.Millisecond
-	// electionTimeout is how long rank 0 waits for a coordinator; each further
-	// rank waits electionStagger longer.
-	electionTimeout = 1500 * time.Millisecond
-	electionStagger = 300 * time.Millisecond
-	// tickInterval drives a coordinator.
-	tickInterval = 50 * time.Millisecond
-	// pollInterval is the time between two of the coordinator's heartbeats.
-	// Counts, which are large, are collected once a planning period.
-	pollInterval = 500 * time.Millisecond
-	// callTimeout bounds one order to one rank.
-	callTimeout = 2 * time.Second
-	// countsWeight is the weight of the newest counts in the smoothed ones.
-	countsWeight = 0.4
+	// Default 2.5s.
+	OrderLifetime time.Duration
+	// LateOnlyWhileHeld tells that an order that takes effect late can do harm
+	// only while its rank holds a step unarmed; then a restarted agent need not
+	// wait while its rank does not.
+	LateOnlyWhileHeld bool
+	// Election is how long rank 0 waits for a coordinator; each further rank
+	// waits Stagger longer. Default 1.5s and 300ms.
+	Election, Stagger time.Duration
+	// Tick drives a coordinator. Default 50ms.
+	Tick time.Duration
+	// Poll is the time between two of the coordinator's heartbeats. Counts,
+	// which are large, are collected once a planning period. Default 500ms.
+	Poll time.Duration
+	// Switch holds the times of a switch.
+	Switch mapswitch.Timing
+	// CountsWeight is the weight of the newest counts in the smoothed ones.
+	// Default 0.4.
+	CountsWeight float64
+}
+
+// Defaults of Timing.
+const (
+	defaultOrderLifetime = 2500 * time.Millisecond
+	defaultElection      = 1500 * time.Millisecond
+	defaultStagger       = 300 * time.Millisecond
+	defaultTick          = 50 * time.Millisecond
+	defaultPoll          = 500 * time.Millisecond
+	defaultCountsWeight  = 0.4
 )
 
+func (t *Timing) provision() {
+	t.OrderLifetime = settings.Or(t.OrderLifetime, defaultOrderLifetime)
+	t.Election = settings.Or(t.Election, defaultElection)
+	t.Stagger = settings.Or(t.Stagger, defaultStagger)
+	t.Tick = settings.Or(t.Tick, defaultTick)
+	t.Poll = settings.Or(t.Poll, defaultPoll)
+	t.CountsWeight = settings.Or(t.CountsWeight, defaultCountsWeight)
+}
+
+// callTimeout bounds one order to one rank.
+const callTimeout = 2 * time.Second
+
+// World tells which groups there are and where their ranks' agents are.
+type World interface {
+	// Groups returns the groups that this VM may be a rank of, by name. A
+	// group's pointer stays the same while the group does.
+	Groups() map[string]*resource.Group
+	// Intent returns the routing intent of a service.
+	Intent(service string) resource.Intent
+	// Find returns a rank's VM with the address of its links.
+	Find(id vm.ID) vm.VM
+}
+
 // Environment is what groups need of their agent.
 type Environment struct {
 	VM          vm.ID
 	Incarnation vm.Incarnation
-	Engine      *engine.Client
+	Engine      mapswitch.Engine
 	Pool        *link.Pool
-	Config      *configuration.Store
-	VMs         *configuration.VMs
+	World       World
 	Recorder    *timeline.Recorder
 	Log         zerolog.Logger
+	Timing      Timing
 }
 
 // Set holds the groups of one agent.
@@ -71,6 +110,7 @@
 
 // NewSet returns the groups of an agent; Run drives them.
 func NewSet(env Environment) *Set {
+	env.Timing.provision()
 	return &Set{
 		env:     env,
 		member:  mapswitch.NewMember(env.Engine, env.Incarnation),
@@ -81,7 +121,7 @@
 
 // Run takes part in the groups until the context ends.
 func (s *Set) Run(ctx context.Context) {
-	if !sleep(ctx, orderLifetime) {
+	if !s.waitForLateOrders(ctx) {
 		return
 	}
 	s.member.Recovered()
@@ -90,8 +130,27 @@
 		if ok {
 			s.lead(ctx, name, rank)
 		}
-		sleep(ctx, tickInterval)
+		sleep(ctx, s.env.Timing.Tick)
+	}
+}
+
+// waitForLateOrders returns when no order of an earlier process of this agent
+// can do harm any more, or reports false at the context's end.
+func (s *Set) waitForLateOrders(ctx context.Context) bool {
+	t := s.env.Timing
+	if !t.LateOnlyWhileHeld {
+		return sleep(ctx, t.OrderLifetime)
+	}
+	for began := time.Now(); time.Since(began) < t.OrderLifetime; {
+		state, err := s.env.Engine.Experts(ctx, false)
+		if err == nil && (state.Hold == 0 || state.Activate != 0) {
+			return true
+		}
+		if !sleep(ctx, t.Tick) {
+			return false
+		}
 	}
+	return ctx.Err() == nil
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
@@ -108,12 +167,12 @@
 // ledGroup returns a group of this VM whose coordinator has been silent for
 // longer than this rank waits.
 func (s *Set) ledGroup(now time.Time) (name string, rank int, ok bool) {
-	for name, g := range s.env.Config.View().Groups {
+	for name, g := range s.env.World.Groups() {
 		rank := s.rankIn(g)
 		if rank < 0 {
 			continue
 		}
-		wait := electionTimeout + time.Duration(rank)*electionStagger
+		wait := s.env.Timing.Election + time.Duration(rank)*s.env.Timing.Stagger
 		s.mu.Lock()
 		last, known := s.heard[name]
 		if !known {
@@ -188,6 +247,7 @@
 		Incarnation: vm.Incarnation(w.GetIncarnation()),
 		Version:     w.GetMap().GetVersion(),
 		Step:        w.GetStep(),
+		Epoch:       w.GetEpoch(),
 		Map:         expertmap.FromWire(w.GetMap()),
 	}
 }
@@ -197,7 +257,7 @@
 	m.Version = o.Version
 	return &wire.SwitchOrder{
 		Group: group, Fence: o.Fence, Phase: wire.SwitchPhase(o.Phase), Map: m.Wire(),
-		Step: o.Step, Coordinator: string(from), Incarnation: uint64(o.Incarnation),
+		Step: o.Step, Epoch: o.Epoch, Coordinator: string(from), Incarnation: uint64(o.Incarnation),
 	}
 }
 
@@ -205,7 +265,7 @@
 	return &wire.SwitchReply{
 		Ok: r.OK, Superseded: r.Superseded, Reason: r.Reason, Fence: r.Fence, Incarnation: uint64(r.Incarnation),
 		Step: r.State.Step, Active: r.State.Active, Armed: r.State.Loaded, ArmedStep: r.State.Hold,
-		Committed: r.State.Activate, Speed: r.State.Speed,
+		Committed: r.State.Activate, Speed: r.State.Speed, Epoch: r.State.Epoch, Blocked: r.State.Blocked,
 	}
 }
 
@@ -215,7 +275,7 @@
 		Incarnation: vm.Incarnation(w.GetIncarnation()),
 		State: engine.ExpertState{
 			Step: w.GetStep(), Active: w.GetActive(), Loaded: w.GetArmed(), Hold: w.GetArmedStep(),
-			Activate: w.GetCommitted(), Speed: w.GetSpeed(),
+			Activate: w.GetCommitted(), Speed: w.GetSpeed(), Epoch: w.GetEpoch(), Blocked: w.GetBlocked(),
 		},
 	}
 }
--- a/agent/group/lead.go
+++ b/agent/group/lead.go
@@ -11,7 +11,6 @@
 	"baywall.example/core/expertmap"
 	"baywall.example/core/resource"
 	"baywall.example/core/timeline"
-	"baywall.example/core/vm"
 	"baywall.example/core/wire"
 )
 
@@ -40,7 +39,7 @@
 // lead coordinates the group until another coordinator supersedes this one,
 // the group's resource changes, or the context ends.
 func (s *Set) lead(ctx context.Context, name string, rank int) {
-	spec := s.env.Config.View().Groups[name]
+	spec := s.env.World.Groups()[name]
 	if spec == nil {
 		return
 	}
@@ -49,7 +48,7 @@
 	fence := mapswitch.NextFence(max(s.highest[name], s.member.Promised()), rank, time.Now())
 	l := &leadership{
 		set: s, name: name, rank: rank, spec: *spec,
-		coord:   mapswitch.NewCoordinator(len(spec.Ranks), fence, mapswitch.Timing{}, time.Now()),
+		coord:   mapswitch.NewCoordinator(len(spec.Ranks), fence, s.env.Timing.Switch, time.Now()),
 		answers: make(chan answer, 4*len(spec.Ranks)),
 		counts:  expertmap.NewCounts(shapeOf(spec)),
 		planned: time.Now(),
@@ -57,10 +56,10 @@
 	defer l.calls.Wait()
 	defer cancel()
 	l.record(timeline.KindLead, "coordinate", fmt.Sprintf("no coordinator heard; fence %d", fence))
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(s.env.Timing.Tick)
 	defer ticker.Stop()
 	stage := l.coord.Stage()
-	for l.coord.Stage() != mapswitch.StageSuperseded && s.env.Config.View().Groups[name] == spec {
+	for l.coord.Stage() != mapswitch.StageSuperseded && s.env.World.Groups()[name] == spec {
 		select {
 		case <-ctx.Done():
 			return
@@ -110,11 +109,7 @@
 	if rank == l.rank {
 		return l.set.Handle(ctx, order), nil
 	}
-	target, _ := l.set.env.VMs.List().Find(l.spec.Ranks[rank])
-	if target.ID == "" {
-		target = vm.VM{ID: l.spec.Ranks[rank]}
-	}
-	conn, err := l.set.env.Pool.Get(ctx, target)
+	conn, err := l.set.env.Pool.Get(ctx, l.set.env.World.Find(l.spec.Ranks[rank]))
 	if err != nil {
 		return nil, err
 	}
@@ -128,11 +123,11 @@
 // whenIdle keeps the ranks from electing another coordinator and, once the
 // period is over, collects counts and plans a new map.
 func (l *leadership) whenIdle(ctx context.Context, now time.Time) {
-	if l.coord.Stage() != mapswitch.StageIdle || now.Sub(l.polled) < pollInterval {
+	if l.coord.Stage() != mapswitch.StageIdle || now.Sub(l.polled) < l.set.env.Timing.Poll {
 		return
 	}
 	l.polled = now
-	intent := l.intent()
+	intent := l.set.env.World.Intent(l.spec.Service)
 	due := now.Sub(l.planned) >= intent.PeriodMS.Duration()
 	poll, ok := l.collect(ctx, due)
 	if !ok || !due {
@@ -149,16 +144,7 @@
 	if l.rounds == 0 {
 		return 1
 	}
-	return countsWeight
-}
-
-func (l *leadership) intent() resource.Intent {
-	if i := l.set.env.Config.View().Intents[l.spec.Service]; i != nil {
-		return *i
-	}
-	var i resource.Intent
-	i.Provision()
-	return i
+	return l.set.env.Timing.CountsWeight
 }
 
 // collection is what all ranks said in one poll.
@@ -191,10 +177,50 @@
 		out.speeds[rank] = r.GetSpeed()
 		addCounts(out.counts, r.GetCounts())
 	}
-	out.active = expertmap.FromWire(replies[0].GetMap())
+	if counts {
+		out.active = composeMap(shape, replies)
+	}
 	return out, true
 }
 
+// composeMap puts the map in use together from the replies of all ranks, each
+// of which holds the slots of all ranks or of its own.
+func composeMap(shape expertmap.Shape, replies []*wire.SwitchReply) expertmap.Map {
+	out := expertmap.Map{Version: replies[0].GetActive()}
+	for layer := range shape.Layers {
+		var slots []int32
+		for _, r := range replies {
+			part := partOf(r.GetMap(), layer)
+			if len(part) == shape.Ranks*shape.Slots {
+				slots = part
+				break
+			}
+			slots = append(slots, padded(part, shape.Slots)...)
+		}
+		out.Layers = append(out.Layers, slots)
+	}
+	return out
+}
+
+func partOf(m *wire.ExpertMap, layer int) []int32 {
+	if layer >= len(m.GetLayers()) {
+		return nil
+	}
+	return m.GetLayers()[layer].GetSlots()
+}
+
+// padded returns a rank's experts in its slots, with the rest empty.
+func padded(experts []int32, slots int) []int32 {
+	out := make([]int32, slots)
+	for i := range out {
+		out[i] = expertmap.Empty
+		if i < len(experts) {
+			out[i] = experts[i]
+		}
+	}
+	return out
+}
+
 func addCounts(sum expertmap.Counts, layers []*wire.LayerCounts) {
 	for l, layer := range layers {
 		for e, n := range layer.GetTokens() {
@@ -209,6 +235,7 @@
 func (l *leadership) plan(poll collection, intent resource.Intent, now time.Time) {
 	res, err := expertmap.Plan(expertmap.Input{
 		Shape: shapeOf(&l.spec), Counts: l.counts, Speeds: poll.speeds, Current: poll.active, Price: intent.MoveCost,
+		MaxNew: l.spec.MaxNewExperts, MaxNewTotal: l.spec.MaxNewTotal,
 	})
 	if err != nil {
 		l.record(timeline.KindPlan, "none", err.Error())
--- a/agent/mapswitch/coordinator.go
+++ b/agent/mapswitch/coordinator.go
@@ -22,6 +22,17 @@
 	return counter<<fenceRankBits | uint64(rank)
 }
 
+// versionRankBits is the width of the rank in a version.
+const versionRankBits = 10
+
+// firstVersion returns the lowest version that the fence's coordinator gives to
+// a map. An order of an earlier coordinator may still be on its way; so versions
+// are unique, and larger than those of any earlier coordinator.
+func firstVersion(fence uint64) uint64 {
+	rank := fence & (1<<fenceRankBits - 1)
+	return fence>>fenceRankBits<<versionRankBits | rank&(1<<versionRankBits-1)
+}
+
 // Stage is where a Coordinator stands.
 type Stage int
 
@@ -88,6 +99,7 @@
 	ranks   []rankState
 	target  expertmap.Map
 	step    uint64
+	epoch   uint64 // of the group, as all ranks said when they were read
 	version uint64 // largest version seen on any rank
 }
 
@@ -147,13 +159,20 @@
 	}
 }
 
+// postpone lets the resend time pass before the stage's first orders.
+func (c *Coordinator) postpone(now time.Time) {
+	for i := range c.ranks {
+		c.ranks[i].sent = now
+	}
+}
+
 // Propose starts a switch to the map, whose version it sets. It reports false
 // unless the coordinator is idle.
 func (c *Coordinator) Propose(m expertmap.Map, now time.Time) bool {
 	if c.stage != StageIdle {
 		return false
 	}
-	c.version++
+	c.version = max(c.version+1, firstVersion(c.fence))
 	m.Version = c.version
 	c.target = m
 	c.enter(StagePreparing, now)
@@ -188,10 +207,10 @@
 }
 
 func (c *Coordinator) order(rank int) Order {
-	o := Order{Fence: c.fence, Incarnation: c.ranks[rank].incarnation, Version: c.target.Version, Step: c.step}
+	o := Order{Fence: c.fence, Incarnation: c.ranks[rank].incarnation, Version: c.target.Version, Step: c.step, Epoch: c.epoch}
 	switch c.stage {
 	case StageReading:
-		o.Phase, o.Incarnation = PhaseRead, 0
+		o.Phase, o.Incarnation, o.Epoch = PhaseRead, 0, 0
 	case StagePreparing:
 		o.Phase, o.Map = PhasePrepare, c.target
 	case StageArming:
@@ -277,6 +296,14 @@
 
 // recover finishes what an earlier coordinator may have begun.
 func (c *Coordinator) recover(now time.Time) {
+	c.epoch = c.ranks[0].state.Epoch
+	for _, r := range c.ranks {
+		if r.state.Epoch != c.epoch {
+			c.enter(StageReading, now) // the group is being formed anew
+			c.postpone(now)
+			return
+		}
+	}
 	armed := false
 	for _, r := range c.ranks {
 		c.version = max(c.version, r.state.Active, r.state.Loaded)
--- a/agent/mapswitch/member.go
+++ b/agent/mapswitch/member.go
@@ -33,6 +33,7 @@
 	Incarnation vm.Incarnation // of the member, 0 only with PhaseRead
 	Version     uint64
 	Step        uint64
+	Epoch       uint64        // of the group that was read, 0 with PhaseRead
 	Map         expertmap.Map // only with PhasePrepare
 }
 
@@ -48,6 +49,8 @@
 
 // Engine is what a Member needs of its engine.
 type Engine interface {
+	// Experts returns the rank's state after every order given so far has taken
+	// effect or become void, as far as this process knows of it.
 	Experts(ctx context.Context, counts bool) (engine.ExpertState, error)
 	Order(ctx context.Context, o engine.Order) (engine.ExpertState, error)
 }
@@ -98,6 +101,9 @@
 	if reply, ok := m.checkFence(o); !ok {
 		return reply
 	}
+	if o.Phase != PhaseRead && o.Epoch != state.Epoch {
+		return m.supersede("the group was formed anew since it was read")
+	}
 	m.promised = max(m.promised, o.Fence)
 	return m.carryOut(ctx, o, state)
 }
@@ -130,10 +136,11 @@
 		}
 		return m.order(ctx, engine.Order{Kind: engine.OrderHold, Fence: o.Fence, Version: o.Version, Step: o.Step})
 	case PhaseCommit:
-		if s.Active == o.Version || s.Activate == o.Step && s.Loaded == o.Version {
+		armed := s.Activate == o.Step && s.Loaded == o.Version
+		if s.Active == o.Version || armed && !s.Blocked {
 			return m.accept(s)
 		}
-		if s.Hold != o.Step || s.Loaded != o.Version {
+		if !armed && (s.Hold != o.Step || s.Loaded != o.Version) {
 			return m.refuseIn(s, "not armed for this step")
 		}
 		return m.order(ctx, engine.Order{Kind: engine.OrderActivate, Fence: o.Fence, Version: o.Version, Step: o.Step})
--- /dev/null
+++ b/agent/rankserver/server.go
@@ -0,0 +1,345 @@
+package rankserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"baywall.example/agent/group"
+	"baywall.example/agent/mapswitch"
+	"baywall.example/agent/rank"
+	"baywall.example/core/cluster"
+	"baywall.example/core/link"
+	"baywall.example/core/process"
+	"baywall.example/core/source"
+	"baywall.example/core/timeline"
+	"baywall.example/core/vm"
+	"baywall.example/core/wire"
+	"baywall.example/core/zone"
+)
+
+// ErrStart means that the agent could not begin to serve.
+var ErrStart = eris.New("rankserver: cannot start")
+
+const (
+	// labelInterval is how often the own rank is asked for its group.
+	labelInterval = 200 * time.Millisecond
+	// listInterval is how often the addresses of the service's backend servers
+	// are read. Stale lists do, as the group is checked rank by rank.
+	listInterval = 3 * time.Second
+	// startInterval is how often they, and the configuration, are read until
+	// something is found.
+	startInterval = 400 * time.Millisecond
+	// callTimeout bounds a call to the own engine or the store.
+	callTimeout = 2 * time.Second
+	// debugTimeout bounds reading the header of a request for metrics.
+	debugTimeout = 5 * time.Second
+	// lateOrders is the longest time that an order to a rank may be on its way.
+	lateOrders = 13 * time.Second
+)
+
+// groupTiming is quick, as demand shifts every few seconds and a pass of the
+// group takes some tens of milliseconds.
+var groupTiming = group.Timing{
+	OrderLifetime: lateOrders, LateOnlyWhileHeld: true,
+	Election: 400 * time.Millisecond, Stagger: 150 * time.Millisecond,
+	Tick: 20 * time.Millisecond, Poll: 100 * time.Millisecond, CountsWeight: 0.5,
+	Switch: mapswitch.Timing{
+		Prepare: 6 * time.Second, Arm: time.Second, Resend: 150 * time.Millisecond, Lead: 3,
+	},
+}
+
+// Adapter connects a rank's agent to the platform.
+type Adapter interface {
+	// Name names the adapter in logs.
+	Name() string
+	// Store returns the client of the store at an IP:port.
+	Store(address string, log zerolog.Logger) source.Store
+	// CatalogKey is the key of the configuration, BackendsPrefix that of the
+	// list of backend servers.
+	CatalogKey() string
+	BackendsPrefix() string
+	// DecodeEngine returns what a configuration says about a service's engines.
+	DecodeEngine(raw []byte, service string) (Engine, error)
+	// DecodeAddress returns service and address of an entry of the list.
+	DecodeAddress(key string, raw []byte) (service, address string, err error)
+	// Rank returns the rank at an IP:port.
+	Rank(address string) rank.API
+}
+
+// Server is the process of a rank's agent. It implements process.Service.
+type Server struct {
+	settings    Settings
+	adapter     Adapter
+	log         zerolog.Logger
+	lines       *process.LogWriter
+	incarnation vm.Incarnation
+	api         rank.API
+	store       source.Store
+	node        *cluster.Node
+	world       *world
+	recorder    *timeline.Recorder
+	local       *link.Local
+	pool        *link.Pool
+	groups      *group.Set
+	traffic     atomic.Int64
+	set         *metrics.Set
+
+	listener net.Listener
+	debug    *http.Server
+	run      conc.WaitGroup
+	cancel   context.CancelFunc
+}
+
+// New returns an agent that is not yet started.
+func New(s Settings, a Adapter, log zerolog.Logger, lines *process.LogWriter, now time.Time) (*Server, error) {
+	id := vm.ID(s.VM)
+	r := &Server{
+		settings: s, adapter: a, log: log, lines: lines, incarnation: vm.NewIncarnation(now),
+		api: a.Rank(s.Engine), store: a.Store(s.Store, log),
+		recorder: timeline.NewRecorder(id, timeline.DefaultCapacity, log), set: metrics.NewSet(),
+	}
+	node, err := cluster.NewNode(s.Listen.Peers, nil, r.self, log)
+	if err != nil {
+		return nil, eris.Wrapf(ErrStart, "%v", err)
+	}
+	r.node = node
+	r.world = &world{settings: s, live: node.Live, self: vm.VM{ID: id, Link: s.Listen.Peers}}
+	host, _, _ := net.SplitHostPort(s.Listen.Peers) // validated
+	r.local = &link.Local{
+		VM: id, Incarnation: r.incarnation, Role: vm.RoleBackend, Zone: zone.ID(s.Zone), BindIP: host,
+		Clock: r.recorder.Clock(), Log: log, Traffic: &r.traffic, Revisions: func() (config, vms uint64) { return 0, 0 },
+	}
+	r.pool = link.NewPool(r.local, r, nil, nil)
+	r.groups = group.NewSet(group.Environment{
+		VM: id, Incarnation: r.incarnation, Engine: rank.NewEngine(r.api, r.world.shape, log),
+		Pool: r.pool, World: r.world, Recorder: r.recorder, Log: log, Timing: groupTiming,
+	})
+	r.set.NewGauge("baywall_peers", func() float64 { return float64(len(node.Live())) })
+	r.set.NewGauge("baywall_link_bytes", func() float64 { return float64(r.traffic.Load()) })
+	r.set.NewGauge("baywall_log_lines_dropped", func() float64 { return float64(lines.Dropped()) })
+	return r, nil
+}
+
+func (r *Server) self() cluster.Self {
+	return cluster.Self{
+		VM: vm.ID(r.settings.VM), Incarnation: r.incarnation, Zone: r.settings.Zone,
+		Address: r.settings.Listen.Peers, Ready: true, Rank: r.world.getLabel(),
+	}
+}
+
+// Start listens and begins to take part in the group.
+func (r *Server) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	ln, err := net.Listen("tcp4", r.settings.Listen.Peers)
+	if err != nil {
+		cancel()
+		return eris.Wrapf(ErrStart, "%s: %v", r.settings.Listen.Peers, err)
+	}
+	r.listener = ln
+	if err := r.serveMetrics(); err != nil {
+		cancel()
+		return err
+	}
+	r.run.Go(func() {
+		if err := link.Accept(ln, r.local, r.authorize, r); err != nil && ctx.Err() == nil {
+			r.log.Error().Err(err).Msg("link listener failed")
+		}
+	})
+	r.run.Go(func() { r.node.Run(ctx) })
+	r.run.Go(func() { r.repeat(ctx, labelInterval, r.readLabel) })
+	r.run.Go(func() { r.followList(ctx) })
+	r.run.Go(func() { r.readEngine(ctx) })
+	r.run.Go(func() { r.groups.Run(ctx) })
+	r.log.Info().Str("adapter", r.adapter.Name()).Uint64("incarnation", uint64(r.incarnation)).
+		Str("engine", r.settings.Engine).Str("store", r.settings.Store).Msg("started")
+	return nil
+}
+
+func (r *Server) serveMetrics() error {
+	if r.settings.Listen.Metrics == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp4", r.settings.Listen.Metrics)
+	if err != nil {
+		return eris.Wrapf(ErrStart, "%s: %v", r.settings.Listen.Metrics, err)
+	}
+	r.debug = &http.Server{ReadHeaderTimeout: debugTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		r.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})}
+	r.run.Go(func() { _ = r.debug.Serve(ln) }) // ends with the process
+	return nil
+}
+
+// Stop ends the agent at once: it carries no requests, and a switch that it
+// takes part in is finished by what the ranks themselves remember.
+func (r *Server) Stop(context.Context) error {
+	r.cancel()
+	r.pool.Close()
+	_ = r.listener.Close() // nothing more is taken
+	if r.debug != nil {
+		_ = r.debug.Close() // nothing more is taken
+	}
+	r.run.Wait()
+	r.log.Info().Msg("left")
+	r.lines.Flush()
+	return nil
+}
+
+// authorize accepts links from agents that are heard, from their own address.
+func (r *Server) authorize(h *wire.Hello, remote net.Addr) error {
+	host, _, err := net.SplitHostPort(remote.String())
+	if err != nil {
+		return eris.Wrapf(link.ErrUnauthorized, "%v", err)
+	}
+	known := slices.ContainsFunc(r.node.Live(), func(p cluster.Peer) bool {
+		at, _, _ := net.SplitHostPort(p.Address)
+		return string(p.VM) == h.GetVm() && at == host
+	})
+	if !known {
+		return eris.Wrapf(link.ErrUnauthorized, "%s at %s is not heard", h.GetVm(), host)
+	}
+	return nil
+}
+
+// ServeStream handles one call of another agent.
+func (r *Server) ServeStream(ctx context.Context, from *link.Link, s *link.Stream, call *wire.Call) {
+	order, ok := call.GetBody().(*wire.Call_SwitchOrder)
+	if !ok {
+		r.log.Warn().Str("peer", string(from.Remote)).Msg("unexpected call")
+		return
+	}
+	reply := r.groups.Handle(ctx, order.SwitchOrder)
+	if err := s.SendReply(&wire.Reply{Body: &wire.Reply_SwitchReply{SwitchReply: reply}}); err != nil {
+		r.log.Info().Err(err).Str("peer", string(from.Remote)).Msg("reply to an order not sent")
+	}
+}
+
+func (r *Server) repeat(ctx context.Context, interval time.Duration, do func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// readLabel asks the own rank for its group.
+func (r *Server) readLabel(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	before := r.world.getLabel()
+	report, err := r.api.Report(ctx)
+	if err != nil || report.Group == "" || !report.Open {
+		if before != nil {
+			r.log.Warn().Err(err).Str("group", before.Group).Uint64("epoch", before.Epoch).Bool("open", report.Open).Msg("rank lost")
+		}
+		r.world.setLabel(nil)
+		return
+	}
+	label := &cluster.RankLabel{Group: report.Group, Epoch: report.Epoch, Rank: report.Rank, Size: report.Size}
+	if before == nil || *before != *label {
+		r.log.Info().Str("group", label.Group).Uint64("epoch", label.Epoch).Int("rank", label.Rank).Int("size", label.Size).Msg("rank regained")
+	}
+	r.world.setLabel(label)
+}
+
+// followList keeps the addresses at which other agents may be heard.
+func (r *Server) followList(ctx context.Context) {
+	known := 0
+	for ctx.Err() == nil {
+		seeds, err := r.readList(ctx)
+		if err != nil {
+			r.log.Warn().Err(err).Int("known", known).Msg("list of backend servers not read")
+		} else if len(seeds) > 0 {
+			known = len(seeds)
+			r.node.SetSeeds(seeds)
+		}
+		wait := listInterval
+		if known == 0 {
+			wait = startInterval
+		}
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (r *Server) readList(ctx context.Context) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	items, _, err := r.store.List(ctx, r.adapter.BackendsPrefix(), source.Stale)
+	if err != nil {
+		return nil, err
+	}
+	_, port, _ := net.SplitHostPort(r.settings.Listen.Peers) // validated
+	var out []string
+	for _, item := range items {
+		service, address, err := r.adapter.DecodeAddress(item.Key, item.Value)
+		if err != nil {
+			r.log.Error().Err(err).Str("key", item.Key).Msg("backend server refused")
+			continue
+		}
+		host, _, err := net.SplitHostPort(address)
+		if err == nil && service == r.settings.Service {
+			out = append(out, net.JoinHostPort(host, port))
+		}
+	}
+	return out, nil
+}
+
+// readEngine reads the shape of the service's engines until it is known.
+func (r *Server) readEngine(ctx context.Context) {
+	for ctx.Err() == nil {
+		e, err := r.fetchEngine(ctx)
+		if err == nil {
+			r.world.setEngine(e)
+			r.log.Info().Int("layers", e.Layers).Int("experts", e.Experts).Int("slots", e.SlotsPerRank).Msg("engine known")
+			return
+		}
+		r.log.Warn().Err(err).Msg("configuration of the engine not read")
+		if !sleep(ctx, startInterval) {
+			return
+		}
+	}
+}
+
+func (r *Server) fetchEngine(ctx context.Context) (Engine, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	items, _, err := r.store.List(ctx, r.adapter.CatalogKey(), source.Stale)
+	if err != nil {
+		return Engine{}, err
+	}
+	for _, item := range items {
+		if item.Key == r.adapter.CatalogKey() {
+			return r.adapter.DecodeEngine(item.Value, r.settings.Service)
+		}
+	}
+	return Engine{}, eris.Wrapf(source.ErrUnavailable, "no configuration is published")
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/agent/rankserver/settings.go
@@ -0,0 +1,84 @@
+package rankserver
+
+import (
+	"time"
+
+	"baywall.example/core/settings"
+)
+
+// Settings are the static settings of a rank's agent.
+type Settings struct {
+	// VM is the id of this VM. Required.
+	VM string `yaml:"vm"`
+	// Zone is the availability zone of this VM. Required.
+	Zone string `yaml:"zone"`
+	// Service is the service of the backend server beside the agent. Required.
+	Service string `yaml:"service"`
+	// Engine is the IP:port of the backend server. Required.
+	Engine string `yaml:"engine"`
+	// Listen are the addresses that the process listens on.
+	Listen ListenSettings `yaml:"listen"`
+	// Store is where configuration and backend servers are read, IP:port.
+	// Required.
+	Store string `yaml:"store"`
+	// Planner tells how maps are planned.
+	Planner PlannerSettings `yaml:"planner"`
+	// LogLevel is one of debug, info, warn, error. Default info.
+	LogLevel string `yaml:"log_level"`
+}
+
+// ListenSettings are addresses, IP:port each.
+type ListenSettings struct {
+	// Peers takes heartbeats (UDP) and links (TCP) of other agents, which have
+	// the same port. Required.
+	Peers string `yaml:"peers"`
+	// Metrics serves counters as text. Default none.
+	Metrics string `yaml:"metrics"`
+}
+
+// PlannerSettings tell how maps are planned.
+type PlannerSettings struct {
+	// Period is the time between two plans. From 50ms to 1h, default 200ms:
+	// demand shifts every few seconds.
+	Period time.Duration `yaml:"period"`
+	// MoveCost is the skew of a layer that one expert move must be worth. From
+	// 0 to 10, default 0.02.
+	MoveCost float64 `yaml:"move_cost"`
+	// CopyTime bounds the time for which a rank copies experts for one switch.
+	// From 10ms to 1m, default 600ms.
+	CopyTime time.Duration `yaml:"copy_time"`
+}
+
+const (
+	defaultPeriod   = 200 * time.Millisecond
+	defaultMoveCost = 0.02
+	defaultCopyTime = 600 * time.Millisecond
+)
+
+// Provision fills in the defaults.
+func (s *Settings) Provision() {
+	s.Planner.Period = settings.Or(s.Planner.Period, defaultPeriod)
+	s.Planner.MoveCost = settings.Or(s.Planner.MoveCost, defaultMoveCost)
+	s.Planner.CopyTime = settings.Or(s.Planner.CopyTime, defaultCopyTime)
+	s.LogLevel = settings.Or(s.LogLevel, "info")
+}
+
+// Validate fills in the defaults and returns every wrong value.
+func (s *Settings) Validate() []settings.Problem {
+	s.Provision()
+	var c settings.Checks
+	c.Require("vm", s.VM)
+	c.Require("zone", s.Zone)
+	c.Require("service", s.Service)
+	c.Address("engine", s.Engine)
+	c.Address("listen.peers", s.Listen.Peers)
+	if s.Listen.Metrics != "" {
+		c.Address("listen.metrics", s.Listen.Metrics)
+	}
+	c.Address("store", s.Store)
+	c.Duration("planner.period", s.Planner.Period, 50*time.Millisecond, time.Hour)
+	c.Float("planner.move_cost", s.Planner.MoveCost, 0, 10)
+	c.Duration("planner.copy_time", s.Planner.CopyTime, 10*time.Millisecond, time.Minute)
+	c.OneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
+	return c.Problems
+}
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -25,6 +25,7 @@
 	"baywall.example/core/configuration"
 	"baywall.example/core/contract"
 	"baywall.example/core/link"
+	"baywall.example/core/resource"
 	"baywall.example/core/timeline"
 	"baywall.example/core/vm"
 	"baywall.example/core/wire"
@@ -128,13 +129,39 @@
 	a.pool = link.NewPool(a.local, a, nil, nil)
 	a.groups = group.NewSet(group.Environment{
 		VM: id, Incarnation: a.incarnation, Engine: a.engine, Pool: a.pool,
-		Config: a.config, VMs: a.vms, Recorder: a.recorder, Log: log,
+		World: published{a.config, a.vms}, Recorder: a.recorder, Log: log,
 	})
 	a.metrics = newMetrics(a)
 	a.load.Store(&engine.Load{})
 	return a
 }
 
+// published is the world of groups as operators publish it.
+type published struct {
+	config *configuration.Store
+	vms    *configuration.VMs
+}
+
+// Groups returns all published groups.
+func (p published) Groups() map[string]*resource.Group { return p.config.View().Groups }
+
+// Intent returns the service's published intent, or the default one.
+func (p published) Intent(service string) resource.Intent {
+	if i := p.config.View().Intents[service]; i != nil {
+		return *i
+	}
+	var i resource.Intent
+	i.Provision()
+	return i
+}
+
+// Find returns a VM of the list; one that is not listed has no address.
+func (p published) Find(id vm.ID) vm.VM {
+	v, _ := p.vms.List().Find(id)
+	v.ID = id
+	return v
+}
+
 func (a *Server) revisions() (config, vms uint64) {
 	return a.config.Revision(), a.vms.List().Revision
 }
--- a/entry/cluster/doc.go
+++ b/core/cluster/doc.go
@@ -1,7 +1,7 @@
-// Package cluster is how the gateways of a fleet know of each other where no
-// list of VMs is published.
+// Package cluster is how the gateways of a fleet, and the agents of a service's
+// ranks, know of each other where no list of VMs is published.
 //
-// Each gateway sends a heartbeat datagram to every other one it knows, and to
+// What follows says gateway for both. Each gateway sends a heartbeat datagram to every other one it knows, and to
 // the seeds of its settings until they answer. A heartbeat says what the sender
 // is, how many requests it has in flight to each backend server, and the
 // addresses of a few others, so that one answering seed is enough to meet the
--- a/entry/cluster/table.go
+++ b/core/cluster/table.go
@@ -26,7 +26,7 @@
 	contactsPerHeartbeat = 4
 )
 
-// Self is what this gateway says about itself.
+// Self is what this member says about itself.
 type Self struct {
 	VM               vm.ID
 	Incarnation      vm.Incarnation
@@ -37,9 +37,32 @@
 	CatalogVersion   uint64
 	BackendsRevision uint64
 	InFlight         map[uint32]int // by backend server key
+	Rank             *RankLabel     // nil unless it is the agent of a rank
 }
 
-// Peer is what another gateway last said about itself.
+// RankLabel is the place of a rank in its expert-parallel group.
+type RankLabel struct {
+	Group string
+	Epoch uint64
+	Rank  int
+	Size  int // ranks of the group
+}
+
+func (r *RankLabel) wire() *wire.RankLabel {
+	if r == nil {
+		return nil
+	}
+	return &wire.RankLabel{Group: r.Group, Epoch: r.Epoch, Rank: uint32(r.Rank), Size: uint32(r.Size)}
+}
+
+func rankFromWire(w *wire.RankLabel) *RankLabel {
+	if w == nil {
+		return nil
+	}
+	return &RankLabel{Group: w.GetGroup(), Epoch: w.GetEpoch(), Rank: int(w.GetRank()), Size: int(w.GetSize())}
+}
+
+// Peer is what another member last said about itself.
 type Peer struct {
 	VM               vm.ID
 	Incarnation      vm.Incarnation
@@ -49,6 +72,7 @@
 	Ready            bool
 	CatalogVersion   uint64
 	BackendsRevision uint64
+	Rank             *RankLabel
 	Heard            time.Time
 
 	sequence uint64
@@ -155,7 +179,7 @@
 		Vm: string(self.VM), Incarnation: uint64(self.Incarnation), Sequence: t.sequence, Zone: self.Zone,
 		Address: self.Address, Front: self.Front, Ready: self.Ready,
 		CatalogVersion: self.CatalogVersion, BackendsRevision: self.BackendsRevision,
-		Contacts: t.contacts(rnd),
+		Contacts: t.contacts(rnd), Rank: self.Rank.wire(),
 	}
 	for server, n := range self.InFlight {
 		if n > 0 {
@@ -202,7 +226,7 @@
 		VM: vm.ID(hb.GetVm()), Incarnation: vm.Incarnation(hb.GetIncarnation()), Zone: hb.GetZone(),
 		Address: hb.GetAddress(), Front: hb.GetFront(), Ready: hb.GetReady(),
 		CatalogVersion: hb.GetCatalogVersion(), BackendsRevision: hb.GetBackendsRevision(),
-		Heard: now, sequence: hb.GetSequence(), inFlight: make(map[uint32]int, len(hb.GetInFlight())),
+		Rank: rankFromWire(hb.GetRank()), Heard: now, sequence: hb.GetSequence(), inFlight: make(map[uint32]int, len(hb.GetInFlight())),
 	}
 	if old != nil {
 		next.sent = old.sent
--- a/core/expertmap/plan.go
+++ b/core/expertmap/plan.go
@@ -16,6 +16,11 @@
 	Current Map       // the map in use, remapped to the ranks of the shape
 	// Price is the skew of a layer that one expert move must be worth.
 	Price float64
+	// MaxNew is how many experts of a layer a rank may load, 0 = any number.
+	MaxNew int
+	// MaxNewTotal is how many experts of all layers a rank may load, 0 = any
+	// number. Layers whose moves bring most come first.
+	MaxNewTotal int
 }
 
 // Result is a plan and what it is expected to bring.
@@ -65,6 +70,7 @@
 	for l := range in.Shape.Layers {
 		res.Map.Layers[l] = planLayer(in, l)
 	}
+	in.bound(res.Map)
 	res.SkewAfter = Skew(res.Map, in.Counts, in.Shape.Slots, in.Speeds)
 	res.Moves = Moves(in.Current, res.Map, in.Shape.Slots)
 	if res.Moves > 0 {
@@ -93,6 +99,9 @@
 		}
 		moves := layerMoves(start, s.slots, in.Shape.Slots)
 		cost := s.slowest()/s.mean + in.Price*float64(moves)
+		if in.MaxNew > 0 && mostNew(start, s.slots, in.Shape.Slots) > in.MaxNew {
+			continue
+		}
 		if cost < bestCost-costEpsilon {
 			bestCost, idle = cost, 0
 			copy(best, s.slots)
--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -143,6 +143,12 @@
 	SlotsPerRank int `json:"slots_per_rank" yaml:"slots_per_rank"`
 	// ExpertBytes is the size of one expert's weights, in bytes. Default 0.
 	ExpertBytes int64 `json:"expert_bytes" yaml:"expert_bytes"`
+	// MaxNewExperts is how many experts of a layer a rank can load for one
+	// switch. Default 0: any number.
+	MaxNewExperts int `json:"max_new_experts,omitempty" yaml:"max_new_experts"`
+	// MaxNewTotal is how many experts of all layers together a rank should load
+	// for one switch, which bounds its time. Default 0: any number.
+	MaxNewTotal int `json:"max_new_total,omitempty" yaml:"max_new_total"`
 }
 
 const (
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -14,12 +14,12 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"baywall.example/core/cluster"
 	"baywall.example/core/process"
 	"baywall.example/core/source"
 	"baywall.example/core/vm"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
-	"baywall.example/entry/cluster"
 	"baywall.example/entry/retry"
 )
 
