--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -104,8 +104,9 @@
 
 	highest map[string]uint64 // fencing numbers heard by own coordinators
 
-	mu    sync.Mutex
-	heard map[string]time.Time // of a group's coordinator
+	mu     sync.Mutex
+	heard  map[string]time.Time // of a group's coordinator
+	fences map[string]uint64    // the largest heard by group
 }
 
 // NewSet returns the groups of an agent; Run drives them.
@@ -115,6 +116,7 @@
 		env:     env,
 		member:  mapswitch.NewMember(env.Engine, env.Incarnation),
 		heard:   make(map[string]time.Time),
+		fences:  make(map[string]uint64),
 		highest: make(map[string]uint64),
 	}
 }
@@ -202,9 +204,12 @@
 		return s.handleCounts(ctx, w)
 	}
 	o := orderFromWire(w)
+	s.hearOrder(w)
 	r := s.member.Handle(ctx, o)
-	if r.OK {
-		s.hear(w.GetGroup())
+	if !r.OK {
+		s.env.Log.Info().Str("group", w.GetGroup()).Str("coordinator", w.GetCoordinator()).Str("phase", o.Phase.String()).
+			Uint64("version", o.Version).Uint64("step", o.Step).Uint64("fence", o.Fence).Bool("superseded", r.Superseded).
+			Str("reason", r.Reason).Msg("switch order refused")
 	}
 	if r.OK && o.Phase != mapswitch.PhaseRead {
 		s.env.Recorder.Record(timeline.Event{
@@ -214,6 +219,17 @@
 	return replyToWire(r)
 }
 
+// hearOrder notes that a group has a coordinator, before the order is carried
+// out, as that may take a while. One with an older fence does not count.
+func (s *Set) hearOrder(w *wire.SwitchOrder) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.GetFence() >= s.fences[w.GetGroup()] {
+		s.fences[w.GetGroup()] = w.GetFence()
+		s.heard[w.GetGroup()] = time.Now()
+	}
+}
+
 func (s *Set) hear(group string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/agent/group/lead.go
+++ b/agent/group/lead.go
@@ -130,7 +130,7 @@
 	intent := l.set.env.World.Intent(l.spec.Service)
 	due := now.Sub(l.planned) >= intent.PeriodMS.Duration()
 	poll, ok := l.collect(ctx, due)
-	if !ok || !due {
+	if !ok || !due || !l.coord.InEffect(poll.active.Version) {
 		return
 	}
 	l.planned = now
@@ -231,9 +231,18 @@
 	}
 }
 
+// planner returns the search that fits the group: where a switch may copy only a
+// few experts, single changes in order of their gain.
+func (l *leadership) planner() func(expertmap.Input) (expertmap.Result, error) {
+	if l.spec.MaxNewTotal > 0 {
+		return expertmap.Improve
+	}
+	return expertmap.Plan
+}
+
 // plan proposes a better map if there is one that pays for its moves.
 func (l *leadership) plan(poll collection, intent resource.Intent, now time.Time) {
-	res, err := expertmap.Plan(expertmap.Input{
+	res, err := l.planner()(expertmap.Input{
 		Shape: shapeOf(&l.spec), Counts: l.counts, Speeds: poll.speeds, Current: poll.active, Price: intent.MoveCost,
 		MaxNew: l.spec.MaxNewExperts, MaxNewTotal: l.spec.MaxNewTotal,
 	})
@@ -243,7 +252,7 @@
 	}
 	reason := fmt.Sprintf("predicted skew %.4f -> %.4f with %d moves at price %g", res.SkewBefore, res.SkewAfter, res.Moves, intent.MoveCost)
 	if res.Moves == 0 {
-		l.record(timeline.KindPlan, "keep", reason)
+		l.set.env.Log.Debug().Str("group", l.name).Str("reason", reason).Msg("map kept")
 		return
 	}
 	l.record(timeline.KindPlan, "switch", reason)
--- a/agent/mapswitch/coordinator.go
+++ b/agent/mapswitch/coordinator.go
@@ -101,6 +101,8 @@
 	step    uint64
 	epoch   uint64 // of the group, as all ranks said when they were read
 	version uint64 // largest version seen on any rank
+	// committed is the version of the latest switch, 0 = none yet.
+	committed uint64
 }
 
 type rankState struct {
@@ -131,6 +133,12 @@
 // Step returns the step of the latest switch.
 func (c *Coordinator) Step() uint64 { return c.step }
 
+// InEffect reports whether a rank that uses the version has taken the latest
+// switch. Until all ranks have, no other one can be prepared.
+func (c *Coordinator) InEffect(active uint64) bool {
+	return c.committed == 0 || active >= c.committed
+}
+
 // Pending returns the ranks that have not answered in this stage.
 func (c *Coordinator) Pending() []int {
 	var out []int
@@ -289,7 +297,10 @@
 		c.enter(StageArming, now)
 	case StageArming:
 		c.enter(StageCommitting, now)
-	case StageCommitting, StageAborting:
+	case StageCommitting:
+		c.committed = c.target.Version
+		c.enter(StageIdle, now)
+	case StageAborting:
 		c.enter(StageIdle, now)
 	}
 }
--- a/agent/rankserver/server.go
+++ b/agent/rankserver/server.go
@@ -51,9 +51,9 @@
 var groupTiming = group.Timing{
 	OrderLifetime: lateOrders, LateOnlyWhileHeld: true,
 	Election: 400 * time.Millisecond, Stagger: 150 * time.Millisecond,
-	Tick: 20 * time.Millisecond, Poll: 100 * time.Millisecond, CountsWeight: 0.5,
+	Tick: 20 * time.Millisecond, Poll: 60 * time.Millisecond, CountsWeight: 0.7,
 	Switch: mapswitch.Timing{
-		Prepare: 6 * time.Second, Arm: time.Second, Resend: 150 * time.Millisecond, Lead: 3,
+		Prepare: 6 * time.Second, Arm: time.Second, Resend: 150 * time.Millisecond, Lead: 2,
 	},
 }
 
--- /dev/null
+++ b/core/expertmap/incremental.go
@@ -0,0 +1,283 @@
+package expertmap
+
+import (
+	"math"
+	"slices"
+)
+
+// normPower is the power of the norm that stands for the slowest rank's time in
+// Improve: high enough to follow it, low enough that a change of the second
+// slowest rank still counts.
+const normPower = 8
+
+const (
+	// slowRanks is how many of a layer's slowest ranks changes are looked for on.
+	slowRanks = 2
+	// hotExperts is how many of a slow rank's experts are tried: the largest.
+	hotExperts = 4
+)
+
+// Improve plans like Plan, for groups that switch often and copy slowly: it takes
+// single changes of any layer, best gain for each copied expert first, until no
+// rank may load more or no gain is worth its copies. The skew of a layer is its
+// ranks' times over their mean, in a norm close to the maximum; a single change
+// then seldom brings nothing.
+func Improve(in Input) (Result, error) {
+	if err := in.validate(); err != nil {
+		return Result{}, err
+	}
+	if in.Current.Validate(in.Shape) != nil {
+		return Plan(in)
+	}
+	s := newSearch(in)
+	before := Skew(in.Current, in.Counts, in.Shape.Slots, in.Speeds)
+	for s.step(in.Price) {
+	}
+	res := Result{Map: Map{Version: in.Current.Version}, SkewBefore: before}
+	for _, l := range s.layers {
+		res.Map.Layers = append(res.Map.Layers, l.slots)
+	}
+	res.SkewAfter = Skew(res.Map, in.Counts, in.Shape.Slots, in.Speeds)
+	res.Moves = Moves(in.Current, res.Map, in.Shape.Slots)
+	if res.Moves > 0 {
+		res.Map.Version++
+	}
+	return res, nil
+}
+
+// search is the state of Improve.
+type search struct {
+	in      Input
+	layers  []*layerState
+	best    []candidate // by layer
+	stale   []bool      // best has to be looked for again
+	total   []int       // experts loaded, by rank
+	inLayer [][]int     // by layer and rank
+}
+
+// candidate is a change of one layer with what it brings.
+type candidate struct {
+	change
+	copies [2]int // ranks that load an expert, -1 = none
+	gain   float64
+	found  bool
+}
+
+func newSearch(in Input) *search {
+	s := &search{in: in, total: make([]int, in.Shape.Ranks)}
+	for l := range in.Shape.Layers {
+		s.layers = append(s.layers, newLayerState(in.Current.Layers[l], in.Counts[l], in.Shape.Slots, in.Speeds))
+		s.inLayer = append(s.inLayer, make([]int, in.Shape.Ranks))
+	}
+	s.best = make([]candidate, in.Shape.Layers)
+	s.stale = make([]bool, in.Shape.Layers)
+	for l := range s.stale {
+		s.stale[l] = true
+	}
+	return s
+}
+
+// step applies the best change if it is worth the price.
+func (s *search) step(price float64) bool {
+	pick := -1
+	for l := range s.layers {
+		if s.stale[l] {
+			s.best[l] = s.bestOf(l)
+			s.stale[l] = false
+		}
+		if c := s.best[l]; c.found && c.gain > price && (pick < 0 || c.gain > s.best[pick].gain) {
+			pick = l
+		}
+	}
+	if pick < 0 {
+		return false
+	}
+	c := s.best[pick]
+	s.layers[pick].apply(c.change)
+	for _, r := range c.copies {
+		if r >= 0 {
+			s.total[r]++
+			s.inLayer[pick][r]++
+		}
+	}
+	for l := range s.stale {
+		s.stale[l] = s.stale[l] || l == pick || s.blocked(l, s.best[l])
+	}
+	return true
+}
+
+// blocked reports whether a candidate would load more than a rank may.
+func (s *search) blocked(l int, c candidate) bool {
+	for _, r := range c.copies {
+		if r >= 0 && !s.mayLoad(l, r) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *search) mayLoad(l, rank int) bool {
+	if s.in.MaxNewTotal > 0 && s.total[rank] >= s.in.MaxNewTotal {
+		return false
+	}
+	return s.in.MaxNew <= 0 || s.inLayer[l][rank] < s.in.MaxNew
+}
+
+// bestOf returns the layer's change with the largest gain for each copy.
+func (s *search) bestOf(l int) candidate {
+	layer := s.layers[l]
+	best := candidate{copies: [2]int{-1, -1}}
+	if layer.mean == 0 {
+		return best
+	}
+	now := layer.norm()
+	layer.findFastest()
+	for _, slow := range layer.slowest2() {
+		s.replicas(l, slow, now, &best)
+		s.swaps(l, slow, now, &best)
+	}
+	return best
+}
+
+// norm returns the layer's skew in the norm.
+func (s *layerState) norm() float64 {
+	sum := 0.0
+	for _, t := range s.times {
+		sum += power(t / s.mean)
+	}
+	return math.Pow(sum/float64(len(s.times)), 1.0/normPower)
+}
+
+// power returns x to the normPower.
+func power(x float64) float64 {
+	x *= x
+	x *= x
+	return x * x
+}
+
+// slowest2 returns the slowRanks slowest ranks.
+func (s *layerState) slowest2() [slowRanks]int {
+	first, second := 0, -1
+	for r, t := range s.times {
+		switch {
+		case t > s.times[first]:
+			first, second = r, first
+		case r != first && (second < 0 || t > s.times[second]):
+			second = r
+		}
+	}
+	return [slowRanks]int{first, max(second, 0)}
+}
+
+// replicas tries one more replica of each of the slow rank's experts, in place
+// of a redundant one elsewhere.
+func (s *search) replicas(l, slow int, now float64, best *candidate) {
+	layer := s.layers[l]
+	for _, at := range layer.hottestSlots(slow) {
+		hot := layer.slots[at]
+		for _, rank := range layer.fastest {
+			if rank == slow || layer.times[rank] >= layer.times[slow] || !s.mayLoad(l, rank) || contains(layer.row(rank), hot) {
+				continue
+			}
+			for i, old := range layer.row(rank) {
+				if old != Empty && layer.replicas[old] < 2 {
+					continue
+				}
+				c := candidate{change: change{slot: rank*layer.perRank + i, with: -1, expert: hot}, copies: [2]int{rank, -1}}
+				best.offer(c, now-layer.after(c.change), 1)
+			}
+		}
+	}
+}
+
+// swaps tries to swap each of the slow rank's experts with a smaller one.
+func (s *search) swaps(l, slow int, now float64, best *candidate) {
+	layer := s.layers[l]
+	if !s.mayLoad(l, slow) {
+		return
+	}
+	hot := layer.hottestSlots(slow)
+	for _, rank := range layer.fastest {
+		if rank == slow || layer.times[rank] >= layer.times[slow] || !s.mayLoad(l, rank) {
+			continue
+		}
+		for _, at := range hot {
+			a := layer.slots[at]
+			if contains(layer.row(rank), a) {
+				continue
+			}
+			for j, b := range layer.row(rank) {
+				if b == Empty || layer.share(b) >= layer.share(a) || contains(layer.row(slow), b) {
+					continue
+				}
+				c := candidate{change: change{slot: at, with: rank*layer.perRank + j}, copies: [2]int{slow, rank}}
+				best.offer(c, now-layer.after(c.change), 2)
+			}
+		}
+	}
+}
+
+// hottestSlots returns the rank's slots with the largest shares, that first.
+func (s *layerState) hottestSlots(rank int) []int {
+	out := make([]int, 0, hotExperts+1)
+	for i, e := range s.row(rank) {
+		if e == Empty {
+			continue
+		}
+		at := len(out)
+		for at > 0 && s.share(e) > s.share(s.slots[out[at-1]]) {
+			at--
+		}
+		out = slices.Insert(out, at, rank*s.perRank+i)
+		out = out[:min(len(out), hotExperts)]
+	}
+	return out
+}
+
+func (c *candidate) offer(other candidate, gain float64, copies int) {
+	if other.gain = gain / float64(copies); other.gain > c.gain+costEpsilon {
+		other.found = true
+		*c = other
+	}
+}
+
+func (s *layerState) row(rank int) []int32 { return s.slots[rank*s.perRank : (rank+1)*s.perRank] }
+
+// after returns the norm that the layer would have after the change.
+func (s *layerState) after(c change) float64 {
+	sum := 0.0
+	for r, t := range s.times {
+		sum += power((t + s.delta(c, r)) / s.mean)
+	}
+	return math.Pow(sum/float64(len(s.times)), 1.0/normPower)
+}
+
+// delta returns by how much the change alters a rank's time.
+func (s *layerState) delta(c change, rank int) float64 {
+	d := 0.0
+	if c.with >= 0 {
+		moved := s.share(s.slots[c.slot]) - s.share(s.slots[c.with])
+		switch rank {
+		case c.slot / s.perRank:
+			d = -moved
+		case c.with / s.perRank:
+			d = moved
+		}
+		return d / speedOf(s.speeds, rank)
+	}
+	row := s.row(rank)
+	fewer := s.counts[c.expert] / float64(s.replicas[c.expert]+1)
+	if rank == c.slot/s.perRank {
+		d += fewer
+	} else if contains(row, c.expert) {
+		d += fewer - s.share(c.expert)
+	}
+	if old := s.slots[c.slot]; old != Empty {
+		if rank == c.slot/s.perRank {
+			d -= s.share(old)
+		} else if contains(row, old) {
+			d += s.counts[old]/float64(s.replicas[old]-1) - s.share(old)
+		}
+	}
+	return d / speedOf(s.speeds, rank)
+}
