--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -114,7 +114,6 @@
 	if !server.lapsed.IsZero() && now.Sub(server.lapsed) < lapseGrace {
 		return
 	}
-	server.gone = true
 	delete(s.servers, server.ID)
 	server.Pool.Close()
 	r.log.Info().Str("server", server.ID).Str("service", server.Service).Uint64("revision", revision).Msg("backend server gone")
@@ -226,7 +225,7 @@
 func (r *Registry) refresh(s *shard, now time.Time) Load {
 	s.usable, s.keys = s.usable[:0], s.keys[:0]
 	for _, server := range s.servers {
-		if !server.draining && !server.health.ejected(now) {
+		if server.usable(now) {
 			s.usable = append(s.usable, server)
 			s.keys = append(s.keys, server.Key)
 		}
@@ -249,6 +248,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server.health.success()
+	server.full = fullness{}
+}
+
+// Rejected notes a request that the server turned away as full. For a short time
+// it gets no other.
+func (r *Registry) Rejected(server *Server, now time.Time) {
+	s := r.shard(server.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server.health.trial = false
+	server.full.rejected(now)
 }
 
 // Released notes a request that ended without a verdict on the server, such as
@@ -276,6 +286,20 @@
 	}
 }
 
+// Replaced notes that another backend server answers at the server's address.
+// It takes no more requests; the list will say what took its place.
+func (r *Registry) Replaced(server *Server) {
+	s := r.shard(server.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if server.replaced {
+		return
+	}
+	server.replaced = true
+	server.Pool.Close()
+	r.log.Warn().Str("server", server.ID).Str("service", server.Service).Str("address", server.Address).Msg("backend server replaced")
+}
+
 func (s *shard) ejected(now time.Time) int {
 	n := 0
 	for _, server := range s.servers {
--- a/entry/balance/registry_test.go
+++ b/entry/balance/registry_test.go
@@ -129,3 +129,30 @@
 	}
 	is.Equal(r.Load("s", start).Servers, 1)
 }
+
+func TestAReplacedServerTakesNothingUntilItIsListedAnew(t *testing.T) {
+	is := is.New(t)
+	r := registry(nil, "a", "b")
+	a, _ := r.Pick("s", map[string]bool{"b": true}, start)
+	r.Replaced(a.Server)
+	r.Update(infos("a", "b"), 2, false, start) // a list from before
+	for range 4 {
+		is.Equal(pick(t, r, start).Server.ID, "b")
+	}
+	r.Update(infos("c", "b"), 3, false, start)
+	is.Equal(r.Load("s", start).Servers, 2)
+}
+
+func TestAFullServerIsLeftAloneForAWhile(t *testing.T) {
+	is := is.New(t)
+	r := registry(nil, "a", "b")
+	a, _ := r.Pick("s", map[string]bool{"b": true}, start)
+	r.Rejected(a.Server, start)
+	is.Equal(r.Load("s", start).Servers, 1)
+	later := start.Add(firstFull)
+	is.Equal(r.Load("s", later).Servers, 2)
+	r.Rejected(a.Server, later)
+	is.Equal(r.Load("s", later.Add(firstFull)).Servers, 1) // twice as long
+	r.Succeeded(a.Server)
+	is.Equal(r.Load("s", later).Servers, 2)
+}
--- a/entry/balance/server.go
+++ b/entry/balance/server.go
@@ -29,9 +29,10 @@
 
 	// under the shard's lock
 	draining bool
-	gone     bool
+	replaced bool      // another backend server answers at its address
 	lapsed   time.Time // when it went missing while the source was away
 	health   health
+	full     fullness
 }
 
 // dialTimeout bounds a connection attempt: a backend server answers within a
@@ -45,6 +46,11 @@
 	}
 }
 
+// usable reports whether the server may get a request, under the shard's lock.
+func (s *Server) usable(now time.Time) bool {
+	return !s.draining && !s.replaced && !s.health.ejected(now) && !now.Before(s.full.until)
+}
+
 // InFlight returns how many requests this gateway has in flight to the server.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
@@ -65,6 +71,24 @@
 	resultsToJudge = 8
 )
 
+const (
+	// firstFull and longestFull bound how long a server that turned a request
+	// away as full is left alone: a pass or two of an engine first.
+	firstFull   = 60 * time.Millisecond
+	longestFull = 240 * time.Millisecond
+)
+
+// fullness remembers that a server turned requests away.
+type fullness struct {
+	rejections int // in a row
+	until      time.Time
+}
+
+func (f *fullness) rejected(now time.Time) {
+	f.until = now.Add(min(longestFull, firstFull<<min(f.rejections, 4)))
+	f.rejections++
+}
+
 // health is the outlier detection of one server.
 type health struct {
 	failures  int // in a row
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -140,7 +140,11 @@
 	case verdictAnswered:
 		q.g.registry.Succeeded(c.Server)
 	case verdictRejected:
-		q.g.registry.Released(c.Server)
+		if a.reason == contract.ReasonReplacedAgent {
+			q.g.registry.Replaced(c.Server)
+		} else {
+			q.g.registry.Rejected(c.Server, time.Now())
+		}
 	default:
 		q.g.registry.Failed(c.Server, a.verdict.String(), time.Now())
 	}
@@ -166,7 +170,7 @@
 	notRun := answer.Header.Get(q.g.headers.NotRun) != ""
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest:
-		return attempt{verdict: verdictRejected, status: answer.Status, reason: contract.ReasonStaleConfig}, true
+		return attempt{verdict: verdictRejected, status: answer.Status, reason: contract.ReasonReplacedAgent}, true
 	case notRun && answer.Status >= http.StatusInternalServerError, notRun && answer.Status == http.StatusTooManyRequests:
 		return attempt{verdict: verdictRejected, status: answer.Status, reason: contract.ReasonOverload}, true
 	default:
--- a/entry/retry/share.go
+++ b/entry/retry/share.go
@@ -30,6 +30,7 @@
 	start   time.Time
 
 	mu       sync.Mutex
+	most     int   // members seen at a time so far
 	at       int64 // number of the newest bucket
 	requests []int
 	retries  []int
@@ -51,11 +52,12 @@
 
 // Take uses up one retry and reports false if none is left.
 func (s *Share) Take() bool {
-	members := max(1, s.members())
+	members := s.members()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.most = max(s.most, members, 1)
 	i := s.advance()
-	allowed := shareMargin * (s.limit.Ratio*float64(sum(s.requests)) + s.limit.Slack/float64(members))
+	allowed := shareMargin * (s.limit.Ratio*float64(sum(s.requests)) + s.slack())
 	if float64(sum(s.retries)+1) > allowed {
 		return false
 	}
@@ -63,6 +65,15 @@
 	return true
 }
 
+// slack returns this gateway's part of the slack. Members that are not heard may
+// still be using theirs. A process that has just started does not know what the
+// one before it used, so its part grows over the first window.
+func (s *Share) slack() float64 {
+	age := s.now().Sub(s.start)
+	grown := min(1, float64(age)/float64(s.limit.Window))
+	return grown * s.limit.Slack / float64(s.most)
+}
+
 // advance clears the buckets that have left the window and returns the index
 // of the newest.
 func (s *Share) advance() int {
--- a/entry/retry/share_test.go
+++ b/entry/retry/share_test.go
@@ -33,6 +33,7 @@
 	is := is.New(t)
 	now := time.Unix(1_700_000_000, 0)
 	share := NewShare(Limit{Slack: 10, Window: 10 * time.Second}, func() int { return 1 }, func() time.Time { return now })
+	now = now.Add(10 * time.Second)
 	for range 8 {
 		is.True(share.Take())
 	}
@@ -40,3 +41,33 @@
 	now = now.Add(time.Hour)
 	is.True(share.Take())
 }
+
+func taken(s *Share) int {
+	n := 0
+	for s.Take() {
+		n++
+	}
+	return n
+}
+
+// What the process before used in this window is not known.
+func TestARestartGivesNoNewSlackAtOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	share := NewShare(Limit{Slack: 80, Window: 10 * time.Second}, func() int { return 1 }, func() time.Time { return now })
+	is.Equal(taken(share), 0)
+	now = now.Add(5 * time.Second)
+	is.Equal(taken(share), 32)
+}
+
+// A gateway that is cut off from the others must not use their parts.
+func TestSilentMembersKeepTheirPart(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	members := 8
+	share := NewShare(Limit{Slack: 80, Window: 10 * time.Second}, func() int { return members }, func() time.Time { return now })
+	share.Take()
+	now = now.Add(20 * time.Second)
+	members = 1
+	is.Equal(taken(share), 8)
+}
