Roll switches forward instead of taking them back

Ruled out: planning, copies. Change: a switch is never undone once a rank holds its step, so whoever leads next does the same again and late orders find their effect there; no wait is needed. Orders are given again after 30 ms; the step of a switch moves away when the last one took long; prepare is not refused while the copies begin.

--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -33,10 +33,9 @@
 	// its way; a restarted agent waits it out before it promises anything.
 	// Default 2.5s.
 	OrderLifetime time.Duration
-	// LateOnlyWhileHeld tells that an order that takes effect late can do harm
-	// only while its rank holds a step unarmed; then a restarted agent need not
-	// wait while its rank does not.
-	LateOnlyWhileHeld bool
+	// NoWait tells that an order that takes effect late does no harm, so a
+	// restarted agent need not wait.
+	NoWait bool
 	// Election is how long rank 0 waits for a coordinator; each further rank
 	// waits Stagger longer. Default 1.5s and 300ms.
 	Election, Stagger time.Duration
@@ -123,7 +122,7 @@
 
 // Run takes part in the groups until the context ends.
 func (s *Set) Run(ctx context.Context) {
-	if !s.waitForLateOrders(ctx) {
+	if !s.env.Timing.NoWait && !sleep(ctx, s.env.Timing.OrderLifetime) {
 		return
 	}
 	s.member.Recovered()
@@ -136,25 +135,6 @@
 	}
 }
 
-// waitForLateOrders returns when no order of an earlier process of this agent
-// can do harm any more, or reports false at the context's end.
-func (s *Set) waitForLateOrders(ctx context.Context) bool {
-	t := s.env.Timing
-	if !t.LateOnlyWhileHeld {
-		return sleep(ctx, t.OrderLifetime)
-	}
-	for began := time.Now(); time.Since(began) < t.OrderLifetime; {
-		state, err := s.env.Engine.Experts(ctx, false)
-		if err == nil && (state.Hold == 0 || state.Activate != 0) {
-			return true
-		}
-		if !sleep(ctx, t.Tick) {
-			return false
-		}
-	}
-	return ctx.Err() == nil
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/agent/mapswitch/coordinator.go
+++ b/agent/mapswitch/coordinator.go
@@ -43,42 +43,42 @@
 	StagePreparing
 	StageArming
 	StageCommitting
-	StageAborting
+	StageReleasing  // a step is held for a switch that never can happen
 	StageSuperseded // another coordinator has a larger number; start over
 )
 
 // String returns the stage's name.
 func (s Stage) String() string {
-	return [...]string{"", "reading", "idle", "preparing", "arming", "committing", "aborting", "superseded"}[s]
+	return [...]string{"", "reading", "idle", "preparing", "arming", "committing", "releasing", "superseded"}[s]
 }
 
 // Timing holds a Coordinator's times. Zero fields get the defaults.
 type Timing struct {
 	// Prepare is how long loading may take before it is given up. Default 30s.
 	Prepare time.Duration
-	// Arm is how long arming may take before it is aborted. Default 500ms.
-	Arm time.Duration
 	// Resend is the time after which an unanswered order is sent again.
 	// Default 200ms.
 	Resend time.Duration
-	// Lead is how many steps ahead of the furthest rank the switch happens.
-	// Default 40.
+	// Lead is how many steps ahead of the furthest rank the switch happens at
+	// least; it grows to what the latest switch would have needed so that the
+	// group did not wait. Default 40.
 	Lead uint64
+	// MostLead bounds that. Default twice Lead.
+	MostLead uint64
 }
 
 // Defaults of Timing.
 const (
 	DefaultPrepare = 30 * time.Second
-	DefaultArm     = 500 * time.Millisecond
 	DefaultResend  = 200 * time.Millisecond
 	DefaultLead    = 40
 )
 
 func (t *Timing) provision() {
 	t.Prepare = settings.Or(t.Prepare, DefaultPrepare)
-	t.Arm = settings.Or(t.Arm, DefaultArm)
 	t.Resend = settings.Or(t.Resend, DefaultResend)
 	t.Lead = settings.Or(t.Lead, DefaultLead)
+	t.MostLead = settings.Or(t.MostLead, 2*t.Lead)
 }
 
 // Outgoing is an order to one rank.
@@ -101,6 +101,7 @@
 	step    uint64
 	epoch   uint64 // of the group, as all ranks said when they were read
 	version uint64 // largest version seen on any rank
+	pace    pace
 	// committed is the version of the latest switch, 0 = none yet.
 	committed uint64
 }
@@ -189,11 +190,8 @@
 
 // Tick applies timeouts and returns the orders that are due.
 func (c *Coordinator) Tick(now time.Time) []Outgoing {
-	switch {
-	case c.stage == StagePreparing && now.Sub(c.since) > c.timing.Prepare:
-		c.enter(StageAborting, now)
-	case c.stage == StageArming && now.Sub(c.since) > c.timing.Arm:
-		c.enter(StageAborting, now)
+	if c.stage == StagePreparing && now.Sub(c.since) > c.timing.Prepare {
+		c.enter(StageReleasing, now) // nothing is held yet: this ends the switch
 	}
 	return c.due(now)
 }
@@ -226,7 +224,7 @@
 	case StageCommitting:
 		o.Phase = PhaseCommit
 	default:
-		o.Phase = PhaseAbort
+		o.Phase = PhaseRelease
 	}
 	return o
 }
@@ -242,8 +240,8 @@
 		return PhaseArm
 	case StageCommitting:
 		return PhaseCommit
-	case StageAborting:
-		return PhaseAbort
+	case StageReleasing:
+		return PhaseRelease
 	default:
 		return 0
 	}
@@ -260,9 +258,7 @@
 		return nil
 	}
 	if !r.OK {
-		if c.stage == StageArming {
-			c.enter(StageAborting, now) // the step was too close, or the load was lost
-		}
+		c.missed(r, now)
 		return c.due(now)
 	}
 	c.ranks[rank].incarnation = r.Incarnation
@@ -293,18 +289,67 @@
 	case StageReading:
 		c.recover(now)
 	case StagePreparing:
-		c.step = c.furthest() + c.timing.Lead
-		c.enter(StageArming, now)
+		c.arm(c.furthest()+c.lead(), now)
 	case StageArming:
 		c.enter(StageCommitting, now)
 	case StageCommitting:
 		c.committed = c.target.Version
+		c.pace.switched(now)
 		c.enter(StageIdle, now)
-	case StageAborting:
+	case StageReleasing:
 		c.enter(StageIdle, now)
 	}
 }
 
+// arm begins to hold a step on all ranks.
+func (c *Coordinator) arm(step uint64, now time.Time) {
+	c.step = step
+	c.pace.began(c.furthest(), now)
+	c.enter(StageArming, now)
+}
+
+// missed handles a refusal. A hold is refused if its step has begun; then no
+// rank holds it, nor ever will, and a later step can be taken.
+func (c *Coordinator) missed(r Reply, now time.Time) {
+	if c.stage == StageArming && r.State.Step >= c.step && r.State.Epoch == c.epoch {
+		c.arm(r.State.Step+2*c.lead(), now)
+	}
+}
+
+// lead returns how many steps ahead the next switch happens.
+func (c *Coordinator) lead() uint64 {
+	return min(c.timing.MostLead, max(c.timing.Lead, c.pace.steps()))
+}
+
+// pace measures how many steps a switch takes, from its first order on.
+type pace struct {
+	step   uint64 // at the begin of the previous switch
+	at     time.Time
+	length time.Duration // of one step
+	start  time.Time     // of this switch
+	took   time.Duration // by the latest switch
+}
+
+func (p *pace) began(step uint64, now time.Time) {
+	if p.step != 0 && step > p.step {
+		p.length = now.Sub(p.at) / time.Duration(step-p.step)
+	}
+	p.step, p.at, p.start = step, now, now
+}
+
+func (p *pace) switched(now time.Time) {
+	if !p.start.IsZero() {
+		p.took = now.Sub(p.start)
+	}
+}
+
+func (p *pace) steps() uint64 {
+	if p.length <= 0 {
+		return 0
+	}
+	return uint64(p.took/p.length) + 1
+}
+
 // recover finishes what an earlier coordinator may have begun.
 func (c *Coordinator) recover(now time.Time) {
 	c.epoch = c.ranks[0].state.Epoch
@@ -315,12 +360,8 @@
 			return
 		}
 	}
-	armed := false
 	for _, r := range c.ranks {
 		c.version = max(c.version, r.state.Active, r.state.Loaded)
-		if r.state.Hold != 0 {
-			armed = true
-		}
 	}
 	for _, r := range c.ranks {
 		if r.state.Activate != 0 {
@@ -330,11 +371,33 @@
 			return
 		}
 	}
-	if armed {
-		c.enter(StageAborting, now)
-		return
+	c.recoverHold(now)
+}
+
+// recoverHold goes on where ranks hold a step and none is armed. Ranks are armed
+// only once all of them hold, and all have loaded the version before any does.
+// So if all have loaded the same one, the earlier coordinator may have begun to
+// arm it, and this one does the same. If not, nobody has or ever will.
+func (c *Coordinator) recoverHold(now time.Time) {
+	held := uint64(0)
+	loaded := c.ranks[0].state.Loaded
+	for _, r := range c.ranks {
+		if r.state.Hold != 0 && (held == 0 || r.state.Hold < held) {
+			held = r.state.Hold
+		}
+		if r.state.Loaded != loaded {
+			loaded = 0
+		}
+	}
+	switch {
+	case held == 0:
+		c.enter(StageIdle, now)
+	case loaded == 0:
+		c.enter(StageReleasing, now)
+	default:
+		c.target = expertmap.Map{Version: loaded}
+		c.arm(held, now)
 	}
-	c.enter(StageIdle, now)
 }
 
 func (c *Coordinator) furthest() uint64 {
--- a/agent/mapswitch/doc.go
+++ b/agent/mapswitch/doc.go
@@ -8,22 +8,29 @@
 //	prepare  every rank loads the new experts beside the old ones
 //	arm      every rank promises not to begin step S unless told
 //	commit   once all are armed: use the new map from step S on
-//	abort    otherwise: begin step S with the old map
 //
 // It needs every rank, always. That costs no availability: in lock-step the
-// group cannot advance without every rank anyway. A new coordinator takes a
-// larger fencing number and reads all ranks. If any has committed, the old
-// coordinator had decided to commit, and the new one commits everywhere. If
-// none has, none ever will under the old number, as all have promised the new
-// one; it aborts. Two coordinators at a time are safe for the same reason.
+// group cannot advance without every rank anyway. For the same reason a switch
+// is never taken back once a rank holds its step: as long as one does, the step
+// cannot begin, so all others can still be armed and committed. If a step began
+// before any rank held it, a later one is taken. A new coordinator takes a
+// larger fencing number, reads all ranks and goes on where the old one stopped;
+// two at a time are safe, as ranks obey the larger number only. A step is
+// released without a switch only if the ranks have not all loaded the same
+// version: then no rank can have been committed for it.
 //
-// A Member keeps nothing but its promise in memory; armed and committed are
+// A Member keeps nothing but its promise in memory; held and committed steps are
 // read from the engine. A restarted agent has lost the promise. So every order
 // names the incarnation that the coordinator read, and a member refuses orders
-// to another one; the coordinator then starts over with a larger number. A
-// restarted member first waits until every order of its predecessor that may
-// still be on its way has expired, since some engines do not check fencing
-// numbers.
+// to another one; the coordinator then starts over with a larger number. Orders
+// also name the epoch in which the group was formed; in each, all ranks begin
+// anew.
+//
+// An order of an earlier coordinator or agent may take effect late. Versions are
+// unique and grow; steps are used once; and whoever leads repeats what may be
+// under way instead of undoing it, so a late order finds its step begun or its
+// effect there. Where an engine can do harm all the same, a restarted member
+// waits until every order of its predecessor has expired.
 //
 // Limits: a rank that never answers blocks a decision. Holding ranks then wait
 // at step S; taking the rank out is a new epoch of the group, not a switch.
--- a/agent/mapswitch/member.go
+++ b/agent/mapswitch/member.go
@@ -18,12 +18,12 @@
 	PhasePrepare
 	PhaseArm
 	PhaseCommit
-	PhaseAbort
+	PhaseRelease
 )
 
 // String returns the phase's name.
 func (p Phase) String() string {
-	return [...]string{"", "read", "prepare", "arm", "commit", "abort"}[p]
+	return [...]string{"", "read", "prepare", "arm", "commit", "release"}[p]
 }
 
 // Order is what a coordinator asks of one rank.
@@ -134,6 +134,15 @@
 		if s.Hold == o.Step && s.Loaded == o.Version {
 			return m.accept(s)
 		}
+		if s.Step >= o.Step {
+			return m.refuseIn(s, "the step has begun")
+		}
+		if s.Hold != 0 && s.Hold != o.Step {
+			// For a switch that cannot happen: not all ranks hold that step.
+			if _, err := m.engine.Order(ctx, engine.Order{Kind: engine.OrderRelease, Fence: o.Fence, Version: s.Loaded, Step: s.Hold}); err != nil {
+				return m.refuseIn(s, err.Error())
+			}
+		}
 		return m.order(ctx, engine.Order{Kind: engine.OrderHold, Fence: o.Fence, Version: o.Version, Step: o.Step})
 	case PhaseCommit:
 		armed := s.Activate == o.Step && s.Loaded == o.Version
@@ -144,7 +153,7 @@
 			return m.refuseIn(s, "not armed for this step")
 		}
 		return m.order(ctx, engine.Order{Kind: engine.OrderActivate, Fence: o.Fence, Version: o.Version, Step: o.Step})
-	case PhaseAbort:
+	case PhaseRelease:
 		if s.Hold == 0 {
 			return m.accept(s)
 		}
--- a/agent/rank/engine.go
+++ b/agent/rank/engine.go
@@ -24,8 +24,11 @@
 
 const (
 	// answerTimeout is how long an order's answer is waited for: it comes in a
-	// few milliseconds from the own VM, or never.
-	answerTimeout = 100 * time.Millisecond
+	// few milliseconds from the own VM, or never. The group may be waiting.
+	answerTimeout = 30 * time.Millisecond
+	// mostTries is how often an order is given before its fate is left to the
+	// next call: with half of the answers lost, one in 65,000 needs more.
+	mostTries = 16
 	// settleTime bounds one attempt to settle an order that had no answer.
 	settleTime = 1500 * time.Millisecond
 	// loadPoll is how often a rank that copies experts is looked at.
@@ -44,6 +47,7 @@
 
 	mu        sync.Mutex
 	pending   *Order // given, not answered, effect not seen
+	loading   uint64 // version that the rank has begun to load
 	baseline  Counts
 	placement Placement
 }
@@ -193,31 +197,28 @@
 	return out
 }
 
-// load gives a prepare order and waits until the copies are there.
+// load gives a prepare order, unless it was given before, and waits until the
+// copies are there.
 func (e *Engine) load(ctx context.Context, o Order) error {
-	report, err := e.api.Report(ctx)
-	if err != nil {
-		return err
-	}
-	if !report.Busy && report.Prepared != o.Version {
+	if e.loading != o.Version {
 		if err := e.give(ctx, o); err != nil {
 			return err
 		}
+		e.loading = o.Version
 	}
 	for until := time.Now().Add(loadTime); time.Now().Before(until); {
-		if report, err = e.api.Report(ctx); err != nil {
+		report, err := e.api.Report(ctx)
+		if err != nil {
 			return err
 		}
 		if report.Prepared == o.Version {
 			return nil
 		}
-		if !report.Busy {
-			return eris.Wrapf(ErrRefused, "version %d is not being prepared", o.Version)
-		}
 		if !pause(ctx, loadPoll) {
 			break
 		}
 	}
+	e.loading = 0 // it is given again, which does no harm
 	return ErrLoading
 }
 
@@ -233,7 +234,7 @@
 		if settled {
 			return err
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || tries >= mostTries {
 			e.pending = &o
 			e.log.Warn().Str("order", o.Kind.String()).Uint64("version", o.Version).Uint64("step", o.Step).
 				Uint64("epoch", o.Epoch).Int("tries", tries).Msg("order without an answer")
@@ -291,7 +292,7 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	o := *e.pending
-	for tries := 1; ctx.Err() == nil; tries++ {
+	for tries := 1; ctx.Err() == nil && tries <= mostTries; tries++ {
 		settled, err := e.try(ctx, o, tries)
 		if settled {
 			e.pending = nil
--- a/agent/rankserver/server.go
+++ b/agent/rankserver/server.go
@@ -42,18 +42,16 @@
 	callTimeout = 2 * time.Second
 	// debugTimeout bounds reading the header of a request for metrics.
 	debugTimeout = 5 * time.Second
-	// lateOrders is the longest time that an order to a rank may be on its way.
-	lateOrders = 13 * time.Second
 )
 
 // groupTiming is quick, as demand shifts every few seconds and a pass of the
 // group takes some tens of milliseconds.
 var groupTiming = group.Timing{
-	OrderLifetime: lateOrders, LateOnlyWhileHeld: true,
+	NoWait:   true,
 	Election: 400 * time.Millisecond, Stagger: 150 * time.Millisecond,
 	Tick: 20 * time.Millisecond, Poll: 60 * time.Millisecond, CountsWeight: 0.7,
 	Switch: mapswitch.Timing{
-		Prepare: 6 * time.Second, Arm: time.Second, Resend: 150 * time.Millisecond, Lead: 2,
+		Prepare: 6 * time.Second, Resend: 150 * time.Millisecond, Lead: 2, MostLead: 8,
 	},
 }
 
