--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -143,8 +143,8 @@
 	if q.id != "" {
 		h.Set(q.g.headers.RequestID, q.id)
 	}
+	after := retryAfter(r)
 	if status == http.StatusServiceUnavailable {
-		after := max(r.RetryAfter, minRetryAfter)
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	q.w.WriteHeader(status)
@@ -152,7 +152,7 @@
 		Title: http.StatusText(status), Status: status, Outcome: string(r.Outcome), Reason: string(r.Reason), Request: q.id,
 	})
 	q.describe(q.log.Info()).AnErr("write", err).Int("status", status).Str("outcome", string(r.Outcome)).
-		Str("reason", string(r.Reason)).Dur("retry_after", r.RetryAfter).Msg("request refused")
+		Str("reason", string(r.Reason)).Dur("retry_after", after).Msg("request refused")
 }
 
 // describe adds what decided the request.
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -45,9 +45,25 @@
 	reason contract.Reason
 }
 
-// minRetryAfter is when a caller may come back after a refusal: the queues of
-// backend servers turn over in a few hundred milliseconds.
-const minRetryAfter = 250 * time.Millisecond
+const (
+	// minRetryAfter is when a caller may come back after a refusal: the queues
+	// of backend servers turn over in a few hundred milliseconds.
+	minRetryAfter = 250 * time.Millisecond
+	// outageRetryAfter is when a caller may come back where no backend server
+	// can take requests, or this process knows of none yet: processes and
+	// groups of ranks are back about two seconds after a loss of power.
+	outageRetryAfter = 2 * time.Second
+)
+
+// retryAfter returns when the caller may come back.
+func retryAfter(r contract.Refusal) time.Duration {
+	switch r.Reason {
+	case contract.ReasonNoBackend, contract.ReasonStarting, contract.ReasonReplacedAgent, contract.ReasonOverload:
+		return max(r.RetryAfter, outageRetryAfter)
+	default:
+		return max(r.RetryAfter, minRetryAfter)
+	}
+}
 
 // dispatch attempts the request until it has an end.
 func (q *request) dispatch() {
