--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -146,7 +146,10 @@
 	Epoch uint64 `json:"epoch"`
 	// Blocked means that the rank will use Loaded from step Activate on, but
 	// still holds that step.
-	Blocked   bool      `json:"blocked"`
+	Blocked bool `json:"blocked"`
+	// Running is how many requests the rank has in its batch, 0 where the engine
+	// does not say.
+	Running   int       `json:"running"`
 	ActiveMap [][]int32 `json:"activemap"` // slots by layer, of all ranks or of this one
 	LoadedMap [][]int32 `json:"loadedmap"`
 }
--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -262,6 +262,7 @@
 		Ok: r.OK, Superseded: r.Superseded, Reason: r.Reason, Fence: r.Fence, Incarnation: uint64(r.Incarnation),
 		Step: r.State.Step, Active: r.State.Active, Armed: r.State.Loaded, ArmedStep: r.State.Hold,
 		Committed: r.State.Activate, Speed: r.State.Speed, Epoch: r.State.Epoch, Blocked: r.State.Blocked,
+		Running: uint32(max(0, r.State.Running)),
 	}
 }
 
@@ -272,6 +273,7 @@
 		State: engine.ExpertState{
 			Step: w.GetStep(), Active: w.GetActive(), Loaded: w.GetArmed(), Hold: w.GetArmedStep(),
 			Activate: w.GetCommitted(), Speed: w.GetSpeed(), Epoch: w.GetEpoch(), Blocked: w.GetBlocked(),
+			Running: int(w.GetRunning()),
 		},
 	}
 }
--- a/agent/group/lead.go
+++ b/agent/group/lead.go
@@ -152,6 +152,8 @@
 	counts expertmap.Counts
 	active expertmap.Map
 	speeds []float64
+	// running is the mean number of requests in a rank's batch, 0 = not known.
+	running float64
 }
 
 // collect polls every rank, for its counts if asked to. It fails unless all of
@@ -175,6 +177,7 @@
 			return collection{}, false
 		}
 		out.speeds[rank] = r.GetSpeed()
+		out.running += float64(r.GetRunning()) / float64(shape.Ranks)
 		addCounts(out.counts, r.GetCounts())
 	}
 	if counts {
@@ -240,17 +243,38 @@
 	return expertmap.Plan
 }
 
+const (
+	// usualBatch is the batch, in requests, for which an intent's price of a move
+	// is meant.
+	usualBatch = 6
+	// cheapest and dearest bound how far the price follows the batch.
+	cheapest = 0.5
+	dearest  = 4
+)
+
+// price returns the skew that a move must be worth: the part of a step's time that
+// depends on the map grows with the batch, and the lead that a pass has before
+// streams are late shrinks. In a small batch skew costs little.
+func price(moveCost, running float64) float64 {
+	if running <= 0 {
+		return moveCost
+	}
+	ratio := usualBatch / running
+	return moveCost * min(dearest, max(cheapest, ratio*ratio))
+}
+
 // plan proposes a better map if there is one that pays for its moves.
 func (l *leadership) plan(poll collection, intent resource.Intent, now time.Time) {
+	cost := price(intent.MoveCost, poll.running)
 	res, err := l.planner()(expertmap.Input{
-		Shape: shapeOf(&l.spec), Counts: l.counts, Speeds: poll.speeds, Current: poll.active, Price: intent.MoveCost,
+		Shape: shapeOf(&l.spec), Counts: l.counts, Speeds: poll.speeds, Current: poll.active, Price: cost,
 		MaxNew: l.spec.MaxNewExperts, MaxNewTotal: l.spec.MaxNewTotal,
 	})
 	if err != nil {
 		l.record(timeline.KindPlan, "none", err.Error())
 		return
 	}
-	reason := fmt.Sprintf("predicted skew %.4f -> %.4f with %d moves at price %g", res.SkewBefore, res.SkewAfter, res.Moves, intent.MoveCost)
+	reason := fmt.Sprintf("predicted skew %.4f -> %.4f with %d moves at price %.3g", res.SkewBefore, res.SkewAfter, res.Moves, cost)
 	if res.Moves == 0 {
 		l.set.env.Log.Debug().Str("group", l.name).Str("reason", reason).Msg("map kept")
 		return
--- a/agent/rank/engine.go
+++ b/agent/rank/engine.go
@@ -85,7 +85,7 @@
 }
 
 func stateOf(r Report) engine.ExpertState {
-	s := engine.ExpertState{Step: r.Step, Active: r.Map, Loaded: r.Prepared, Hold: r.Held, Epoch: r.Epoch}
+	s := engine.ExpertState{Step: r.Step, Active: r.Map, Loaded: r.Prepared, Hold: r.Held, Epoch: r.Epoch, Running: r.Running}
 	if r.Pace > 0 {
 		s.Speed = 1 / r.Pace
 	}
