--- /dev/null
+++ b/agent/rank/engine_test.go
@@ -0,0 +1,135 @@
+package rank
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"baywall.example/agent/engine"
+)
+
+var errLost = errors.New("no answer")
+
+// fakeRank carries orders out and loses the answers that it is told to.
+type fakeRank struct {
+	report Report
+	counts Counts
+	lose   int  // answers to lose
+	late   bool // lost orders are not carried out
+	given  []Order
+}
+
+func (f *fakeRank) Report(context.Context) (Report, error)       { return f.report, nil }
+func (f *fakeRank) Counts(context.Context) (Counts, error)       { return f.counts, nil }
+func (f *fakeRank) Placement(context.Context) (Placement, error) { return Placement{}, nil }
+
+func (f *fakeRank) Order(_ context.Context, o Order) (Result, error) {
+	f.given = append(f.given, o)
+	lost := f.lose > 0
+	if lost {
+		f.lose--
+	}
+	if lost && f.late {
+		return 0, errLost
+	}
+	switch o.Kind {
+	case OrderHold:
+		if o.Step <= f.report.Step {
+			return ResultRefused, nil
+		}
+		f.report.Held = o.Step
+	case OrderRelease:
+		f.report.Held = 0
+	case OrderArm:
+		f.report.Armed = Arming{o.Version, o.Step}
+	case OrderPrepare:
+		f.report.Prepared = o.Version
+		f.report.Sequence++
+	}
+	if lost {
+		return 0, errLost
+	}
+	return ResultDone, nil
+}
+
+func newEngine(f *fakeRank) *Engine {
+	return NewEngine(f, func() Shape { return Shape{Layers: 1, Experts: 4, Slots: 2} }, zerolog.Nop())
+}
+
+func hold(step uint64) engine.Order { return engine.Order{Kind: engine.OrderHold, Step: step} }
+
+func TestAnOrderIsGivenAgainUntilItTookEffect(t *testing.T) {
+	is := is.New(t)
+	f := &fakeRank{report: Report{Epoch: 3, Step: 5, Sequence: 2}, lose: 3, late: true}
+	s, err := newEngine(f).Order(context.Background(), hold(9))
+	is.NoErr(err)
+	is.Equal(s.Hold, uint64(9))
+	is.Equal(len(f.given), 4)
+	is.Equal(f.given[0], Order{Kind: OrderHold, Epoch: 3, Sequence: 2, Step: 9})
+}
+
+func TestALostAnswerToADoneOrderIsSeenInTheReport(t *testing.T) {
+	is := is.New(t)
+	f := &fakeRank{report: Report{Step: 5}, lose: 1}
+	_, err := newEngine(f).Order(context.Background(), hold(9))
+	is.NoErr(err)
+	is.Equal(len(f.given), 1)
+}
+
+func TestARefusedOrderIsNotGivenAgain(t *testing.T) {
+	is := is.New(t)
+	f := &fakeRank{report: Report{Step: 9}}
+	_, err := newEngine(f).Order(context.Background(), hold(9))
+	is.True(errors.Is(err, ErrRefused))
+	is.Equal(len(f.given), 1)
+}
+
+// Until an order without an answer is settled, the rank's state is not told, as
+// the order could still change it.
+func TestAnUnsettledOrderComesFirst(t *testing.T) {
+	is := is.New(t)
+	f := &fakeRank{report: Report{Step: 5}, lose: mostTries + 3, late: true}
+	e := newEngine(f)
+	_, err := e.Order(context.Background(), hold(9))
+	is.True(errors.Is(err, ErrUnsettled))
+	s, err := e.Experts(context.Background(), false)
+	is.NoErr(err)
+	is.Equal(s.Hold, uint64(9)) // it was given again first
+}
+
+func TestActivateArmsThenReleases(t *testing.T) {
+	is := is.New(t)
+	f := &fakeRank{report: Report{Step: 5, Held: 9, Prepared: 4}}
+	s, err := newEngine(f).Order(context.Background(), engine.Order{Kind: engine.OrderActivate, Version: 4, Step: 9})
+	is.NoErr(err)
+	is.Equal([]OrderKind{f.given[0].Kind, f.given[1].Kind}, []OrderKind{OrderArm, OrderRelease})
+	is.Equal(s.Activate, uint64(9))
+	is.True(!s.Blocked)
+}
+
+func TestPrepareCarriesTheMapByRank(t *testing.T) {
+	is := is.New(t)
+	f := &fakeRank{}
+	_, err := newEngine(f).Order(context.Background(), engine.Order{Kind: engine.OrderLoad, Version: 4, Map: [][]int32{{0, 1, 2, -1}}})
+	is.NoErr(err)
+	is.Equal(f.given[0].Map, [][][]int32{{{0, 1}, {2}}})
+}
+
+func TestCountsAreDifferences(t *testing.T) {
+	is := is.New(t)
+	f := &fakeRank{counts: Counts{Tokens: []int64{1, 2, 3, 4}}}
+	e := newEngine(f)
+	read := func() []int64 {
+		s, err := e.Experts(context.Background(), true)
+		is.NoErr(err)
+		return s.Counts[0]
+	}
+	is.Equal(read(), []int64{1, 2, 3, 4})
+	f.counts.Tokens = []int64{5, 2, 3, 9}
+	is.Equal(read(), []int64{4, 0, 0, 5})
+	f.counts.Tokens = []int64{1, 0, 0, 0} // the rank started anew
+	is.Equal(read(), []int64{1, 0, 0, 0})
+}
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -107,9 +107,9 @@
 	case verdictRejected:
 		return q.sequence.Next(retry.EventRefused, contract.Refusal{Outcome: contract.NotRun, Reason: a.reason}, now)
 	case verdictDeadline:
-		return q.sequence.Next(retry.EventNoFate, contract.Refusal{Reason: contract.ReasonDeadline}, q.deadline)
+		return q.sequence.Next(retry.EventRefused, contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonDeadline}, q.deadline)
 	default:
-		return q.sequence.Next(retry.EventNoFate, contract.Refusal{Reason: contract.ReasonEngineFailed}, now)
+		return q.sequence.Next(retry.EventRefused, contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonEngineFailed}, now)
 	}
 }
 
