Cut a long watch short when the other followers are gone

Ruled out: the nudge (no peer was heard), decoding. Change: a watch whose wait is over twice what is usual for the peers heard now is asked again. Test fails without it.

--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -64,6 +64,7 @@
 
 	mu     sync.Mutex
 	cancel context.CancelFunc // of the waiting watch
+	armed  time.Duration      // how long that waits
 	nudged uint64             // revision of the latest nudge
 
 	items    map[string]Item
@@ -106,9 +107,9 @@
 	wait := f.wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	f.arm(cancel)
+	f.arm(cancel, wait)
 	events, revision, err := f.Store.Watch(ctx, f.Prefix, f.revision, wait)
-	f.arm(nil)
+	f.arm(nil, 0)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return nil // nudged: watch again, or the follower ends
 	}
@@ -136,17 +137,35 @@
 // wait returns how long the next watch waits, jittered so that followers that
 // began together do not stay together.
 func (f *Follower) wait() time.Duration {
-	wait := shortestWait
-	if f.Others != nil {
-		wait = min(longestWait, max(wait, time.Duration(f.Others()+1)*waitPerFollower))
-	}
+	wait := f.usualWait()
 	return wait*3/4 + rand.N(wait/2)
 }
 
-func (f *Follower) arm(cancel context.CancelFunc) {
+func (f *Follower) usualWait() time.Duration {
+	if f.Others == nil {
+		return shortestWait
+	}
+	return min(longestWait, max(shortestWait, time.Duration(f.Others()+1)*waitPerFollower))
+}
+
+func (f *Follower) arm(cancel context.CancelFunc, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancel = cancel
+	f.cancel, f.armed = cancel, wait
+}
+
+// Recheck cuts a waiting watch short that began when many others followed too,
+// if few are heard now: they no longer make up for it. It is safe for concurrent
+// use.
+func (f *Follower) Recheck() {
+	usual := f.usualWait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil && f.armed > 2*usual {
+		f.Log.Info().Str("prefix", f.Prefix).Dur("wait", f.armed).Dur("usual", usual).Msg("fewer others follow, watching again")
+		f.armed = 0
+		f.cancel()
+	}
 }
 
 // Nudge tells that somebody else knows of a change with the revision. If the
--- a/core/source/follower_test.go
+++ b/core/source/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,7 +19,6 @@
 }
 
 type step struct {
-	call     string // expected
 	items    []Item
 	events   []Event
 	revision uint64
@@ -154,3 +154,30 @@
 		}
 	}
 }
+
+// A follower that loses sight of the others has to find changes by itself.
+func TestALongWatchIsCutShortWhenTheOthersAreGone(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var others atomic.Int32
+	others.Store(30)
+	store := deaf{make(chan struct{}, 1)}
+	updates := make(chan Update, 8)
+	f := &Follower{Store: store, Log: zerolog.Nop(), Others: func() int { return int(others.Load()) }, Deliver: func(u Update) {
+		select {
+		case updates <- u:
+		default:
+		}
+	}}
+	go f.Run(ctx)
+	is.Equal((<-updates).Changed, uint64(1))
+	for len(store.watches) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.Recheck()
+	is.Equal(len(updates), 0)
+	others.Store(0)
+	f.Recheck()
+	is.True((<-updates).Changed >= 2)
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -214,6 +214,7 @@
 		case now := <-ticker.C:
 			g.registry.Expire(g.revision.Load(), now)
 			g.catchUp(&behind)
+			g.follower.Recheck()
 		}
 	}
 }
