--- a/agent/mapswitch/explore_test.go
+++ b/agent/mapswitch/explore_test.go
@@ -47,8 +47,9 @@
 	return ""
 }
 
-// explore runs schedules on all cores until one is wrong.
-func explore(n uint64, b bugs) (seed uint64, problem string) {
+// ExploreSchedules runs schedules on all cores until one is wrong. The worlds of
+// both test packages use it.
+func ExploreSchedules(n uint64, schedule func(seed uint64) (problem string)) (seed uint64, problem string) {
 	var next, badSeed atomic.Uint64
 	var bad atomic.Pointer[string]
 	var wg conc.WaitGroup
@@ -59,7 +60,7 @@
 				if seed > n {
 					return
 				}
-				if p := randomSchedule(seed, b); p != "" && bad.CompareAndSwap(nil, &p) {
+				if p := schedule(seed); p != "" && bad.CompareAndSwap(nil, &p) {
 					badSeed.Store(seed)
 				}
 			}
@@ -72,6 +73,10 @@
 	return 0, ""
 }
 
+func explore(n uint64, b bugs) (seed uint64, problem string) {
+	return ExploreSchedules(n, func(seed uint64) string { return randomSchedule(seed, b) })
+}
+
 func TestRandomSchedules(t *testing.T) {
 	if seed, problem := explore(schedules, bugs{}); problem != "" {
 		t.Fatalf("seed %d: %s", seed, problem)
--- a/agent/mapswitch/ranks_explore_test.go
+++ b/agent/mapswitch/ranks_explore_test.go
@@ -3,11 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"runtime"
-	"sync/atomic"
 	"testing"
 
-	"github.com/sourcegraph/conc"
+	"baywall.example/agent/mapswitch"
 )
 
 const (
@@ -60,29 +58,8 @@
 	}
 }
 
-// exploreRanks runs schedules on all cores until one is wrong.
 func exploreRanks(n uint64, b rankBugs) (seed uint64, problem string) {
-	var next, badSeed atomic.Uint64
-	var bad atomic.Pointer[string]
-	var wg conc.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		wg.Go(func() {
-			for bad.Load() == nil {
-				seed := next.Add(1)
-				if seed > n {
-					return
-				}
-				if p := rankSchedule(seed, b); p != "" && bad.CompareAndSwap(nil, &p) {
-					badSeed.Store(seed)
-				}
-			}
-		})
-	}
-	wg.Wait()
-	if p := bad.Load(); p != nil {
-		return badSeed.Load(), *p
-	}
-	return 0, ""
+	return mapswitch.ExploreSchedules(n, func(seed uint64) string { return rankSchedule(seed, b) })
 }
 
 // The ordinary course switches maps, so the schedules are about something.
