Spread the watches that one event woke together

Seen in the log of one gateway. Change: waits are spread over the whole usual wait, from a quarter on.

--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -134,11 +134,12 @@
 	}
 }
 
-// wait returns how long the next watch waits, jittered so that followers that
-// began together do not stay together.
+// wait returns how long the next watch waits. Each event wakes all followers at
+// once, so the waits that follow are spread over the whole usual wait: whenever
+// watches go deaf, some follower asks again soon and tells the others.
 func (f *Follower) wait() time.Duration {
 	wait := f.usualWait()
-	return wait*3/4 + rand.N(wait/2)
+	return wait/4 + rand.N(wait)
 }
 
 func (f *Follower) usualWait() time.Duration {
