--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -42,7 +42,7 @@
 		return attempt{verdict: verdictCut, status: answer.Status}
 	}
 	q.firstAnswer = time.Since(q.began)
-	q.writeHead(answer.Status, answer.Header)
+	q.copyHead(answer.Header)
 	if whole {
 		q.w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	}
@@ -60,8 +60,8 @@
 	return attempt{verdict: verdictAnswered}
 }
 
-// writeHead copies the backend server's header fields.
-func (q *request) writeHead(_ int, from http.Header) {
+// copyHead copies the backend server's header fields.
+func (q *request) copyHead(from http.Header) {
 	h := q.w.Header()
 	named := connectionFields(from)
 	for name, values := range from {
@@ -90,7 +90,7 @@
 
 // passFailure gives the caller the backend server's own error.
 func (q *request) passFailure(a attempt) {
-	q.writeHead(a.status, a.header)
+	q.copyHead(a.header)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	q.w.WriteHeader(a.status)
 	_, err := q.w.Write(a.body)
--- a/entry/gateway/protocol.go
+++ b/entry/gateway/protocol.go
@@ -14,18 +14,15 @@
 // Headers are the names of the header fields that callers and backend servers
 // use. An empty name means that there is no such field.
 type Headers struct {
-	RequestID      string // the caller's id of this attempt, echoed by backend servers
-	APIKey         string // of the caller, never passed on
-	Deadline       string // whole milliseconds that the caller, or the backend server, has
-	Team           string // set for backend servers
-	ExpectServer   string // id of the backend server that a request is meant for
-	NotRun         string // in an answer: the request did not run
-	Load           string // in an answer: running,waiting,slots
-	Priority       string // set for backend servers, never taken from callers
-	ExpectVersion  string // set by gateways only, never taken from callers
-	Tokens         string // prompt tokens,most output tokens
-	ResumeAfter    string // id of the last event that the caller has
-	ContentVersion string // in an answer of a model engine
+	RequestID     string // the caller's id of this attempt, echoed by backend servers
+	APIKey        string // of the caller, never passed on
+	Deadline      string // whole milliseconds that the caller, or the backend server, has
+	Team          string // set for backend servers
+	ExpectServer  string // id of the backend server that a request is meant for
+	NotRun        string // in an answer: the request did not run
+	Priority      string // set for backend servers, never taken from callers
+	ExpectVersion string // set by gateways only, never taken from callers
+	ResumeAfter   string // id of the last event that the caller has
 }
 
 // Adapter connects a gateway to the platform that it runs on.
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -96,7 +96,7 @@
 		if !s.begun {
 			s.begun = true
 			q.firstAnswer = time.Since(q.began)
-			q.writeHead(answer.Status, answer.Header)
+			q.copyHead(answer.Header)
 			q.w.WriteHeader(answer.Status)
 		} else if q.events > 0 {
 			q.longestGap = max(q.longestGap, time.Since(last))
@@ -124,7 +124,7 @@
 	if !s.begun {
 		s.begun = true
 		q.firstAnswer = time.Since(q.began)
-		q.writeHead(answer.Status, answer.Header)
+		q.copyHead(answer.Header)
 		q.w.WriteHeader(answer.Status)
 	}
 	return attempt{verdict: verdictAnswered}
