--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -24,6 +24,7 @@
 	"baywall.example/core/settings"
 	"baywall.example/core/timeline"
 	"baywall.example/core/vm"
+	"baywall.example/core/wait"
 	"baywall.example/core/wire"
 )
 
@@ -122,7 +123,7 @@
 
 // Run takes part in the groups until the context ends.
 func (s *Set) Run(ctx context.Context) {
-	if !s.env.Timing.NoWait && !sleep(ctx, s.env.Timing.OrderLifetime) {
+	if !s.env.Timing.NoWait && !wait.Sleep(ctx, s.env.Timing.OrderLifetime) {
 		return
 	}
 	s.member.Recovered()
@@ -131,18 +132,7 @@
 		if ok {
 			s.lead(ctx, name, rank)
 		}
-		sleep(ctx, s.env.Timing.Tick)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+		wait.Sleep(ctx, s.env.Timing.Tick)
 	}
 }
 
@@ -154,7 +144,7 @@
 		if rank < 0 {
 			continue
 		}
-		wait := s.env.Timing.Election + time.Duration(rank)*s.env.Timing.Stagger
+		period := s.env.Timing.Election + time.Duration(rank)*s.env.Timing.Stagger
 		s.mu.Lock()
 		last, known := s.heard[name]
 		if !known {
@@ -162,7 +152,7 @@
 			last = now
 		}
 		s.mu.Unlock()
-		if now.Sub(last) > wait {
+		if now.Sub(last) > period {
 			return name, rank, true
 		}
 	}
--- a/agent/rank/engine.go
+++ b/agent/rank/engine.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"baywall.example/agent/engine"
+	"baywall.example/core/wait"
 )
 
 // Errors of this layer.
@@ -214,7 +215,7 @@
 		if report.Prepared == o.Version {
 			return nil
 		}
-		if !pause(ctx, loadPoll) {
+		if !wait.Sleep(ctx, loadPoll) {
 			break
 		}
 	}
@@ -303,14 +304,3 @@
 	}
 	return eris.Wrapf(ErrUnsettled, "%s", o.Kind)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/agent/rankserver/server.go
+++ b/agent/rankserver/server.go
@@ -23,6 +23,7 @@
 	"baywall.example/core/source"
 	"baywall.example/core/timeline"
 	"baywall.example/core/vm"
+	"baywall.example/core/wait"
 	"baywall.example/core/wire"
 	"baywall.example/core/zone"
 )
@@ -288,11 +289,11 @@
 			known = len(seeds)
 			r.node.SetSeeds(seeds)
 		}
-		wait := listInterval
+		period := listInterval
 		if known == 0 {
-			wait = startInterval
+			period = startInterval
 		}
-		if !sleep(ctx, wait) {
+		if !wait.Sleep(ctx, period) {
 			return
 		}
 	}
@@ -331,7 +332,7 @@
 			return
 		}
 		r.log.Warn().Err(err).Msg("configuration of the engine not read")
-		if !sleep(ctx, startInterval) {
+		if !wait.Sleep(ctx, startInterval) {
 			return
 		}
 	}
@@ -351,14 +352,3 @@
 	}
 	return Engine{}, eris.Wrapf(source.ErrUnavailable, "no configuration is published")
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"baywall.example/core/wait"
 )
 
 const (
@@ -96,7 +98,7 @@
 			f.regained = now
 			continue
 		}
-		f.pause(ctx, f.failed(err, now))
+		wait.Sleep(ctx, f.failed(err, now))
 	}
 }
 
@@ -104,11 +106,11 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	wait := f.wait()
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	period := f.wait()
+	ctx, cancel := context.WithTimeout(ctx, period+watchSlack)
 	defer cancel()
-	f.arm(cancel, wait)
-	events, revision, err := f.Store.Watch(ctx, f.Prefix, f.revision, wait)
+	f.arm(cancel, period)
+	events, revision, err := f.Store.Watch(ctx, f.Prefix, f.revision, period)
 	f.arm(nil, 0)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return nil // nudged: watch again, or the follower ends
@@ -130,7 +132,7 @@
 	before := f.lastEvent
 	f.lastEvent = now
 	if !before.IsZero() && now.Sub(before) < inARow {
-		f.pause(ctx, eventPause)
+		wait.Sleep(ctx, eventPause)
 	}
 }
 
@@ -248,12 +250,3 @@
 	f.failures++
 	return limit/2 + rand.N(limit/2)
 }
-
-func (f *Follower) pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
