--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -158,12 +158,13 @@
 	return n.table.Live()
 }
 
-// InFlight returns the requests that peers have in flight to each of the
-// backend servers, in the same order.
-func (n *Node) InFlight(servers []uint32, out []int) {
+// Load fills out with what peers put on each of the backend servers, in the same
+// order.
+func (n *Node) Load(servers []uint32, out []Load) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := time.Now()
 	for i, s := range servers {
-		out[i] = n.table.InFlight(s)
+		out[i] = n.table.Load(s, now)
 	}
 }
--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -22,6 +22,11 @@
 	forgetAfter = 60 * time.Second
 	// silentInterval is the time between heartbeats to a silent peer.
 	silentInterval = time.Second
+	// gapFresh is how long a peer's gap outweighs shorter ones of others: about
+	// the time in which all members of a fleet of 30 are heard once.
+	gapFresh = 300 * time.Millisecond
+	// gapLifetime is how long a gap counts where no newer one is heard.
+	gapLifetime = time.Second
 	// contactsPerHeartbeat bounds the addresses passed on in one datagram.
 	contactsPerHeartbeat = 4
 )
@@ -36,8 +41,16 @@
 	Ready            bool
 	CatalogVersion   uint64
 	BackendsRevision uint64
-	InFlight         map[uint32]int // by backend server key
-	Rank             *RankLabel     // nil unless it is the agent of a rank
+	Load             map[uint32]Load // by backend server key
+	Rank             *RankLabel      // nil unless it is the agent of a rank
+}
+
+// Load is what one or more members put on a backend server.
+type Load struct {
+	Requests int // in flight
+	// Gap is the pause between events of the streams, 0 = not known; of several
+	// members the longest.
+	Gap time.Duration
 }
 
 // RankLabel is the place of a rank in its expert-parallel group.
@@ -76,10 +89,16 @@
 	Heard            time.Time
 
 	sequence uint64
-	inFlight map[uint32]int
+	load     map[uint32]Load
 	sent     time.Time
 }
 
+// heardGap is the longest gap that peers lately named for a backend server.
+type heardGap struct {
+	gap   time.Duration
+	heard time.Time
+}
+
 // Change is a peer that was met, lost or regained.
 type Change struct {
 	Peer  Peer
@@ -102,6 +121,7 @@
 	peers    map[string]*Peer
 	alive    map[string]bool
 	totals   map[uint32]int
+	gaps     map[uint32]heardGap
 	sequence uint64
 }
 
@@ -111,6 +131,7 @@
 	t := &Table{
 		self: self, perPeer: perPeer,
 		peers: make(map[string]*Peer), alive: make(map[string]bool), totals: make(map[uint32]int),
+		gaps: make(map[uint32]heardGap),
 	}
 	t.SetSeeds(seeds)
 	return t
@@ -183,9 +204,9 @@
 		CatalogVersion: self.CatalogVersion, BackendsRevision: self.BackendsRevision,
 		Contacts: t.contacts(rnd), Rank: self.Rank.wire(),
 	}
-	for server, n := range self.InFlight {
-		if n > 0 {
-			hb.InFlight = append(hb.InFlight, &wire.InFlight{Server: server, Requests: uint32(n)})
+	for server, l := range self.Load {
+		if l.Requests > 0 {
+			hb.InFlight = append(hb.InFlight, &wire.InFlight{Server: server, Requests: uint32(l.Requests), GapMs: uint32(l.Gap.Milliseconds())})
 		}
 	}
 	return hb
@@ -228,27 +249,29 @@
 		VM: vm.ID(hb.GetVm()), Incarnation: vm.Incarnation(hb.GetIncarnation()), Zone: hb.GetZone(),
 		Address: hb.GetAddress(), Front: hb.GetFront(), Ready: hb.GetReady(),
 		CatalogVersion: hb.GetCatalogVersion(), BackendsRevision: hb.GetBackendsRevision(),
-		Rank: rankFromWire(hb.GetRank()), Heard: now, sequence: hb.GetSequence(), inFlight: make(map[uint32]int, len(hb.GetInFlight())),
+		Rank: rankFromWire(hb.GetRank()), Heard: now, sequence: hb.GetSequence(), load: make(map[uint32]Load, len(hb.GetInFlight())),
 	}
 	if old != nil {
 		next.sent = old.sent
 		t.subtract(old)
 	}
 	for _, f := range hb.GetInFlight() {
-		next.inFlight[f.GetServer()] = int(f.GetRequests())
+		next.load[f.GetServer()] = Load{Requests: int(f.GetRequests()), Gap: time.Duration(f.GetGapMs()) * time.Millisecond}
 		t.totals[f.GetServer()] += int(f.GetRequests())
+		t.hearGap(f.GetServer(), next.load[f.GetServer()].Gap, now)
 	}
 	t.peers[next.Address] = next
 	return next
 }
 
 func (t *Table) subtract(p *Peer) {
-	for server, n := range p.inFlight {
-		if t.totals[server] -= n; t.totals[server] <= 0 {
+	for server, l := range p.load {
+		if t.totals[server] -= l.Requests; t.totals[server] <= 0 {
 			delete(t.totals, server)
+			delete(t.gaps, server)
 		}
 	}
-	p.inFlight = nil
+	p.load = nil
 }
 
 // learn notes addresses of gateways that have not been heard yet.
@@ -288,6 +311,20 @@
 	return out
 }
 
-// InFlight returns the requests that live peers have in flight to the backend
-// server.
-func (t *Table) InFlight(server uint32) int { return t.totals[server] }
+// Load returns what live peers put on the backend server.
+func (t *Table) Load(server uint32, now time.Time) Load {
+	out := Load{Requests: t.totals[server]}
+	if g := t.gaps[server]; out.Requests > 0 && now.Sub(g.heard) < gapLifetime {
+		out.Gap = g.gap
+	}
+	return out
+}
+
+// hearGap takes what a peer says of a backend server's gap. A longer one counts
+// at once, a shorter one when the longer is no longer fresh.
+func (t *Table) hearGap(server uint32, gap time.Duration, now time.Time) {
+	old := t.gaps[server]
+	if gap >= old.gap || now.Sub(old.heard) >= gapFresh {
+		t.gaps[server] = heardGap{gap: gap, heard: now}
+	}
+}
--- a/core/cluster/table_test.go
+++ b/core/cluster/table_test.go
@@ -74,14 +74,14 @@
 	f := newFleet([]string{"a"}, "a", "b", "c")
 	for _, a := range []string{"b", "c"} {
 		self := f.selves[a]
-		self.InFlight = map[uint32]int{7: 3}
+		self.Load = map[uint32]Load{7: {Requests: 3}}
 		f.selves[a] = self
 	}
 	f.run(2 * time.Second)
-	is.Equal(f.tables["a"].InFlight(7), 6)
+	is.Equal(f.tables["a"].Load(7, f.now).Requests, 6)
 	f.cut["c"] = true
 	f.run(1500 * time.Millisecond)
-	is.Equal(f.tables["a"].InFlight(7), 3)
+	is.Equal(f.tables["a"].Load(7, f.now).Requests, 3)
 }
 
 func TestOvertakenHeartbeatsAreIgnored(t *testing.T) {
--- /dev/null
+++ b/entry/balance/demand.go
@@ -0,0 +1,111 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Demand is what one request asks of the servers of a service.
+type Demand struct {
+	Service string
+	// Exclude names servers by id that the request was sent to already.
+	Exclude map[string]bool
+	// MostWait bounds the time for which the request is expected to queue at a
+	// server, 0 = unbounded.
+	MostWait time.Duration
+	// GapTarget is the longest pause between events of a stream that is on time,
+	// 0 = the request is no stream.
+	GapTarget time.Duration
+	// Proven leaves out servers that turned their latest request away.
+	Proven bool
+}
+
+// Availability tells why a pick found a server or none.
+type Availability int
+
+// Availabilities.
+const (
+	Available   Availability = iota + 1
+	AllBusy                  // usable servers are there, but the wait at each is too long
+	Unavailable              // no server may take the request now
+)
+
+// String returns the availability's name.
+func (a Availability) String() string { return [...]string{"", "available", "busy", "unavailable"}[a] }
+
+// Pick returns the least loaded server for the demand and counts a request to
+// it, which the caller releases.
+func (r *Registry) Pick(d Demand, now time.Time) (Choice, Availability) {
+	s := r.shard(d.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load := r.refresh(s, now)
+	best, bestScore, busy := -1, 0.0, false
+	for i, server := range s.usable {
+		if d.Exclude[server.ID] || d.Proven && server.full.rejections > 0 {
+			continue
+		}
+		if s.tooBusy(i, d, now) {
+			busy = true
+			continue
+		}
+		score := (float64(s.inFlight(i)) + rand.Float64()*blur) / float64(max(1, server.Slots))
+		score += s.lateness(i, d.GapTarget, now)
+		if best < 0 || score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	switch {
+	case best >= 0:
+		return s.choose(best, load), Available
+	case busy:
+		return Choice{Load: load}, AllBusy
+	default:
+		return Choice{Load: load}, Unavailable
+	}
+}
+
+// inFlight returns the requests of all gateways to a usable server.
+func (s *shard) inFlight(i int) int { return s.peers[i].Requests + s.usable[i].InFlight() }
+
+// tooBusy reports whether a request would queue at the server for longer than
+// it can.
+func (s *shard) tooBusy(i int, d Demand, now time.Time) bool {
+	slots := s.usable[i].Slots
+	if d.MostWait <= 0 || slots <= 0 {
+		return false
+	}
+	if share := s.startShare(now); share < 1 {
+		return float64(s.inFlight(i)) >= share*float64(slots)
+	}
+	ahead := s.inFlight(i) + 1 - slots // requests that have to end before this one begins
+	return ahead > 0 && time.Duration(ahead)*s.occupied/time.Duration(slots) > d.MostWait
+}
+
+// choose counts a request to a usable server.
+func (s *shard) choose(i int, load Load) Choice {
+	server := s.usable[i]
+	inFlight := s.inFlight(i)
+	if server.health.onTrial() {
+		server.health.trial = true
+	}
+	server.inFlight.Add(1)
+	return Choice{Server: server, InFlight: inFlight, Pace: s.pace(i, time.Now()), Load: load}
+}
+
+// occupiedWeight is the weight of the newest request in the smoothed time for
+// which requests occupy a slot.
+const occupiedWeight = 0.05
+
+// Occupied notes for how long a request that did not have to queue occupied a
+// slot of a server of the service.
+func (r *Registry) Occupied(service string, d time.Duration) {
+	s := r.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.occupied == 0 {
+		s.occupied = d
+		return
+	}
+	s.occupied += time.Duration(occupiedWeight * float64(d-s.occupied))
+}
--- /dev/null
+++ b/entry/balance/pace.go
@@ -0,0 +1,95 @@
+package balance
+
+import (
+	"sync"
+	"time"
+)
+
+// The ranks of a group make each pass of their engine together, so the pause
+// between two events of a stream is about one pass, the same on all of them. A
+// gateway measures it on the streams that it forwards, hears what the others
+// measured, and keeps new streams away from servers whose passes are too long for
+// a stream to be on time.
+
+const (
+	// gapWeight is the weight of the newest pause in the smoothed one: three
+	// passes make most of it.
+	gapWeight = 0.4
+	// gapLifetime is how long a pause counts after it was measured: demand
+	// shifts within seconds.
+	gapLifetime = 800 * time.Millisecond
+	// lateFrom and lateAt are the parts of the gap target between which a
+	// server's lateness rises from 0 to lateCost.
+	lateFrom, lateAt = 0.9, 1.2
+	// lateCost is what streams on a server whose passes are too long are worth in
+	// load: a server counts as if it were full.
+	lateCost = 1.0
+)
+
+// Pace is the state of a server's streams. It is safe for concurrent use.
+type Pace struct {
+	mu      sync.Mutex
+	gap     time.Duration // smoothed
+	at      time.Time     // of the latest event
+	streams int           // that have begun and not ended
+}
+
+// Begun notes the first event of a stream.
+func (p *Pace) Begun(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.streams++
+	p.at = now
+}
+
+// Event notes a further event, a pause after the one before it.
+func (p *Pace) Event(gap time.Duration, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.gap == 0 {
+		p.gap = gap
+	}
+	p.gap += time.Duration(gapWeight * float64(gap-p.gap))
+	p.at = now
+}
+
+// Ended notes the end of a stream that had begun.
+func (p *Pace) Ended() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.streams--
+}
+
+// Gap returns the pause between events that a stream has to expect, 0 = not
+// known. A pause that has not ended counts as soon as it is the longer one.
+func (p *Pace) Gap(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since := now.Sub(p.at)
+	switch {
+	case p.streams > 0:
+		return max(p.gap, since)
+	case since < gapLifetime:
+		return p.gap
+	default:
+		p.gap = 0
+		return 0
+	}
+}
+
+// pace returns the pause to expect on a usable server, as far as any gateway
+// knows.
+func (s *shard) pace(i int, now time.Time) time.Duration {
+	return max(s.peers[i].Gap, s.usable[i].Pace.Gap(now))
+}
+
+// lateness returns what is added to a server's load since streams on it would be
+// late.
+func (s *shard) lateness(i int, target time.Duration, now time.Time) float64 {
+	gap := s.pace(i, now)
+	if target <= 0 || gap == 0 {
+		return 0
+	}
+	over := float64(gap)/float64(target) - lateFrom
+	return lateCost * min(1, max(0, over/(lateAt-lateFrom)))
+}
--- /dev/null
+++ b/entry/balance/probation.go
@@ -0,0 +1,143 @@
+package balance
+
+import "time"
+
+// While none of a service's servers is known to take requests, as after all VMs
+// lost power, requests would use up their retries on servers that turn them away.
+// The service is then on probation: its servers are asked with probes, which cost
+// no retry, and requests go only to those that answered well. It ends with the
+// first server that accepts a request; the others stay suspect until they accept
+// one or answer a probe, or until enough time has passed.
+
+const (
+	// probeInterval is the time between two probes of a server: groups of ranks
+	// take some seconds to be formed, and callers wait for them.
+	probeInterval = 120 * time.Millisecond
+	// probePatience is for how long requests hold back where probes get no
+	// usable answer: then they try the servers themselves.
+	probePatience = 4 * time.Second
+	// suspectTime is for how long a server stays suspect: one that answers no
+	// probe by then cannot be asked.
+	suspectTime = 2 * probePatience
+	// slowStartTime is how long servers take to get all requests after a
+	// probation, slowStartFrom the part of their slots that they get at first.
+	slowStartTime = 1500 * time.Millisecond
+	slowStartFrom = 0.4
+	// minDoubted and doubtedPart tell how many servers are doubted on probation:
+	// a quarter, where that is more than a few that are full by chance.
+	minDoubted  = 3
+	doubtedPart = 4
+)
+
+// probation is what is known of one server.
+type probation struct {
+	accepted bool      // it took a request in, and turned none away since
+	suspect  time.Time // when its service came on probation, zero = not suspect
+	good     bool      // its latest probe
+	asked    time.Time // when the latest probe began
+	asking   bool
+}
+
+// doubted reports whether the server turned its latest request away.
+func (s *Server) doubted() bool { return s.replaced || s.full.rejections > 0 }
+
+// onProbation reports whether many servers of the shard are doubted and none is
+// known to take requests.
+func (s *shard) onProbation(now time.Time) bool {
+	doubted := 0
+	for _, server := range s.servers {
+		if server.probation.accepted && server.usable(now) {
+			s.endProbation(now)
+			return false
+		}
+		if server.doubted() {
+			doubted++
+		}
+	}
+	if doubted < max(minDoubted, len(s.servers)/doubtedPart) {
+		return false
+	}
+	if s.probationSince.IsZero() {
+		s.probationSince = now
+		for _, server := range s.servers {
+			server.probation.suspect = now
+		}
+	}
+	return now.Sub(s.probationSince) < probePatience
+}
+
+// endProbation begins the slow start.
+func (s *shard) endProbation(now time.Time) {
+	if s.probationSince.IsZero() {
+		return
+	}
+	s.probationSince = time.Time{}
+	s.slowStart = now
+}
+
+// startShare returns the part of their slots that servers get during slow start,
+// 1 after it. Until the first maps are planned, full batches make passes too long
+// for streams to be on time.
+func (s *shard) startShare(now time.Time) float64 {
+	age := now.Sub(s.slowStart)
+	if age >= slowStartTime {
+		return 1
+	}
+	return slowStartFrom + (1-slowStartFrom)*float64(age)/float64(slowStartTime)
+}
+
+// trusted reports whether a server may get requests as far as its probation goes.
+func (s *Server) trusted(probation bool, now time.Time) bool {
+	if s.probation.good || s.probation.accepted {
+		return true
+	}
+	return !probation && now.Sub(s.probation.suspect) > suspectTime
+}
+
+// DueProbes returns the servers to be probed now. Each is then reported to
+// Probed.
+func (r *Registry) DueProbes(now time.Time) []*Server {
+	var out []*Server
+	for _, s := range r.all() {
+		s.mu.Lock()
+		probation := s.onProbation(now)
+		for _, server := range s.servers {
+			if server.trusted(probation, now) || server.draining || server.replaced {
+				continue
+			}
+			p := &server.probation
+			if !p.asking && now.Sub(p.asked) >= probeInterval {
+				p.asking, p.asked = true, now
+				out = append(out, server)
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// Probed notes the answer to a probe: whether the server takes requests.
+func (r *Registry) Probed(server *Server, good bool) {
+	s := r.shard(server.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &server.probation
+	p.asking = false
+	if good && !p.good {
+		r.log.Info().Str("server", server.ID).Str("service", server.Service).Msg("backend server takes requests again")
+	}
+	p.good = good
+	if good {
+		p.suspect = time.Time{}
+		server.full = fullness{}
+	}
+}
+
+// Accepted notes that the server took a request in.
+func (r *Registry) Accepted(server *Server) {
+	s := r.shard(server.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server.full = fullness{}
+	server.probation.accepted, server.probation.suspect = true, time.Time{}
+}
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -1,11 +1,12 @@
 package balance
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"baywall.example/core/cluster"
 )
 
 // lapseGrace is how long a server that went missing while the source was away
@@ -31,18 +32,22 @@
 
 // PeerLoad tells what the other gateways have in flight.
 type PeerLoad interface {
-	// InFlight fills out with the requests that peers have in flight to each
-	// of the servers.
-	InFlight(servers []uint32, out []int)
+	// Load fills out with the load that peers put on each of the servers.
+	Load(servers []uint32, out []cluster.Load)
 }
 
 // shard is one service's servers.
 type shard struct {
 	mu      sync.Mutex
 	servers map[string]*Server
-	keys    []uint32 // scratch
-	peers   []int    // scratch
+	keys    []uint32       // scratch
+	peers   []cluster.Load // scratch
 	usable  []*Server
+	// occupied is for how long a request occupies a slot, smoothed; 0 = not
+	// known.
+	occupied       time.Duration
+	probationSince time.Time // zero = not on probation
+	slowStart      time.Time // when the latest probation ended
 }
 
 // NewRegistry returns an empty registry.
@@ -83,6 +88,28 @@
 	for service, infos := range byService {
 		r.updateShard(r.shard(service), infos, revision, recovering, now)
 	}
+	r.replaceOlder(list)
+}
+
+// replaceOlder takes the servers out at whose address a later one is listed: a
+// server that crashed stays listed until its lease ends.
+func (r *Registry) replaceOlder(list []Info) {
+	latest := make(map[string]uint64, len(list))
+	for _, info := range list {
+		latest[info.Address] = max(latest[info.Address], info.Revision)
+	}
+	for _, info := range list {
+		if info.Revision >= latest[info.Address] {
+			continue
+		}
+		s := r.shard(info.Service)
+		s.mu.Lock()
+		server := s.servers[info.ID]
+		s.mu.Unlock()
+		if server != nil {
+			r.Replaced(server)
+		}
+	}
 }
 
 func (r *Registry) updateShard(s *shard, infos []Info, revision uint64, recovering bool, now time.Time) {
@@ -148,14 +175,14 @@
 	return out
 }
 
-// InFlight returns this gateway's requests in flight by server key.
-func (r *Registry) InFlight() map[uint32]int {
-	out := make(map[uint32]int)
+// OwnLoad returns this gateway's load by server key.
+func (r *Registry) OwnLoad(now time.Time) map[uint32]cluster.Load {
+	out := make(map[uint32]cluster.Load)
 	for _, s := range r.all() {
 		s.mu.Lock()
 		for _, server := range s.servers {
 			if n := server.InFlight(); n > 0 {
-				out[server.Key] = n
+				out[server.Key] = cluster.Load{Requests: n, Gap: server.Pace.Gap(now)}
 			}
 		}
 		s.mu.Unlock()
@@ -177,47 +204,15 @@
 	// InFlight is the number of requests of all gateways to the server, this
 	// one not counted.
 	InFlight int
-	Load     Load
+	// Pace is the pause between events that a stream has to expect, 0 = not
+	// known.
+	Pace time.Duration
+	Load Load
 }
 
 // Release ends the use of the choice.
 func (c Choice) Release() { c.Server.inFlight.Add(-1) }
 
-// Pick returns the least loaded server of the service that is not excluded and
-// counts a request to it, which the caller releases. It reports false if there
-// is none.
-func (r *Registry) Pick(service string, exclude map[string]bool, now time.Time) (Choice, bool) {
-	s := r.shard(service)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	load := r.refresh(s, now)
-	best, bestLoad, ties := -1, 0.0, 0
-	for i, server := range s.usable {
-		if exclude[server.ID] {
-			continue
-		}
-		score := (float64(s.peers[i]+server.InFlight()) + rand.Float64()*blur) / float64(max(1, server.Slots))
-		switch {
-		case best < 0 || score < bestLoad:
-			best, bestLoad, ties = i, score, 1
-		case score == bestLoad:
-			if ties++; rand.IntN(ties) == 0 {
-				best = i
-			}
-		}
-	}
-	if best < 0 {
-		return Choice{}, false
-	}
-	server := s.usable[best]
-	inFlight := s.peers[best] + server.InFlight()
-	if server.health.onTrial() {
-		server.health.trial = true
-	}
-	server.inFlight.Add(1)
-	return Choice{Server: server, InFlight: inFlight, Load: load}, true
-}
-
 // Load returns the state of the service's servers.
 func (r *Registry) Load(service string, now time.Time) Load {
 	s := r.shard(service)
@@ -230,20 +225,21 @@
 // requests and what peers have in flight to them.
 func (r *Registry) refresh(s *shard, now time.Time) Load {
 	s.usable, s.keys = s.usable[:0], s.keys[:0]
+	probation := s.onProbation(now)
 	for _, server := range s.servers {
-		if server.usable(now) {
+		if server.usable(now) && server.trusted(probation, now) {
 			s.usable = append(s.usable, server)
 			s.keys = append(s.keys, server.Key)
 		}
 	}
-	s.peers = append(s.peers[:0], make([]int, len(s.keys))...)
-	r.peers.InFlight(s.keys, s.peers)
+	s.peers = append(s.peers[:0], make([]cluster.Load, len(s.keys))...)
+	r.peers.Load(s.keys, s.peers)
 	load := Load{Servers: len(s.usable)}
 	for i, server := range s.usable {
 		own := server.InFlight()
 		load.Slots += server.Slots
 		load.Own += own
-		load.InFlight += own + s.peers[i]
+		load.InFlight += own + s.peers[i].Requests
 	}
 	return load
 }
@@ -254,7 +250,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server.health.success()
-	server.full = fullness{}
 }
 
 // Rejected notes a request that the server turned away as full. For a short time
@@ -264,6 +259,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server.health.trial = false
+	server.probation.accepted, server.probation.good = false, false
 	server.full.rejected(now)
 }
 
@@ -302,6 +298,7 @@
 		return
 	}
 	server.replaced = true
+	server.probation = probation{}
 	server.Pool.Close()
 	r.log.Warn().Str("server", server.ID).Str("service", server.Service).Str("address", server.Address).Msg("backend server replaced")
 }
--- a/entry/balance/registry_test.go
+++ b/entry/balance/registry_test.go
@@ -6,14 +6,16 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+
+	"baywall.example/core/cluster"
 )
 
 // peerLoad is a fixed load of other gateways.
 type peerLoad map[uint32]int
 
-func (p peerLoad) InFlight(servers []uint32, out []int) {
+func (p peerLoad) Load(servers []uint32, out []cluster.Load) {
 	for i, s := range servers {
-		out[i] = p[s]
+		out[i].Requests = p[s]
 	}
 }
 
@@ -35,11 +37,17 @@
 
 func pick(t *testing.T, r *Registry, now time.Time) Choice {
 	t.Helper()
-	c, ok := r.Pick("s", nil, now)
-	is.New(t).True(ok)
+	c, found := r.Pick(Demand{Service: "s"}, now)
+	is.New(t).Equal(found, Available)
 	return c
 }
 
+// pickFrom picks any server but those excluded.
+func pickFrom(r *Registry, exclude map[string]bool, now time.Time) (Choice, bool) {
+	c, found := r.Pick(Demand{Service: "s", Exclude: exclude}, now)
+	return c, found == Available
+}
+
 func TestTheLeastLoadedServerIsPicked(t *testing.T) {
 	is := is.New(t)
 	busy := newServer(Info{ID: "a"}).Key
@@ -61,7 +69,7 @@
 		is.Equal(pick(t, r, start).Server.ID, "b")
 	}
 	r.Update(nil, 3, false, start)
-	_, ok := r.Pick("s", nil, start)
+	_, ok := pickFrom(r, nil, start)
 	is.True(!ok)
 }
 
@@ -81,20 +89,20 @@
 func TestAFailingServerIsEjectedAndTriedAgain(t *testing.T) {
 	is := is.New(t)
 	r := registry(nil, "a", "b")
-	a, _ := r.Pick("s", map[string]bool{"b": true}, start)
+	a, _ := pickFrom(r, map[string]bool{"b": true}, start)
 	for range failuresToEject {
 		r.Failed(a.Server, "test", start)
 	}
 	a.Release()
 	is.Equal(r.Load("s", start).Servers, 1)
 	later := start.Add(firstEjection + time.Millisecond)
-	trial, ok := r.Pick("s", map[string]bool{"b": true}, later)
+	trial, ok := pickFrom(r, map[string]bool{"b": true}, later)
 	is.True(ok) // one request tries it
-	_, ok = r.Pick("s", map[string]bool{"b": true}, later)
+	_, ok = pickFrom(r, map[string]bool{"b": true}, later)
 	is.True(!ok) // and only one
 	r.Failed(trial.Server, "test", later)
 	is.Equal(r.Load("s", later.Add(firstEjection+time.Millisecond)).Servers, 1) // twice as long
-	again, ok := r.Pick("s", map[string]bool{"b": true}, later.Add(2*firstEjection+time.Millisecond))
+	again, ok := pickFrom(r, map[string]bool{"b": true}, later.Add(2*firstEjection+time.Millisecond))
 	is.True(ok)
 	r.Succeeded(again.Server)
 	is.Equal(r.Load("s", later).Servers, 2)
@@ -107,7 +115,7 @@
 		for _, id := range []string{"a", "b", "c", "d"} {
 			exclude := map[string]bool{"a": true, "b": true, "c": true, "d": true}
 			delete(exclude, id)
-			if c, ok := r.Pick("s", exclude, start); ok {
+			if c, ok := pickFrom(r, exclude, start); ok {
 				r.Failed(c.Server, "test", start)
 				c.Release()
 			}
@@ -119,7 +127,7 @@
 func TestAMixedServerIsEjectedByItsRate(t *testing.T) {
 	is := is.New(t)
 	r := registry(nil, "a", "b")
-	a, _ := r.Pick("s", map[string]bool{"b": true}, start)
+	a, _ := pickFrom(r, map[string]bool{"b": true}, start)
 	for i := range 40 {
 		if i%2 == 0 {
 			r.Failed(a.Server, "test", start)
@@ -133,7 +141,7 @@
 func TestAReplacedServerTakesNothingUntilItIsListedAnew(t *testing.T) {
 	is := is.New(t)
 	r := registry(nil, "a", "b")
-	a, _ := r.Pick("s", map[string]bool{"b": true}, start)
+	a, _ := pickFrom(r, map[string]bool{"b": true}, start)
 	r.Replaced(a.Server)
 	r.Update(infos("a", "b"), 2, false, start) // a list from before
 	for range 4 {
@@ -146,14 +154,14 @@
 func TestAFullServerIsLeftAloneForAWhile(t *testing.T) {
 	is := is.New(t)
 	r := registry(nil, "a", "b")
-	a, _ := r.Pick("s", map[string]bool{"b": true}, start)
+	a, _ := pickFrom(r, map[string]bool{"b": true}, start)
 	r.Rejected(a.Server, start)
 	is.Equal(r.Load("s", start).Servers, 1)
 	later := start.Add(firstFull)
 	is.Equal(r.Load("s", later).Servers, 2)
 	r.Rejected(a.Server, later)
 	is.Equal(r.Load("s", later.Add(firstFull)).Servers, 1) // twice as long
-	r.Succeeded(a.Server)
+	r.Accepted(a.Server)
 	is.Equal(r.Load("s", later).Servers, 2)
 }
 
@@ -167,3 +175,122 @@
 	r.Expire(2, start.Add(drain-2*look))
 	is.Equal(r.Load("s", start).Servers, 1)
 }
+
+// After a loss of power, the list names servers that are gone. Requests are kept
+// off them by probes, which cost no retries.
+func TestServersThatAllTurnRequestsAwayAreProbed(t *testing.T) {
+	is := is.New(t)
+	r := registry(nil, "a", "b", "c", "d")
+	is.Equal(len(r.DueProbes(start)), 0) // nothing is known against them
+	for _, id := range []string{"a", "b", "c"} {
+		c := pick(t, r, start)
+		c.Release()
+		r.Rejected(r.shard("s").servers[id], start)
+	}
+	_, found := r.Pick(Demand{Service: "s"}, start)
+	is.Equal(found, Unavailable)
+	due := r.DueProbes(start)
+	is.Equal(len(due), 4)
+	is.Equal(len(r.DueProbes(start)), 0) // they are being asked
+	for _, server := range due {
+		r.Probed(server, server.ID == "b")
+	}
+	c := pick(t, r, start)
+	is.Equal(c.Server.ID, "b")
+	r.Accepted(c.Server)
+	is.Equal(pick(t, r, start).Server.ID, "b") // the others stay suspect
+	is.Equal(len(r.DueProbes(start.Add(probeInterval))), 3)
+	r.Update(infos("a", "b", "e"), 2, false, start)
+	is.Equal(r.Load("s", start).Servers, 2) // what is listed anew is trusted
+	is.Equal(r.Load("s", start.Add(suspectTime+time.Second)).Servers, 3)
+}
+
+// Where no probe is answered, requests find out by themselves in the end.
+func TestProbationEnds(t *testing.T) {
+	is := is.New(t)
+	r := registry(nil, "a", "b", "c")
+	for _, server := range r.shard("s").servers {
+		r.Rejected(server, start)
+	}
+	is.Equal(r.Load("s", start.Add(longestFull)).Servers, 0)
+	is.Equal(r.Load("s", start.Add(suspectTime+time.Second)).Servers, 3)
+}
+
+func TestARequestDoesNotQueueForLong(t *testing.T) {
+	is := is.New(t)
+	r := registry(nil, "a")
+	d := Demand{Service: "s", MostWait: 200 * time.Millisecond}
+	for range 12 {
+		_, found := r.Pick(d, start)
+		is.Equal(found, Available)
+	}
+	_, found := r.Pick(d, start)
+	is.Equal(found, Available) // how long requests take is not known yet
+	r.Occupied("s", 1500*time.Millisecond)
+	_, found = r.Pick(d, start)
+	is.Equal(found, AllBusy) // 2 before it, 125 ms each
+	d.MostWait = time.Second
+	_, found = r.Pick(d, start)
+	is.Equal(found, Available)
+}
+
+func TestStreamsKeepAwayFromSlowPasses(t *testing.T) {
+	is := is.New(t)
+	r := registry(nil, "a", "b")
+	slow := r.shard("s").servers["a"]
+	slow.Pace.Begun(start)
+	slow.Pace.Event(150*time.Millisecond, start)
+	d := Demand{Service: "s", GapTarget: 120 * time.Millisecond}
+	for range 11 {
+		c, _ := r.Pick(d, start)
+		is.Equal(c.Server.ID, "b") // up to its slots
+	}
+	slow.Pace.Event(60*time.Millisecond, start)
+	slow.Pace.Event(60*time.Millisecond, start)
+	slow.Pace.Event(60*time.Millisecond, start)
+	c, _ := r.Pick(d, start)
+	is.Equal(c.Server.ID, "a")
+	is.Equal(slow.Pace.Gap(start.Add(500*time.Millisecond)), 500*time.Millisecond) // a pause that goes on
+}
+
+// A server that crashed and started again is listed twice until the lease of its
+// first entry ends; requests to the first would only be turned away.
+func TestALaterServerAtTheSameAddressReplacesTheFirst(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(peerLoad(nil), zerolog.Nop())
+	first := Info{ID: "old", Service: "s", Address: "127.0.0.1:1", Slots: 12, Revision: 5}
+	later := Info{ID: "new", Service: "s", Address: "127.0.0.1:1", Slots: 12, Revision: 9}
+	r.Update([]Info{first, later}, 9, false, start)
+	is.Equal(r.Load("s", start).Servers, 1)
+	is.Equal(pick(t, r, start).Server.ID, "new")
+	moved := Info{ID: "other", Service: "t", Address: "127.0.0.1:1", Slots: 12, Revision: 11}
+	r.Update([]Info{first, later, moved}, 11, false, start) // another service took the address over
+	is.Equal(r.Load("s", start).Servers, 0)
+	is.Equal(r.Load("t", start).Servers, 1)
+}
+
+func TestServersStartSlowlyAfterAProbation(t *testing.T) {
+	is := is.New(t)
+	r := registry(nil, "a", "b", "c")
+	for _, server := range r.shard("s").servers {
+		r.Rejected(server, start)
+	}
+	d := Demand{Service: "s", MostWait: 200 * time.Millisecond}
+	_, found := r.Pick(d, start)
+	is.Equal(found, Unavailable)
+	a := r.shard("s").servers["a"]
+	r.Probed(a, true)
+	r.Accepted(a)
+	for range 5 {
+		_, found = r.Pick(d, start)
+		is.Equal(found, Available)
+	}
+	_, found = r.Pick(d, start)
+	is.Equal(found, AllBusy) // 5 of 12 slots
+	_, found = r.Pick(d, start.Add(slowStartTime/2))
+	is.Equal(found, Available)
+	for range 6 {
+		_, found = r.Pick(d, start.Add(slowStartTime))
+		is.Equal(found, Available)
+	}
+}
--- a/entry/balance/server.go
+++ b/entry/balance/server.go
@@ -17,6 +17,9 @@
 	Zone     string
 	Slots    int  // requests that it runs at a time
 	Draining bool // it finishes what it has and takes nothing new
+	// Revision is that of its entry's last change. Of two servers that are listed
+	// at one address, the one changed last is there.
+	Revision uint64
 }
 
 // Server is one incarnation of a backend server.
@@ -24,6 +27,7 @@
 	Info
 	Key  uint32 // hash of the id, as gateways exchange it
 	Pool *upstream.Pool
+	Pace Pace
 
 	inFlight atomic.Int32
 
@@ -33,6 +37,8 @@
 	lapsed   time.Time // when it went missing while the source was away
 	health   health
 	full     fullness
+
+	probation probation
 }
 
 // dialTimeout bounds a connection attempt: a backend server answers within a
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -159,12 +159,13 @@
 func (q *request) describe(e *zerolog.Event) *zerolog.Event {
 	e = e.Str("request", q.id).Uint64("catalog", q.version).Dur("elapsed", time.Since(q.began)).Int("attempts", q.sequence.Attempts())
 	if q.route != nil {
-		e = e.Str("route", q.route.Name).Str("service", q.service).Str("team", q.team)
+		e = e.Str("route", q.route.Name).Str("service", q.service).Str("team", q.team).
+			Dur("limit", q.limit).Bool("returned", q.returned).Dur("waited", q.waited)
 	} else {
 		e = e.Str("host", q.r.Host).Str("path", q.r.URL.Path)
 	}
 	if q.server != "" {
-		e = e.Str("server", q.server).Int("server_load", q.serverLoad)
+		e = e.Str("server", q.server).Int("server_load", q.serverLoad).Dur("server_pace", q.serverPace)
 	}
 	return e
 }
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -45,35 +45,20 @@
 	reason contract.Reason
 }
 
-const (
-	// minRetryAfter is when a caller may come back after a refusal: the queues
-	// of backend servers turn over in a few hundred milliseconds.
-	minRetryAfter = 250 * time.Millisecond
-	// outageRetryAfter is when a caller may come back where no backend server
-	// can take requests, or this process knows of none yet: processes and
-	// groups of ranks are back about two seconds after a loss of power.
-	outageRetryAfter = 2 * time.Second
-)
-
-// retryAfter returns when the caller may come back.
-func retryAfter(r contract.Refusal) time.Duration {
-	switch r.Reason {
-	case contract.ReasonNoBackend, contract.ReasonStarting, contract.ReasonReplacedAgent, contract.ReasonOverload:
-		return max(r.RetryAfter, outageRetryAfter)
-	default:
-		return max(r.RetryAfter, minRetryAfter)
-	}
-}
-
 // dispatch attempts the request until it has an end.
 func (q *request) dispatch() {
 	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
 	defer cancel()
 	stream := &streamState{}
 	for {
-		choice, ok := q.g.registry.Pick(q.service, q.excluded, time.Now())
-		if !ok {
-			q.finish(q.sequence.Next(retry.EventNotSent, contract.Refusal{Reason: contract.ReasonNoBackend}, q.deadline), attempt{verdict: verdictNotSent}, stream)
+		choice, found := q.await(ctx)
+		if found != balance.Available {
+			q.giveUp(found, stream)
+			return
+		}
+		if !q.charge() {
+			choice.Release()
+			q.giveUp(balance.AllBusy, stream)
 			return
 		}
 		number := q.sequence.Begin()
@@ -94,10 +79,58 @@
 			return
 		}
 		q.g.inst.retries.Inc()
-		q.excluded[choice.Server.ID] = true
+		q.prepareRetry(choice, a.verdict)
 	}
 }
 
+// giveUp ends a request for which no server was found.
+func (q *request) giveUp(found balance.Availability, stream *streamState) {
+	if q.ctx.Err() != nil {
+		q.left(stream)
+		return
+	}
+	refusal := contract.Refusal{Reason: contract.ReasonNoBackend}
+	if found == balance.AllBusy {
+		refusal.Reason = contract.ReasonOverload
+	}
+	q.finish(q.sequence.Next(retry.EventNotSent, refusal, q.deadline), attempt{verdict: verdictNotSent}, stream)
+}
+
+// prepareRetry notes what the attempt means for the next one.
+func (q *request) prepareRetry(c balance.Choice, v verdict) {
+	switch v {
+	case verdictRejected:
+		q.rejected = true
+	case verdictNotSent:
+		q.excluded[c.Server.ID] = true
+	default:
+		q.excluded[c.Server.ID] = true
+		q.returned = true // it may have run: a refusal now would promise nothing
+	}
+}
+
+// deferredBudget asks for a retry when the decision falls and uses it up when the
+// attempt begins: until then the request may be refused for lack of a server.
+type deferredBudget struct {
+	share *retry.Share
+	owed  bool
+}
+
+// Take reports whether there is a retry to use up.
+func (b *deferredBudget) Take() bool {
+	b.owed = b.share.Has()
+	return b.owed
+}
+
+// charge uses up the retry that the next attempt needs.
+func (q *request) charge() bool {
+	if !q.budget.owed {
+		return true
+	}
+	q.budget.owed = false
+	return q.budget.share.Take()
+}
+
 // next decides what follows an attempt without an answer.
 func (q *request) next(a attempt) retry.Decision {
 	now := time.Now()
@@ -116,19 +149,27 @@
 // try makes one attempt.
 func (q *request) try(ctx context.Context, c balance.Choice, stream *streamState) attempt {
 	defer c.Release()
-	q.server, q.serverLoad = c.Server.ID, c.InFlight
+	q.server, q.serverLoad, q.serverPace = c.Server.ID, c.InFlight, c.Pace
+	began := time.Now()
 	answer, err := c.Server.Pool.Do(ctx, q.upstreamRequest(c, stream))
 	if err != nil {
 		return q.judge(ctx, c, attempt{verdict: lostOrNotSent(err), err: err, reason: contract.ReasonEngineDial})
 	}
 	defer answer.Close()
-	if a, done := q.rejected(answer); done {
+	if a, done := q.rejection(answer); done {
 		return q.judge(ctx, c, a)
 	}
+	q.g.registry.Accepted(c.Server)
+	var a attempt
 	if q.route.Kind == catalog.KindStream && answer.Status == http.StatusOK {
-		return q.judge(ctx, c, q.forwardStream(ctx, answer, stream))
+		a = q.forwardStream(ctx, answer, &c.Server.Pace, stream)
+	} else {
+		a = q.forwardAnswer(answer, stream)
+	}
+	if a.verdict == verdictAnswered && c.InFlight < c.Server.Slots {
+		q.g.registry.Occupied(q.service, time.Since(began))
 	}
-	return q.judge(ctx, c, q.forwardAnswer(answer, stream))
+	return q.judge(ctx, c, a)
 }
 
 func lostOrNotSent(err error) verdict {
@@ -181,8 +222,8 @@
 	}
 }
 
-// rejected recognizes an answer that says that the request did not run.
-func (q *request) rejected(answer *upstream.Answer) (attempt, bool) {
+// rejection recognizes an answer that says that the request did not run.
+func (q *request) rejection(answer *upstream.Answer) (attempt, bool) {
 	notRun := answer.Header.Get(q.g.headers.NotRun) != ""
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest:
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -53,6 +53,7 @@
 	node        *cluster.Node
 	inst        *instruments
 	shares      sync.Map // service -> *retry.Share
+	limits      timeLimits
 
 	follower *source.Follower
 	document uint64        // revision of the latest configuration looked at
@@ -98,7 +99,7 @@
 		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Zone: g.settings.Zone,
 		Address: g.settings.Listen.Peers, Front: g.settings.Listen.Front, Ready: g.Ready(),
 		CatalogVersion: g.catalog.Version(), BackendsRevision: g.changed.Load(),
-		InFlight: g.registry.InFlight(),
+		Load: g.registry.OwnLoad(time.Now()),
 	}
 }
 
@@ -131,6 +132,7 @@
 	g.run.Go(func() { g.node.Run(ctx) })
 	g.run.Go(func() { g.follower.Run(ctx) })
 	g.run.Go(func() { g.expire(ctx) })
+	g.run.Go(func() { g.probe(ctx) })
 	g.log.Info().Str("adapter", g.adapter.Name()).Uint64("incarnation", uint64(g.incarnation)).
 		Str("front", g.settings.Listen.Front).Str("store", g.settings.Store).Strs("seeds", g.settings.Seeds).Msg("started")
 	return nil
@@ -196,6 +198,7 @@
 			g.log.Error().Err(err).Str("key", key).Uint64("revision", item.Revision).Msg("backend server refused")
 			continue
 		}
+		info.Revision = item.Revision
 		list = append(list, info)
 	}
 	g.registry.Update(list, u.Revision, u.Recovering, time.Now())
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -46,6 +46,12 @@
 	return i, json.Unmarshal(raw, &i)
 }
 
+func (testAdapter) ProbeTarget(*catalog.Service) string { return "/probe" }
+
+func (testAdapter) TakesRequests(_ *catalog.Service, status int, _ []byte) bool {
+	return status == http.StatusOK
+}
+
 func (testAdapter) Directory(Directory) http.Handler { return http.NotFoundHandler() }
 func (testAdapter) Ready(Directory) http.Handler     { return http.NotFoundHandler() }
 
--- /dev/null
+++ b/entry/gateway/patience.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"baywall.example/core/contract"
+	"baywall.example/core/wait"
+	"baywall.example/entry/balance"
+	"baywall.example/entry/catalog"
+)
+
+// A request for which no backend server is free waits for one, but never long: a
+// caller that comes for the first time is told early enough that it can still be
+// served on time when it comes back. One that has come back already has no other
+// try left, so it may wait longer, here and in a server's queue.
+
+const (
+	// refusalShare is the part of a route's objective for which a caller's first
+	// attempt waits: with the ways to and from the caller, and the time it took to
+	// connect, its refusal comes within a quarter.
+	refusalShare = 0.125
+	// queueShare is the part of a route's objective for which a request may be
+	// expected to queue at a backend server: the first answer takes the rest.
+	queueShare = 0.5
+	// returnedPatience and returnedShare bound the wait of a caller that has
+	// come back: processes and groups of ranks are back about two seconds after
+	// a loss of power.
+	returnedPatience = 2500 * time.Millisecond
+	returnedShare    = 0.4
+	// startPatience is how long a request waits for a process that has just
+	// started to know a configuration, which takes some 20 ms.
+	startPatience = 35 * time.Millisecond
+	// waitPoll is how often a waiting request looks for a server.
+	waitPoll = 15 * time.Millisecond
+	// returnedBelow is the part of a first attempt's time limit below which a
+	// caller has come back: clients keep their deadline when they retry.
+	returnedBelow = 0.97
+	// roundLimit is what the time limits of first attempts are multiples of, as
+	// far as callers choose round ones.
+	roundLimit = 100 * time.Millisecond
+	// retrySpread is the part by which the time to come back varies, so that
+	// callers refused together do not come back together.
+	retrySpread = 0.2
+)
+
+// timeLimits remembers the longest time limit that callers named, by route: that
+// of a first attempt. It is safe for concurrent use.
+type timeLimits struct {
+	mu      sync.Mutex
+	longest map[string]time.Duration
+}
+
+// returned notes a request's time limit and reports whether it is too short for a
+// first attempt. A process that has just started has seen few; it compares limits
+// that are not round with the route's timeout.
+func (t *timeLimits) returned(route *catalog.Route, limit time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.longest == nil {
+		t.longest = make(map[string]time.Duration)
+	}
+	first := max(limit, t.longest[route.Name])
+	t.longest[route.Name] = first
+	if limit%roundLimit != 0 {
+		first = max(first, route.Timeout)
+	}
+	return float64(limit) < returnedBelow*float64(first)
+}
+
+// patience returns how long the request may go on waiting for a server.
+func (q *request) patience(now time.Time) time.Duration {
+	if q.returned {
+		return min(returnedPatience, time.Duration(returnedShare*float64(q.deadline.Sub(q.began)))) - q.waited
+	}
+	return time.Duration(refusalShare*float64(q.route.Objective)) - now.Sub(q.began)
+}
+
+// demand returns what the request asks of a server.
+func (q *request) demand() balance.Demand {
+	d := balance.Demand{Service: q.service, Exclude: q.excluded, Proven: q.rejected}
+	if q.route.Kind == catalog.KindStream {
+		d.GapTarget = q.route.GapTarget
+	}
+	d.MostWait = time.Duration(queueShare * float64(q.route.Objective))
+	return d
+}
+
+// await picks a server, waiting for one as long as the request's patience lasts.
+func (q *request) await(ctx context.Context) (balance.Choice, balance.Availability) {
+	for {
+		now := time.Now()
+		choice, found := q.g.registry.Pick(q.demand(), now)
+		if found == balance.Available || q.patience(now) <= 0 {
+			return choice, found
+		}
+		if !wait.Sleep(ctx, waitPoll) {
+			return choice, found
+		}
+		q.waited += time.Since(now)
+	}
+}
+
+// awaitCatalog waits until a process that has just started knows a configuration.
+func (q *request) awaitCatalog() *catalog.Snapshot {
+	patience := startPatience
+	if q.r.Header.Get(q.g.headers.ResumeAfter) != "" {
+		patience = returnedPatience
+	}
+	for until := q.began.Add(patience); ; {
+		if s := q.g.catalog.Current(); s != nil && q.g.listed.Load() {
+			return s
+		}
+		if time.Now().After(until) || !wait.Sleep(q.ctx, min(waitPoll, startPatience/4)) {
+			return q.g.catalog.Current()
+		}
+	}
+}
+
+const (
+	// minRetryAfter is when a caller may come back after a refusal: the queues
+	// of backend servers turn over in a few hundred milliseconds.
+	minRetryAfter = 250 * time.Millisecond
+	// outageRetryAfter is when a caller may come back where no backend server
+	// can take requests: processes and groups of ranks are back about two
+	// seconds after a loss of power.
+	outageRetryAfter = 2 * time.Second
+	// startRetryAfter is when a caller may come back to a process that has just
+	// started: as a rule it knows a configuration by then.
+	startRetryAfter = 600 * time.Millisecond
+)
+
+// retryAfter returns when the caller may come back.
+func retryAfter(r contract.Refusal) time.Duration {
+	after := minRetryAfter
+	switch r.Reason {
+	case contract.ReasonNoBackend, contract.ReasonReplacedAgent, contract.ReasonOverload:
+		after = outageRetryAfter
+	case contract.ReasonStarting:
+		after = startRetryAfter
+	}
+	after = max(r.RetryAfter, after)
+	return after + time.Duration(retrySpread*rand.Float64()*float64(after))
+}
--- /dev/null
+++ b/entry/gateway/patience_test.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baywall.example/core/source"
+	"baywall.example/entry/catalog"
+)
+
+func TestACallerThatComesBackIsKnownByItsTimeLimit(t *testing.T) {
+	route := &catalog.Route{Name: "r", Timeout: 8 * time.Second}
+	cases := []struct {
+		name     string
+		seen     []time.Duration
+		limit    time.Duration
+		returned bool
+	}{
+		{"first", nil, 8 * time.Second, false},
+		{"a little used up on the way", nil, 7985 * time.Millisecond, false},
+		{"not round, in a process that has seen nothing", nil, 5912 * time.Millisecond, true},
+		{"round, in a process that has seen nothing", nil, 4 * time.Second, false},
+		{"shorter than others", []time.Duration{4 * time.Second}, 2100 * time.Millisecond, true},
+		{"as long as others", []time.Duration{4 * time.Second}, 4 * time.Second, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var limits timeLimits
+			for _, seen := range c.seen {
+				limits.returned(route, seen)
+			}
+			is.Equal(limits.returned(route, c.limit), c.returned)
+		})
+	}
+}
+
+// A first attempt is refused at once, as its caller can come back; one that came
+// back waits for a server to be listed.
+func TestOnlyReturnedCallersWaitForAServer(t *testing.T) {
+	is := is.New(t)
+	w := start(t, 0, ok)
+	began := time.Now()
+	resp, _, err := w.get(t, t.Context(), "/many/x", nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 503)
+	is.True(time.Since(began) < 500*time.Millisecond)
+	began = time.Now()
+	resp, _, err = w.get(t, t.Context(), "/stream/x", func(h http.Header) { h.Set("Last-Event-Id", "7") })
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 503)
+	is.True(time.Since(began) > time.Second)   // 0.4 of the 3 s that it has
+	is.True(time.Since(began) < 2*time.Second) // not until its deadline
+}
+
+// lateStore answers its first list after a while.
+type lateStore struct {
+	fixedStore
+	after time.Duration
+}
+
+func (s lateStore) List(ctx context.Context, prefix string, f source.Freshness) ([]source.Item, uint64, error) {
+	select {
+	case <-time.After(s.after):
+		return s.fixedStore.List(ctx, prefix, f)
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// A request that meets a process which has just started waits a moment for its
+// configuration.
+func TestAStartingProcessKeepsRequestsForAMoment(t *testing.T) {
+	is := is.New(t)
+	items := fixedStore{item(t, "catalog", catalog.Content{Version: 1, Routes: routes(), Teams: []catalog.Team{{Name: "team", Keys: []string{"key"}}}})}
+	w := &world{}
+	w.run(t, lateStore{fixedStore: items, after: 20 * time.Millisecond})
+	resp, _, err := w.get(t, t.Context(), "/none/x", nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 404)
+}
+
+// A caller that leaves while its request waits is not answered.
+func TestAWaitingRequestEndsWithItsCaller(t *testing.T) {
+	is := is.New(t)
+	w := start(t, 0, ok)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, _, err := w.get(t, ctx, "/stream/x", func(h http.Header) { h.Set("Last-Event-Id", "7") })
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	for until := time.Now().Add(time.Second); w.gateway.inFlight.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(w.gateway.inFlight.Load(), int64(0))
+	is.Equal(w.gateway.inst.left.Get(), uint64(1))
+}
--- /dev/null
+++ b/entry/gateway/probe.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"baywall.example/entry/balance"
+	"baywall.example/entry/catalog"
+	"baywall.example/entry/upstream"
+)
+
+const (
+	// probeTick is how often servers to be probed are looked for.
+	probeTick = 40 * time.Millisecond
+	// probeTimeout bounds one probe: a server answers in a few milliseconds.
+	probeTimeout = 300 * time.Millisecond
+	// maxProbeBody bounds the answer to a probe, in bytes.
+	maxProbeBody = 64 << 10
+)
+
+// probe asks the servers of services that are on probation until the context
+// ends.
+func (g *Gateway) probe(ctx context.Context) {
+	ticker := time.NewTicker(probeTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, server := range g.registry.DueProbes(now) {
+				g.run.Go(func() { g.registry.Probed(server, g.takesRequests(ctx, server)) })
+			}
+		}
+	}
+}
+
+// takesRequests asks one server.
+func (g *Gateway) takesRequests(ctx context.Context, server *balance.Server) bool {
+	service := g.serviceOf(server)
+	if service == nil {
+		return false
+	}
+	target := g.adapter.ProbeTarget(service)
+	if target == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answer, err := server.Pool.Do(ctx, &upstream.Request{
+		Method: http.MethodGet, Target: target, Host: server.Address, Fresh: true,
+		Header: http.Header{g.headers.ExpectServer: {server.ID}}, IDHeader: g.headers.RequestID,
+	})
+	if err != nil {
+		return false // not reached: that is the answer
+	}
+	defer answer.Close()
+	if answer.Status == http.StatusMisdirectedRequest {
+		g.registry.Replaced(server)
+		return false
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxProbeBody))
+	return err == nil && g.adapter.TakesRequests(service, answer.Status, body)
+}
+
+// serviceOf returns the published service of a server, or nil.
+func (g *Gateway) serviceOf(server *balance.Server) *catalog.Service {
+	snapshot := g.catalog.Current()
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.Service(server.Service)
+}
--- a/entry/gateway/protocol.go
+++ b/entry/gateway/protocol.go
@@ -41,6 +41,11 @@
 	DecodeCatalog(raw []byte) (catalog.Content, error)
 	// DecodeBackend decodes one entry of the list of backend servers.
 	DecodeBackend(key string, raw []byte) (balance.Info, error)
+	// ProbeTarget returns the path at which a backend server of the service is
+	// asked whether it takes requests, empty if it cannot be asked.
+	ProbeTarget(s *catalog.Service) string
+	// TakesRequests reads the answer to a probe.
+	TakesRequests(s *catalog.Service, status int, body []byte) bool
 	// Directory serves callers who ask where to connect, and Ready those who
 	// ask whether this gateway takes requests.
 	Directory(d Directory) http.Handler
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -40,12 +40,18 @@
 	body    []byte
 	header  http.Header // for backend servers
 
-	deadline time.Time // the caller's or the route's timeout, whichever is first
+	deadline time.Time     // the caller's or the route's timeout, whichever is first
+	limit    time.Duration // that the caller allows
+	returned bool          // the caller, or its request, has no other try left
 	sequence retry.Sequence
-	excluded map[string]bool
+	budget   deferredBudget
+	excluded map[string]bool // servers that it was sent to
+	rejected bool            // a server turned it away
+	waited   time.Duration   // for a server
 
-	server      string // of the latest attempt
-	serverLoad  int    // requests of all gateways to it when it was picked
+	server      string        // of the latest attempt
+	serverLoad  int           // requests of all gateways to it when it was picked
+	serverPace  time.Duration // pause between events there then, 0 = not known
 	firstAnswer time.Duration
 	longestGap  time.Duration
 	events      int
@@ -74,7 +80,7 @@
 // match finds the route, the team and the service. A refusal comes with its
 // status.
 func (q *request) match() (*contract.Refusal, int) {
-	snapshot := q.g.catalog.Current()
+	snapshot := q.awaitCatalog()
 	if snapshot == nil {
 		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonStarting}, http.StatusServiceUnavailable
 	}
@@ -129,12 +135,19 @@
 
 // prepare sets the deadline and the headers for backend servers.
 func (q *request) prepare() {
-	q.deadline = q.began.Add(q.timeLimit())
+	q.limit = q.callersLimit()
+	q.deadline = q.began.Add(q.limit)
+	if q.route.Timeout > 0 {
+		q.deadline = q.began.Add(min(q.limit, q.route.Timeout))
+	}
+	resumed := q.r.Header.Get(q.g.headers.ResumeAfter) != ""
+	q.returned = q.g.limits.returned(q.route, q.limit) || resumed
+	q.budget.share = q.g.share(q.service)
 	q.sequence = retry.Sequence{
 		Idempotent: q.route.Idempotent(), Deadline: q.deadline,
-		Budget: q.g.share(q.service), MaxRuns: max(1, q.route.MaxAttempts),
+		Budget: &q.budget, MaxRuns: max(1, q.route.MaxAttempts),
 	}
-	q.g.share(q.service).Request()
+	q.budget.share.Request()
 	q.excluded = make(map[string]bool)
 	h := q.g.headers
 	q.header = make(http.Header, len(q.r.Header)+3)
@@ -166,14 +179,11 @@
 	return out
 }
 
-// timeLimit returns how long the caller or the route allows.
-func (q *request) timeLimit() time.Duration {
-	limit := defaultTimeout
-	if ms, err := strconv.ParseInt(q.r.Header.Get(q.g.headers.Deadline), 10, 64); err == nil && ms >= 0 {
-		limit = min(limit, time.Duration(min(ms, defaultTimeout.Milliseconds()))*time.Millisecond)
-	}
-	if q.route.Timeout > 0 {
-		limit = min(limit, q.route.Timeout)
+// callersLimit returns how long the caller allows.
+func (q *request) callersLimit() time.Duration {
+	ms, err := strconv.ParseInt(q.r.Header.Get(q.g.headers.Deadline), 10, 64)
+	if err != nil || ms < 0 {
+		return defaultTimeout // the caller names none
 	}
-	return limit
+	return time.Duration(min(ms, defaultTimeout.Milliseconds())) * time.Millisecond
 }
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"baywall.example/entry/balance"
 	"baywall.example/entry/upstream"
 )
 
@@ -78,9 +79,10 @@
 func (r *eventReader) more() bool { return r.in.Buffered() > 0 }
 
 // forwardStream passes on a stream, whole event by whole event.
-func (q *request) forwardStream(ctx context.Context, answer *upstream.Answer, s *streamState) attempt {
+func (q *request) forwardStream(ctx context.Context, answer *upstream.Answer, pace *balance.Pace, s *streamState) attempt {
 	events := newEventReader(answer.Body)
 	last := time.Now()
+	first := true // of this attempt
 	flusher := http.NewResponseController(q.w)
 	for {
 		e, err := events.next()
@@ -101,7 +103,15 @@
 		} else if q.events > 0 {
 			q.longestGap = max(q.longestGap, time.Since(last))
 		}
-		last = time.Now()
+		now := time.Now()
+		if first {
+			first = false
+			pace.Begun(now)
+			defer pace.Ended()
+		} else {
+			pace.Event(now.Sub(last), now)
+		}
+		last = now
 		q.events++
 		if e.id != "" {
 			s.lastID = e.id
--- a/entry/retry/share.go
+++ b/entry/retry/share.go
@@ -55,16 +55,28 @@
 	members := s.members()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.most = max(s.most, members, 1)
-	i := s.advance()
-	allowed := shareMargin * (s.limit.Ratio*float64(sum(s.requests)) + s.slack())
-	if float64(sum(s.retries)+1) > allowed {
+	if !s.has(members) {
 		return false
 	}
-	s.retries[i]++
+	s.retries[s.advance()]++
 	return true
 }
 
+// Has reports whether a retry is left.
+func (s *Share) Has() bool {
+	members := s.members()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.has(members)
+}
+
+func (s *Share) has(members int) bool {
+	s.most = max(s.most, members, 1)
+	s.advance()
+	allowed := shareMargin * (s.limit.Ratio*float64(sum(s.requests)) + s.slack())
+	return float64(sum(s.retries)+1) <= allowed
+}
+
 // slack returns this gateway's part of the slack. Members that are not heard may
 // still be using theirs. A process that has just started does not know what the
 // one before it used, so its part grows over the first window.
