Level loads out over the requests that are not heard of yet

From all gateways' logs: servers had 2 to 24 requests in flight (10 slots), the gateway that picked one knew of 2.1 on average where there were 6.0. All 30 gateways see the same least loaded servers for the 232 ms between two heartbeats, and 57 requests arrive in that time. Ruled out: lost heartbeats or peers (29 known to each, none lost), wrong totals (service_load 350 against 363). Change: the choice is drawn so that the requests of all gateways in one interval level the loads out; with few gateways it is the least loaded server as before. The random blur of one request goes.

--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -168,3 +168,17 @@
 		out[i] = n.table.Load(s, now)
 	}
 }
+
+// Members returns the number of live members, this one included.
+func (n *Node) Members() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Members()
+}
+
+// Staleness returns how old what peers said may be.
+func (n *Node) Staleness() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Interval() + tick
+}
--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -311,6 +311,9 @@
 	return out
 }
 
+// Members returns the number of live members, this one included.
+func (t *Table) Members() int { return len(t.alive) + 1 }
+
 // Load returns what live peers put on the backend server.
 func (t *Table) Load(server uint32, now time.Time) Load {
 	out := Load{Requests: t.totals[server]}
--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -33,14 +33,15 @@
 // String returns the availability's name.
 func (a Availability) String() string { return [...]string{"", "available", "busy", "unavailable"}[a] }
 
-// Pick returns the least loaded server for the demand and counts a request to
-// it, which the caller releases.
+// Pick returns a server for the demand and counts a request to it, which the
+// caller releases. See spread for which it is.
 func (r *Registry) Pick(d Demand, now time.Time) (Choice, Availability) {
 	s := r.shard(d.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := r.refresh(s, now)
-	best, bestScore, busy := -1, 0.0, false
+	s.candidates = s.candidates[:0]
+	busy := false
 	for i, server := range s.usable {
 		if d.Exclude[server.ID] || d.Proven && server.full.rejections > 0 {
 			continue
@@ -49,15 +50,15 @@
 			busy = true
 			continue
 		}
-		score := (float64(s.inFlight(i)) + rand.Float64()*blur) / float64(max(1, server.Slots))
-		score += s.lateness(i, d.GapTarget, now)
-		if best < 0 || score < bestScore {
-			best, bestScore = i, score
-		}
+		slots := float64(max(1, server.Slots))
+		score := float64(s.inFlight(i))/slots + s.lateness(i, d.GapTarget, now)
+		s.candidates = append(s.candidates, candidate{index: i, slots: slots, score: score})
 	}
+	s.arrivals.note(now)
 	switch {
-	case best >= 0:
-		return s.choose(best, load), Available
+	case len(s.candidates) > 0:
+		unheard := s.arrivals.rate() * float64(r.peers.Members()) * r.peers.Staleness().Seconds()
+		return s.choose(spread(s.candidates, unheard, rand.Float64()), load), Available
 	case busy:
 		return Choice{Load: load}, AllBusy
 	default:
--- a/entry/balance/doc.go
+++ b/entry/balance/doc.go
@@ -1,10 +1,12 @@
 // Package balance chooses a backend server for each request.
 //
 // A Registry holds the backend servers that a configuration source lists, one
-// shard a service, each under its own lock. A choice is the least loaded
-// server: load is what this gateway has in flight to it plus what the other
-// gateways said they have, over the server's slots. Ties are broken at random,
-// so that gateways with the same view do not herd.
+// shard a service, each under its own lock. Load is what this gateway has in
+// flight to a server plus what the other gateways said they have, over the
+// server's slots. What they said is old: until it is heard again, all gateways see
+// the same least loaded servers and would fill them beyond all others. So a choice
+// is drawn at random, in such a way that the requests of all gateways together
+// that arrive meanwhile level the loads out.
 //
 // Servers that fail are ejected for a while that doubles with each ejection in
 // a row, then tried with one request at a time. At most half of a service's
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -15,11 +15,6 @@
 // must get nothing new two seconds after it left.
 const lapseGrace = 1500 * time.Millisecond
 
-// blur is added at random to a server's load, in requests. What the others have
-// in flight is tens of milliseconds old; without it, gateways that see the same
-// least loaded server would all pick it.
-const blur = 1.0
-
 // Registry holds the backend servers of all services. It is safe for
 // concurrent use.
 type Registry struct {
@@ -34,6 +29,10 @@
 type PeerLoad interface {
 	// Load fills out with the load that peers put on each of the servers.
 	Load(servers []uint32, out []cluster.Load)
+	// Members returns the number of gateways, this one included.
+	Members() int
+	// Staleness returns how old what peers said may be.
+	Staleness() time.Duration
 }
 
 // shard is one service's servers.
@@ -43,6 +42,9 @@
 	keys    []uint32       // scratch
 	peers   []cluster.Load // scratch
 	usable  []*Server
+	// candidates is scratch of Pick.
+	candidates []candidate
+	arrivals   arrivals
 	// occupied is for how long a request occupies a slot, smoothed; 0 = not
 	// known.
 	occupied       time.Duration
--- a/entry/balance/registry_test.go
+++ b/entry/balance/registry_test.go
@@ -19,6 +19,9 @@
 	}
 }
 
+func (peerLoad) Members() int             { return 1 }
+func (peerLoad) Staleness() time.Duration { return 0 }
+
 var start = time.Unix(1_700_000_000, 0)
 
 func registry(peers peerLoad, ids ...string) *Registry {
--- /dev/null
+++ b/entry/balance/spread.go
@@ -0,0 +1,91 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// candidate is a server that may take a request.
+type candidate struct {
+	index int     // in the shard's usable servers
+	slots float64 // at least 1
+	score float64 // load over slots, with what streams on it are late
+}
+
+// spread draws one of the candidates and returns its index. The requests that
+// other gateways send meanwhile, unheard of here, are taken to be spread in the
+// same way: each server gets requests in proportion to what it is below the level
+// that all of them together would fill. With none, it is the least loaded server.
+// The draw is uniform in [0, 1). The candidates are reordered.
+func spread(c []candidate, unheard, draw float64) int {
+	slices.SortFunc(c, func(a, b candidate) int {
+		switch {
+		case a.score < b.score:
+			return -1
+		case a.score > b.score:
+			return 1
+		default:
+			return 0
+		}
+	})
+	level, below := fill(c, max(1, unheard))
+	at := draw * room(c[:below], level)
+	for _, one := range c[:below] {
+		if at -= one.slots * (level - one.score); at < 0 {
+			return one.index
+		}
+	}
+	return c[0].index
+}
+
+// fill returns the level to which the requests would fill the least loaded
+// candidates, and how many of these are below it.
+func fill(c []candidate, requests float64) (level float64, below int) {
+	slots, taken := 0.0, 0.0 // of the candidates below the level
+	for i, one := range c {
+		if i > 0 && (requests+taken)/slots <= one.score {
+			return (requests + taken) / slots, i
+		}
+		slots += one.slots
+		taken += one.slots * one.score
+	}
+	return (requests + taken) / slots, len(c)
+}
+
+// room returns how many requests fit below the level.
+func room(c []candidate, level float64) float64 {
+	sum := 0.0
+	for _, one := range c {
+		sum += one.slots * (level - one.score)
+	}
+	return sum
+}
+
+const (
+	// arrivalWindow is the time over which arrivals are counted.
+	arrivalWindow = 500 * time.Millisecond
+	// arrivalWeight is the weight of the newest window in the smoothed rate.
+	arrivalWeight = 0.5
+)
+
+// arrivals measures the rate of requests.
+type arrivals struct {
+	since  time.Time
+	count  int
+	smooth float64 // per second
+}
+
+// note counts an arrival.
+func (a *arrivals) note(now time.Time) {
+	if a.since.IsZero() {
+		a.since = now
+	}
+	if passed := now.Sub(a.since); passed >= arrivalWindow {
+		a.smooth += arrivalWeight * (float64(a.count)/passed.Seconds() - a.smooth)
+		a.since, a.count = now, 0
+	}
+	a.count++
+}
+
+// rate returns the arrivals a second.
+func (a *arrivals) rate() float64 { return a.smooth }
