Take configuration and servers from another gateway where the store is away

Ruled out: reading by stale lists (the store refuses all calls of the VM). Change: after three looks in a row (0.6 s; at once if it knows nothing yet) it pulls the state over a link from the gateway that knows the newest change; its follower takes it over if it is newer, never older, and goes on from that revision when the store is back.

--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -43,6 +43,10 @@
 	recoveryTime = 2200 * time.Millisecond
 )
 
+// errInterrupted means that a call was cut short by a nudge, an offer or the
+// follower's end: it tells nothing about the store.
+var errInterrupted = errors.New("interrupted")
+
 // Update is the state of a prefix.
 type Update struct {
 	Items    map[string]Item // by key; the receiver does not change it
@@ -53,6 +57,13 @@
 	Recovering bool
 }
 
+// State is what a follower knows of a prefix.
+type State struct {
+	Items    map[string]Item // by key; nobody changes it
+	Revision uint64          // a watch goes on from here
+	Changed  uint64          // revision of the newest change
+}
+
 // Follower keeps a prefix of a store up to date.
 type Follower struct {
 	Store  Store
@@ -65,9 +76,10 @@
 	Others func() int
 
 	mu     sync.Mutex
-	cancel context.CancelFunc // of the waiting watch
+	cancel context.CancelFunc // of the call under way
 	armed  time.Duration      // how long that waits
 	nudged uint64             // revision of the latest nudge
+	offer  *State             // of another follower, not yet looked at
 
 	items    map[string]Item
 	revision uint64
@@ -83,6 +95,7 @@
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.adopt()
 		err := f.next(ctx)
 		now := time.Now()
 		if err == nil {
@@ -92,6 +105,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errInterrupted) {
+			continue
+		}
 		if errors.Is(err, ErrHistoryLost) {
 			f.Log.Warn().Str("prefix", f.Prefix).Uint64("revision", f.revision).Msg("watch history lost, listing again")
 			f.listed = false
@@ -113,7 +129,7 @@
 	events, revision, err := f.Store.Watch(ctx, f.Prefix, f.revision, period)
 	f.arm(nil, 0)
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return nil // nudged: watch again, or the follower ends
+		return errInterrupted
 	}
 	if err != nil {
 		return err
@@ -177,7 +193,7 @@
 func (f *Follower) Nudge(revision uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision <= f.nudged || f.cancel == nil {
+	if revision <= f.nudged || f.cancel == nil || f.armed == 0 {
 		return
 	}
 	f.nudged = revision
@@ -185,10 +201,41 @@
 	f.cancel()
 }
 
+// Offer hands over what another follower of the same store knows, for when this
+// one does not reach the store. It is safe for concurrent use.
+func (f *Follower) Offer(s State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.offer = &s
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+// adopt takes over an offered state that is newer than the own.
+func (f *Follower) adopt() {
+	f.mu.Lock()
+	offer := f.offer
+	f.offer = nil
+	f.mu.Unlock()
+	if offer == nil || f.listed && offer.Changed <= f.changed || offer.Revision < f.revision {
+		return
+	}
+	f.Log.Info().Str("prefix", f.Prefix).Uint64("revision", offer.Revision).Uint64("known", f.revision).
+		Int("items", len(offer.Items)).Msg("state taken from another follower")
+	f.items, f.revision, f.changed, f.listed = offer.Items, offer.Revision, offer.Changed, true
+	f.deliver()
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	f.arm(cancel, 0)
 	items, revision, err := f.Store.List(ctx, f.Prefix, Current)
+	f.arm(nil, 0)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return errInterrupted
+	}
 	if err != nil {
 		return err
 	}
--- a/core/source/follower_test.go
+++ b/core/source/follower_test.go
@@ -200,3 +200,38 @@
 	f.Recheck()
 	is.True((<-updates).Changed >= 2)
 }
+
+// unreachable is a store that never answers.
+type unreachable struct{}
+
+func (unreachable) List(ctx context.Context, _ string, _ Freshness) ([]Item, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, ErrUnavailable
+}
+
+func (unreachable) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]Event, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, ErrUnavailable
+}
+
+func TestAnOfferedStateIsTakenIfItIsNewer(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	updates := make(chan Update, 8)
+	f := &Follower{Store: unreachable{}, Log: zerolog.Nop(), Deliver: func(u Update) { updates <- u }}
+	go f.Run(ctx)
+	state := func(revision uint64) State {
+		return State{Items: map[string]Item{"a": item("a", revision)}, Revision: revision, Changed: revision}
+	}
+	f.Offer(state(5))
+	is.Equal((<-updates).Revision, uint64(5))
+	f.Offer(state(4)) // older
+	f.Offer(state(9))
+	is.Equal((<-updates).Revision, uint64(9))
+	select {
+	case u := <-updates:
+		t.Fatalf("unexpected update to %d", u.Revision)
+	case <-time.After(20 * time.Millisecond):
+	}
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"baywall.example/core/cluster"
+	"baywall.example/core/link"
 	"baywall.example/core/process"
 	"baywall.example/core/source"
 	"baywall.example/core/vm"
@@ -56,9 +57,11 @@
 	limits      timeLimits
 
 	follower *source.Follower
-	document uint64        // revision of the latest configuration looked at
-	revision atomic.Uint64 // of the store, when it was last heard
-	changed  atomic.Uint64 // of the newest change known
+	peering  *peering
+	known    atomic.Pointer[source.Update] // as last taken over
+	document uint64                        // revision of the latest configuration looked at
+	revision atomic.Uint64                 // of the store, when it was last heard
+	changed  atomic.Uint64                 // of the newest change known
 	listed   atomic.Bool
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -81,6 +84,7 @@
 	}
 	g.node = node
 	g.registry = balance.NewRegistry(node, log)
+	g.peering = newPeering(g)
 	g.follower = &source.Follower{
 		Store: a.Store(s.Store, log), Log: log, Deliver: g.take,
 		Others: func() int { return len(node.Live()) },
@@ -129,6 +133,10 @@
 			return err
 		}
 	}
+	if err := g.listenPeers(ctx); err != nil {
+		cancel()
+		return err
+	}
 	g.run.Go(func() { g.node.Run(ctx) })
 	g.run.Go(func() { g.follower.Run(ctx) })
 	g.run.Go(func() { g.expire(ctx) })
@@ -152,11 +160,30 @@
 	return nil
 }
 
+// listenPeers takes links of other gateways.
+func (g *Gateway) listenPeers(ctx context.Context) error {
+	ln, err := net.Listen("tcp4", g.settings.Listen.Peers)
+	if err != nil {
+		return eris.Wrapf(ErrStart, "%s: %v", g.settings.Listen.Peers, err)
+	}
+	context.AfterFunc(ctx, func() {
+		_ = ln.Close() // nothing more is taken
+		g.peering.pool.Close()
+	})
+	g.run.Go(func() {
+		if err := link.Accept(ln, g.peering.local, g.peering.authorize, g.peering); err != nil && ctx.Err() == nil {
+			g.log.Error().Err(err).Msg("link listener failed")
+		}
+	})
+	return nil
+}
+
 // take takes over what the store holds.
 func (g *Gateway) take(u source.Update) {
 	g.takeCatalog(u)
 	g.takeBackends(u)
 	g.changed.Store(u.Changed)
+	g.known.Store(&u)
 }
 
 // takeCatalog puts a published configuration in force.
@@ -209,36 +236,19 @@
 func (g *Gateway) expire(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
-	behind := uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
 			g.registry.Expire(g.revision.Load(), now)
-			g.catchUp(&behind)
+			g.peering.look(ctx)
+			g.peering.pool.Trim(now.Add(-linkIdle))
 			g.follower.Recheck()
 		}
 	}
 }
 
-// catchUp asks the store again when another gateway has known of a newer change
-// for a whole interval.
-func (g *Gateway) catchUp(behind *uint64) {
-	newest := uint64(0)
-	for _, p := range g.node.Live() {
-		newest = max(newest, p.BackendsRevision)
-	}
-	if newest <= g.changed.Load() {
-		*behind = 0
-		return
-	}
-	if *behind != 0 {
-		g.follower.Nudge(newest)
-	}
-	*behind = newest
-}
-
 // share returns this gateway's part of the service's retries.
 func (g *Gateway) share(service string) *retry.Share {
 	if s, ok := g.shares.Load(service); ok {
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -134,6 +134,15 @@
 }
 
 func (w *world) run(t *testing.T, store source.Store) {
+	t.Helper()
+	w.begin(t, store, func(*Settings) {})
+	for until := time.Now().Add(2 * time.Second); !w.gateway.Ready() && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// begin starts the gateway without waiting until it is ready.
+func (w *world) begin(t *testing.T, store source.Store, change func(*Settings)) {
 	t.Helper()
 	s := Settings{
 		VM: "vm", Zone: "z", Store: "127.0.0.1:1",
@@ -142,6 +151,7 @@
 		Drain:  DrainSettings{Grace: 2 * time.Second},
 	}
 	s.Provision()
+	change(&s)
 	g, err := New(s, testAdapter{store}, zerolog.Nop(), process.NewLogWriter(io.Discard), time.Now())
 	if err != nil {
 		t.Fatal(err)
@@ -154,9 +164,6 @@
 		cancel()
 		_ = g.Stop(ctx)
 	})
-	for until := time.Now().Add(2 * time.Second); !g.Ready() && time.Now().Before(until); {
-		time.Sleep(time.Millisecond)
-	}
 	w.gateway, w.url = g, "http://"+s.Listen.Front
 }
 
--- /dev/null
+++ b/entry/gateway/peers_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baywall.example/core/source"
+	"baywall.example/entry/catalog"
+)
+
+// awayStore refuses every call, as a store does that turns a VM away.
+type awayStore struct{}
+
+func (awayStore) List(context.Context, string, source.Freshness) ([]source.Item, uint64, error) {
+	return nil, 0, source.ErrUnavailable
+}
+
+func (awayStore) Watch(context.Context, string, uint64, time.Duration) ([]source.Event, uint64, error) {
+	return nil, 0, source.ErrUnavailable
+}
+
+// silentStore answers nothing, as a store does that is cut off.
+type silentStore struct{}
+
+func (silentStore) List(ctx context.Context, _ string, _ source.Freshness) ([]source.Item, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, source.ErrUnavailable
+}
+
+func (silentStore) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]source.Event, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, source.ErrUnavailable
+}
+
+func TestAGatewayThatTheStoreTurnsAwayAsksAnother(t *testing.T) {
+	for name, store := range map[string]source.Store{"refused": awayStore{}, "silent": silentStore{}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			first, second := &world{}, &world{}
+			first.run(t, fixedStore{item(t, "catalog", catalog.Content{Version: 7, Routes: routes()})})
+			second.begin(t, store, func(s *Settings) {
+				s.VM = "vm2"
+				s.Seeds = []string{first.gateway.settings.Listen.Peers}
+			})
+			for until := time.Now().Add(3 * time.Second); !second.gateway.Ready() && time.Now().Before(until); {
+				time.Sleep(5 * time.Millisecond)
+			}
+			is.True(second.gateway.Ready())
+			is.Equal(second.gateway.catalog.Version(), uint64(7))
+			first.publish(t, 8)
+			for until := time.Now().Add(3 * time.Second); second.gateway.catalog.Version() < 8 && time.Now().Before(until); {
+				time.Sleep(5 * time.Millisecond)
+			}
+			is.Equal(second.gateway.catalog.Version(), uint64(8))
+		})
+	}
+}
+
+// publish puts a configuration in force at the gateway, as its store would.
+func (w *world) publish(t *testing.T, version uint64) {
+	t.Helper()
+	published := item(t, "catalog", catalog.Content{Version: version, Routes: routes()})
+	published.Revision = version
+	w.gateway.follower.Offer(source.State{
+		Items: map[string]source.Item{"catalog": published}, Revision: version, Changed: version,
+	})
+}
