Add a fault soak with the real programs on the platform's path

standin/soak runs gateways and ranks' agents as processes against stand-ins of the platform (platform/standin: store, runners, groups of ranks, callers), with a fault proxy before callers, backend servers and each gateway's store, and signals, in overlapping series that a seed decides. It checks from what callers and backend servers see: own whole answers, refusals that did not run, non-idempotent requests once, one map in every pass, no cut by a graceful stop, nothing new to leaving servers, configuration in force and not reverted, no process that ends by itself, recovery.

--- /dev/null
+++ b/standin/soak/cmd/soak/config.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"baywall.example/platform/standin"
+)
+
+// Paths of the lasting routes.
+const (
+	safePath   = "/safe/"
+	unsafePath = "/unsafe/"
+	streamPath = "/stream/"
+)
+
+// config is the published configuration. Each version adds a route of its own and
+// drops the one of two versions ago.
+type config struct {
+	store *standin.Store
+
+	mu      sync.Mutex
+	version uint64
+	at      time.Time // when the present version was published
+}
+
+func newConfig(store *standin.Store) *config { return &config{store: store} }
+
+// versionPath is the path of the route that a version adds.
+func versionPath(version uint64) string { return fmt.Sprintf("/v%d/", version) }
+
+// publish publishes the next version.
+func (c *config) publish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version++
+	route := func(prefix, kind, service string, attempts int) standin.Route {
+		return standin.Route{
+			Name: "r" + prefix, Host: host, Prefix: prefix, Kind: kind, TimeoutMS: 6000, GoalMS: 400, GapMS: 120,
+			Attempts: attempts, Resumable: kind == standin.KindStream, Service: service,
+		}
+	}
+	routes := []standin.Route{
+		route(safePath, standin.KindSafe, plainService, 2),
+		route(unsafePath, standin.KindUnsafe, plainService, 1),
+		route(streamPath, standin.KindStream, modelService, 2),
+		route(versionPath(c.version), standin.KindSafe, plainService, 2),
+	}
+	if c.version > 1 {
+		routes = append(routes, route(versionPath(c.version-1), standin.KindSafe, plainService, 2))
+	}
+	services := []standin.Service{{Name: plainService}, {Name: modelService, Slots: slots, Shape: &shape}}
+	c.store.Put(standin.ConfigKey, standin.EncodeConfig(c.version, routes, services, map[string]string{"team": teamKey}))
+	c.at = time.Now()
+}
+
+// current returns the present version and when it was published.
+func (c *config) current() (uint64, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version, c.at
+}
--- /dev/null
+++ b/standin/soak/cmd/soak/faults.go
@@ -0,0 +1,268 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"baywall.example/platform/standin"
+)
+
+// faults plays the faults that a seed decides.
+type faults struct {
+	world   *world
+	verbose bool
+	pending sync.WaitGroup
+
+	mu       sync.Mutex
+	injected map[string]int
+	rough    []span                 // while something other than planned work went on
+	stopping map[string][]time.Time // of gateways by front, when they were told to stop
+}
+
+// span is a time in which a fault was in force.
+type span struct{ from, to time.Time }
+
+// fault is a kind of fault; play returns when it is over.
+type fault struct {
+	name    string
+	planned bool // nobody may notice it
+	play    func(f *faults, ctx context.Context, d draw)
+}
+
+// draw are the random choices of one fault, made when it is planned so that a
+// seed decides them all.
+type draw struct {
+	which    int // of the things that fit
+	duration time.Duration
+	variant  int
+}
+
+const (
+	// leastGap and gapSpread are between the begins of two faults, so that they
+	// overlap: they last up to longestFault.
+	leastGap     = 100 * time.Millisecond
+	gapSpread    = 900 * time.Millisecond
+	leastFault   = 200 * time.Millisecond
+	longestFault = 3 * time.Second
+)
+
+var kinds = []fault{
+	{"gateway told to stop", true, (*faults).stopGateway},
+	{"settings touched (HUP)", true, (*faults).hup},
+	{"configuration changed", true, (*faults).changeConfig},
+	{"backend server replaced", true, (*faults).replaceBackend},
+	{"gateway killed", false, (*faults).killGateway},
+	{"gateway paused", false, (*faults).pauseGateway},
+	{"agent killed", false, (*faults).killAgent},
+	{"agent paused", false, (*faults).pauseAgent},
+	{"backend server crashed", false, (*faults).crashBackend},
+	{"callers' connections reset", false, (*faults).resetCallers},
+	{"callers silenced", false, (*faults).silenceCallers},
+	{"backend connections reset", false, (*faults).resetBackend},
+	{"backend silenced", false, (*faults).silenceBackend},
+	{"backend delayed", false, (*faults).delayBackend},
+	{"store silent for one gateway", false, (*faults).cutStore},
+	{"store away", false, (*faults).storeAway},
+	{"store history dropped", false, (*faults).compactStore},
+}
+
+// play plans and injects faults for a while.
+func (f *faults) play(ctx context.Context, length time.Duration) {
+	f.stopping = make(map[string][]time.Time)
+	rnd := f.world.rnd
+	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; {
+		kind := kinds[rnd.IntN(len(kinds))]
+		d := draw{
+			which:    rnd.IntN(1 << 20),
+			duration: leastFault + time.Duration(rnd.Int64N(int64(longestFault-leastFault))),
+			variant:  rnd.IntN(3),
+		}
+		gap := leastGap + time.Duration(rnd.Int64N(int64(gapSpread)))
+		f.pending.Add(1)
+		go func() {
+			defer f.pending.Done()
+			f.inject(ctx, kind, d)
+		}()
+		pause(ctx, gap)
+	}
+	f.pending.Wait()
+}
+
+func (f *faults) inject(ctx context.Context, kind fault, d draw) {
+	from := time.Now()
+	f.mu.Lock()
+	f.injected[kind.name]++
+	if f.verbose {
+		fmt.Printf("  %s %s %+v\n", from.Format("05.000"), kind.name, d)
+	}
+	f.mu.Unlock()
+	kind.play(f, ctx, d)
+	if kind.planned {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rough = append(f.rough, span{from, time.Now()})
+}
+
+// roughSince reports whether a fault that callers may notice was in force between
+// two times.
+func (f *faults) roughBetween(from, to time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.rough {
+		if s.from.Before(to) && s.to.After(from) {
+			return true
+		}
+	}
+	return false
+}
+
+// heal ends everything that is still in force.
+func (f *faults) heal(context.Context) {
+	w := f.world
+	w.store.SetMode(standin.StoreServes)
+	for _, g := range w.gateways {
+		g.callers.heal()
+		g.store.heal()
+		g.signal(syscall.SIGCONT)
+	}
+	for _, a := range w.agents {
+		a.signal(syscall.SIGCONT)
+	}
+	for _, b := range w.backends {
+		b.relay.heal()
+	}
+}
+
+func (f *faults) gateway(d draw) *gateway { return f.world.gateways[d.which%len(f.world.gateways)] }
+func (f *faults) backend(d draw) *backend { return f.world.backends[d.which%len(f.world.backends)] }
+
+func (f *faults) stopGateway(_ context.Context, d draw) {
+	g := f.gateway(d)
+	f.mu.Lock()
+	f.stopping[g.front] = append(f.stopping[g.front], time.Now())
+	f.mu.Unlock()
+	g.signal(syscall.SIGTERM)
+}
+
+func (f *faults) hup(_ context.Context, d draw) { f.gateway(d).signal(syscall.SIGHUP) }
+
+func (f *faults) changeConfig(ctx context.Context, d draw) {
+	for range d.variant + 1 {
+		f.world.config.publish()
+		pause(ctx, d.duration/3)
+	}
+}
+
+// drainNotice is how long a leaving backend server goes on serving.
+const drainNotice = 4 * time.Second
+
+// replaceBackend publishes a backend server as leaving, and puts a new one in its
+// place when it is gone.
+func (f *faults) replaceBackend(ctx context.Context, d draw) {
+	w := f.world
+	i := d.which % len(w.backends)
+	b := w.backends[i]
+	if b.group != nil {
+		return // ranks of a group are not replaced one by one
+	}
+	r := b.current()
+	if d.variant == 0 {
+		w.store.Delete(standin.ServerPrefix + r.ID)
+	} else {
+		w.list(i, r, true)
+	}
+	r.Drain()
+	pause(ctx, drainNotice)
+	w.store.Delete(standin.ServerPrefix + r.ID)
+	if b.current() != r {
+		return // it crashed meanwhile
+	}
+	r.Crash()
+	if err := w.startRunner(i); err != nil {
+		fmt.Println("  backend server not started:", err)
+	}
+}
+
+func (f *faults) killGateway(_ context.Context, d draw) { f.gateway(d).signal(syscall.SIGKILL) }
+
+func (f *faults) pauseGateway(ctx context.Context, d draw) {
+	g := f.gateway(d)
+	g.signal(syscall.SIGSTOP)
+	pause(ctx, d.duration)
+	g.signal(syscall.SIGCONT)
+}
+
+func (f *faults) agent(d draw) *process { return f.world.agents[d.which%len(f.world.agents)] }
+
+func (f *faults) killAgent(_ context.Context, d draw) { f.agent(d).signal(syscall.SIGKILL) }
+
+func (f *faults) pauseAgent(ctx context.Context, d draw) {
+	a := f.agent(d)
+	a.signal(syscall.SIGSTOP)
+	pause(ctx, d.duration)
+	a.signal(syscall.SIGCONT)
+}
+
+// crashBackend ends a backend server without notice; a new incarnation takes its
+// address. A rank's group is formed anew.
+func (f *faults) crashBackend(ctx context.Context, d draw) {
+	w := f.world
+	i := d.which % len(w.backends)
+	b := w.backends[i]
+	r := b.current()
+	r.Crash()
+	pause(ctx, d.duration/2)
+	if b.current() != r {
+		return // replaced meanwhile
+	}
+	if b.group != nil {
+		b.group.Form(b.rank)
+	}
+	if err := w.startRunner(i); err != nil {
+		fmt.Println("  backend server not started:", err)
+	}
+	pause(ctx, d.duration/2) // the old entry's lease
+	w.store.Delete(standin.ServerPrefix + r.ID)
+}
+
+func (f *faults) resetCallers(_ context.Context, d draw) { f.gateway(d).callers.reset() }
+
+func (f *faults) silenceCallers(ctx context.Context, d draw) {
+	f.silence(ctx, f.gateway(d).callers, d)
+}
+
+func (f *faults) silence(ctx context.Context, r *relay, d draw) {
+	r.silence(d.variant != 1, d.variant != 2)
+	pause(ctx, d.duration)
+	r.silence(false, false)
+}
+
+func (f *faults) resetBackend(_ context.Context, d draw) { f.backend(d).relay.reset() }
+
+func (f *faults) silenceBackend(ctx context.Context, d draw) { f.silence(ctx, f.backend(d).relay, d) }
+
+func (f *faults) delayBackend(ctx context.Context, d draw) {
+	r := f.backend(d).relay
+	r.delay(d.duration / 10)
+	pause(ctx, d.duration)
+	r.delay(0)
+}
+
+func (f *faults) cutStore(ctx context.Context, d draw) { f.silence(ctx, f.gateway(d).store, d) }
+
+func (f *faults) storeAway(ctx context.Context, d draw) {
+	mode := standin.StoreBusy
+	if d.variant == 0 {
+		mode = standin.StoreSilent
+	}
+	f.world.store.SetMode(mode)
+	pause(ctx, d.duration)
+	f.world.store.SetMode(standin.StoreServes)
+}
+
+func (f *faults) compactStore(context.Context, draw) { f.world.store.Compact() }
--- /dev/null
+++ b/standin/soak/cmd/soak/main.go
@@ -0,0 +1,123 @@
+// Command soak runs the real programs as separate processes against stand-ins of
+// the users' platform, injects faults from outside them in overlapping series, and
+// checks the promises from what callers and backend servers see.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+)
+
+const (
+	// defaultLength is how long one seed's faults last.
+	defaultLength = 20 * time.Second
+	// recovery is how long the fleet has without faults at the end; the last part
+	// of it has to be served.
+	recovery = 8 * time.Second
+)
+
+// options are the command's flags.
+type options struct {
+	seed    uint64
+	seeds   int
+	length  time.Duration
+	size    size
+	keep    string
+	verbose bool
+}
+
+// size tells how many processes a world has.
+type size struct {
+	gateways, plain, groups, ranks int
+	rate                           int // requests a second
+}
+
+func main() {
+	var o options
+	flag.Uint64Var(&o.seed, "seed", uint64(time.Now().UnixNano()), "first seed; it decides every fault")
+	flag.IntVar(&o.seeds, "seeds", 1, "number of seeds, one world each")
+	flag.DurationVar(&o.length, "for", defaultLength, "how long the faults of one seed last")
+	flag.IntVar(&o.size.gateways, "gateways", 4, "entry VMs")
+	flag.IntVar(&o.size.plain, "plain", 3, "backend servers of the plain service")
+	flag.IntVar(&o.size.groups, "groups", 2, "groups of ranks")
+	flag.IntVar(&o.size.ranks, "ranks", 3, "ranks of a group")
+	flag.IntVar(&o.size.rate, "rate", 60, "requests a second")
+	flag.StringVar(&o.keep, "keep", "", "folder for the logs of seeds that fail (default: a temporary one)")
+	flag.BoolVar(&o.verbose, "v", false, "print every fault")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if !runSeeds(ctx, o) {
+		os.Exit(1)
+	}
+}
+
+// runSeeds runs all seeds and reports whether every promise was kept.
+func runSeeds(ctx context.Context, o options) bool {
+	binaries, clean, err := build()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	defer clean()
+	failed := 0
+	for i := range o.seeds {
+		if ctx.Err() != nil {
+			break
+		}
+		r, err := runSeed(ctx, binaries, o, o.seed+uint64(i))
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "seed %d: %v\n", o.seed+uint64(i), err)
+			return false
+		}
+		fmt.Println(r)
+		if len(r.broken) > 0 {
+			failed++
+		}
+	}
+	fmt.Printf("%d seeds, %d with a broken promise\n", o.seeds, failed)
+	return failed == 0
+}
+
+// runSeed plays one world and returns what was seen.
+func runSeed(ctx context.Context, b binaries, o options, seed uint64) (*report, error) {
+	w, err := newWorld(b, o.size, seed)
+	if err != nil {
+		return nil, err
+	}
+	defer w.close()
+	if err := w.start(ctx); err != nil {
+		return nil, fmt.Errorf("%w; logs in %s", err, w.dir)
+	}
+	r := &report{seed: seed, processes: len(w.gateways) + len(w.agents)}
+	load := newLoad(w)
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	load.begin(loadCtx, o.size.rate)
+	f := &faults{world: w, verbose: o.verbose, injected: make(map[string]int)}
+	f.play(ctx, o.length)
+	f.heal(ctx)
+	calm := time.Now()
+	pause(ctx, recovery)
+	stopLoad()
+	load.wait()
+	r.check(w, load, f, calm)
+	if len(r.broken) > 0 {
+		r.logs = w.keepLogs(o.keep)
+	}
+	return r, nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
