Give streams back slowly after a loss of power

Their prompts and streams made every pass too long until 38.5 s, so first attempts were late too (244 of 266 begun from 37 to 38.5 s, by their pauses). Ruled out: the switch (first map in effect at 37.2 s), queues (4 of 10 slots). Change: batches fill over 2.5 s from 0.3 of the slots (1.5 s from 0.4); callers that came back, late already, get 0.7 of that; a server whose passes are near the gap target gets no streams meanwhile.

--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -16,6 +16,8 @@
 	// GapTarget is the longest pause between events of a stream that is on time,
 	// 0 = the request is no stream.
 	GapTarget time.Duration
+	// Returned tells that the caller has come back after a refusal or a failure.
+	Returned bool
 	// Proven leaves out servers that turned their latest request away.
 	Proven bool
 }
@@ -76,8 +78,8 @@
 	if d.MostWait <= 0 || slots <= 0 {
 		return false
 	}
-	if share := s.startShare(now); share < 1 {
-		return float64(s.inFlight(i)) >= share*float64(slots)
+	if s.holdsBack(i, d, now) {
+		return true
 	}
 	ahead := s.inFlight(i) + 1 - slots // requests that have to end before this one begins
 	return ahead > 0 && time.Duration(ahead)*s.occupied/time.Duration(slots) > d.MostWait
--- a/entry/balance/probation.go
+++ b/entry/balance/probation.go
@@ -21,8 +21,14 @@
 	suspectTime = 2 * probePatience
 	// slowStartTime is how long servers take to get all requests after a
 	// probation, slowStartFrom the part of their slots that they get at first.
-	slowStartTime = 1500 * time.Millisecond
-	slowStartFrom = 0.4
+	slowStartTime = 2500 * time.Millisecond
+	slowStartFrom = 0.3
+	// slowStartPace is the part of the gap target from which a server gets no
+	// streams during slow start, and returnedPart the part of the slots at hand
+	// that is for callers that have come back: those are late already, and must
+	// not make others late.
+	slowStartPace = 0.8
+	returnedPart  = 0.7
 	// minDoubted and doubtedPart tell how many servers are doubted on probation:
 	// a quarter, where that is more than a few that are full by chance.
 	minDoubted  = 3
@@ -86,6 +92,22 @@
 	return slowStartFrom + (1-slowStartFrom)*float64(age)/float64(slowStartTime)
 }
 
+// holdsBack reports whether a server gets no more requests of the demand's kind
+// during slow start.
+func (s *shard) holdsBack(i int, d Demand, now time.Time) bool {
+	share := s.startShare(now)
+	if share >= 1 {
+		return false
+	}
+	if d.Returned {
+		share *= returnedPart
+	}
+	if float64(s.inFlight(i)) >= share*float64(s.usable[i].Slots) {
+		return true
+	}
+	return d.GapTarget > 0 && float64(s.pace(i, now)) >= slowStartPace*float64(d.GapTarget)
+}
+
 // trusted reports whether a server may get requests as far as its probation goes.
 func (s *Server) trusted(probation bool, now time.Time) bool {
 	if s.probation.good || s.probation.accepted {
--- a/entry/balance/registry_test.go
+++ b/entry/balance/registry_test.go
@@ -284,15 +284,28 @@
 	a := r.shard("s").servers["a"]
 	r.Probed(a, true)
 	r.Accepted(a)
-	for range 5 {
+	for range 3 {
 		_, found = r.Pick(d, start)
 		is.Equal(found, Available)
 	}
+	late := d
+	late.Returned = true
+	_, found = r.Pick(late, start)
+	is.Equal(found, AllBusy) // callers that came back get a part of that
 	_, found = r.Pick(d, start)
-	is.Equal(found, AllBusy) // 5 of 12 slots
+	is.Equal(found, Available)
+	_, found = r.Pick(d, start)
+	is.Equal(found, AllBusy) // 4 of 12 slots
+	a.Pace.Begun(start)
+	a.Pace.Event(110*time.Millisecond, start.Add(slowStartTime/2))
+	streams := d
+	streams.GapTarget = 120 * time.Millisecond
+	_, found = r.Pick(streams, start.Add(slowStartTime/2))
+	is.Equal(found, AllBusy) // passes are too long for more streams
+	a.Pace.Ended()
 	_, found = r.Pick(d, start.Add(slowStartTime/2))
 	is.Equal(found, Available)
-	for range 6 {
+	for range 7 {
 		_, found = r.Pick(d, start.Add(slowStartTime))
 		is.Equal(found, Available)
 	}
--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -80,7 +80,7 @@
 
 // demand returns what the request asks of a server.
 func (q *request) demand() balance.Demand {
-	d := balance.Demand{Service: q.service, Exclude: q.excluded, Proven: q.rejected}
+	d := balance.Demand{Service: q.service, Exclude: q.excluded, Proven: q.rejected, Returned: q.returned}
 	if q.route.Kind == catalog.KindStream {
 		d.GapTarget = q.route.GapTarget
 	}
