Let two gateways of each zone follow the store for a large fleet

Change: in fleets of more than 12 gateways the first two of each zone, in rendezvous order over those heard, follow the store; the others take the events that these know of over a link as soon as a heartbeat names a newer change. A gateway that hears of nobody whom the store answered within 2.5 s follows it itself. Agents read the list each 12 s while all of their group are heard (3 s before); probes on probation go to a quarter of a service's servers at a time, over kept connections.

--- a/agent/rankserver/server.go
+++ b/agent/rankserver/server.go
@@ -40,6 +40,8 @@
 	// listInterval is how often the addresses of the service's backend servers
 	// are read. Stale lists do, as the group is checked rank by rank.
 	listInterval = 3 * time.Second
+	// completeInterval is the same while all agents of the group are heard.
+	completeInterval = 12 * time.Second
 	// startInterval is how often they, and the configuration, are read until
 	// something is found.
 	startInterval = 400 * time.Millisecond
@@ -292,8 +294,11 @@
 			r.node.SetSeeds(seeds)
 		}
 		period := listInterval
-		if known == 0 {
+		switch {
+		case known == 0:
 			period = startInterval
+		case len(r.world.Groups()) > 0:
+			period = completeInterval
 		}
 		if !wait.Sleep(ctx, period) {
 			return
--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -82,7 +82,7 @@
 func (n *Node) Announce() {
 	self := n.self()
 	n.mu.Lock()
-	out := n.table.All(self, n.rnd)
+	out := n.table.All(self, n.rnd, time.Now())
 	n.mu.Unlock()
 	n.send(out)
 }
--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -42,7 +42,9 @@
 	CatalogVersion   uint64
 	BackendsRevision uint64
 	Load             map[uint32]Load // by backend server key
-	Rank             *RankLabel      // nil unless it is the agent of a rank
+	// StoreHeard is when the store last answered this member; zero = never.
+	StoreHeard time.Time
+	Rank       *RankLabel // nil unless it is the agent of a rank
 }
 
 // Load is what one or more members put on a backend server.
@@ -85,6 +87,7 @@
 	Ready            bool
 	CatalogVersion   uint64
 	BackendsRevision uint64
+	StoreHeard       time.Time // when the store last answered it; zero = not known
 	Rank             *RankLabel
 	Heard            time.Time
 
@@ -171,7 +174,7 @@
 	if len(due) == 0 {
 		return nil, changes
 	}
-	hb := t.heartbeat(self, rnd)
+	hb := t.heartbeat(self, rnd, now)
 	out := make([]Datagram, 0, len(due))
 	for _, address := range due {
 		out = append(out, Datagram{address, hb})
@@ -187,8 +190,8 @@
 }
 
 // All returns a heartbeat to every peer, whether due or not.
-func (t *Table) All(self Self, rnd *rand.Rand) []Datagram {
-	hb := t.heartbeat(self, rnd)
+func (t *Table) All(self Self, rnd *rand.Rand, now time.Time) []Datagram {
+	hb := t.heartbeat(self, rnd, now)
 	out := make([]Datagram, 0, len(t.peers))
 	for address := range t.peers {
 		out = append(out, Datagram{address, hb})
@@ -196,7 +199,7 @@
 	return out
 }
 
-func (t *Table) heartbeat(self Self, rnd *rand.Rand) *wire.Heartbeat {
+func (t *Table) heartbeat(self Self, rnd *rand.Rand, now time.Time) *wire.Heartbeat {
 	t.sequence++
 	hb := &wire.Heartbeat{
 		Vm: string(self.VM), Incarnation: uint64(self.Incarnation), Sequence: t.sequence, Zone: self.Zone,
@@ -204,6 +207,9 @@
 		CatalogVersion: self.CatalogVersion, BackendsRevision: self.BackendsRevision,
 		Contacts: t.contacts(rnd), Rank: self.Rank.wire(),
 	}
+	if !self.StoreHeard.IsZero() {
+		hb.StoreAgeMs = uint32(now.Sub(self.StoreHeard).Milliseconds()) + 1
+	}
 	for server, l := range self.Load {
 		if l.Requests > 0 {
 			hb.InFlight = append(hb.InFlight, &wire.InFlight{Server: server, Requests: uint32(l.Requests), GapMs: uint32(l.Gap.Milliseconds())})
@@ -251,6 +257,9 @@
 		CatalogVersion: hb.GetCatalogVersion(), BackendsRevision: hb.GetBackendsRevision(),
 		Rank: rankFromWire(hb.GetRank()), Heard: now, sequence: hb.GetSequence(), load: make(map[uint32]Load, len(hb.GetInFlight())),
 	}
+	if age := hb.GetStoreAgeMs(); age > 0 {
+		next.StoreHeard = now.Add(-time.Duration(age-1) * time.Millisecond)
+	}
 	if old != nil {
 		next.sent = old.sent
 		t.subtract(old)
--- a/core/source/follower_test.go
+++ b/core/source/follower_test.go
@@ -235,3 +235,59 @@
 	case <-time.After(20 * time.Millisecond):
 	}
 }
+
+func TestEventsAreKeptForOthers(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	updates := make(chan Update, 8)
+	f := &Follower{Store: unreachable{}, Log: zerolog.Nop(), Deliver: func(u Update) { updates <- u }}
+	go f.Run(ctx)
+	f.Offer(State{Items: map[string]Item{"a": item("a", 3)}, Revision: 5, Changed: 3})
+	<-updates
+	f.Offer(State{Events: []Event{{Item: item("b", 7)}, {Item: item("a", 8), Removed: true}}, After: 5, Revision: 8, Changed: 8})
+	u := <-updates
+	is.Equal(u.Revision, uint64(8))
+	is.Equal(len(u.Items), 1)
+	since := f.Since(5)
+	is.Equal(len(since.Events), 2)
+	is.Equal(since.Revision, uint64(8))
+	is.Equal(len(f.Since(7).Events), 1)
+	is.Equal(len(f.Since(0).Items), 1) // all of it
+	is.Equal(len(f.Since(2).Items), 1) // from before what is kept
+	f.Offer(State{Events: []Event{{Item: item("c", 12)}}, After: 10, Revision: 12, Changed: 12})
+	select {
+	case u := <-updates:
+		t.Fatalf("took events with a gap, to %d", u.Revision)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
+// A follower that rests makes no calls, and goes on when it has to.
+func TestARestingFollowerLeavesTheStoreAlone(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var rest atomic.Bool
+	rest.Store(true)
+	store := deaf{make(chan struct{}, 1)}
+	updates := make(chan Update, 8)
+	f := &Follower{
+		Store: store, Log: zerolog.Nop(), Rest: rest.Load,
+		Deliver: func(u Update) {
+			select {
+			case updates <- u:
+			default:
+			}
+		},
+	}
+	go f.Run(ctx)
+	<-updates // the first list
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(len(store.watches), 0)
+	rest.Store(false)
+	for until := time.Now().Add(time.Second); len(store.watches) == 0 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(len(store.watches), 1)
+}
--- a/entry/balance/probation.go
+++ b/entry/balance/probation.go
@@ -13,6 +13,10 @@
 	// probeInterval is the time between two probes of a server: groups of ranks
 	// take some seconds to be formed, and callers wait for them.
 	probeInterval = 120 * time.Millisecond
+	// leastProbes and probedPart bound the probes in an interval: as long as no
+	// server takes requests, a part of them tells as much as all.
+	leastProbes = 4
+	probedPart  = 4
 	// probePatience is for how long requests hold back where probes get no
 	// usable answer: then they try the servers themselves.
 	probePatience = 4 * time.Second
@@ -123,14 +127,20 @@
 	for _, s := range r.all() {
 		s.mu.Lock()
 		probation := s.onProbation(now)
-		for _, server := range s.servers {
+		left := max(leastProbes, len(s.servers)/probedPart)
+		for _, server := range s.servers { // in random order
 			if server.trusted(probation, now) || server.draining || server.replaced {
 				continue
 			}
 			p := &server.probation
-			if !p.asking && now.Sub(p.asked) >= probeInterval {
+			if now.Sub(p.asked) < probeInterval {
+				left--
+				continue
+			}
+			if !p.asking && left > 0 {
 				p.asking, p.asked = true, now
 				out = append(out, server)
+				left--
 			}
 		}
 		s.mu.Unlock()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -58,10 +58,9 @@
 
 	follower *source.Follower
 	peering  *peering
-	known    atomic.Pointer[source.Update] // as last taken over
-	document uint64                        // revision of the latest configuration looked at
-	revision atomic.Uint64                 // of the store, when it was last heard
-	changed  atomic.Uint64                 // of the newest change known
+	document uint64        // revision of the latest configuration looked at
+	revision atomic.Uint64 // of the store, when it was last heard
+	changed  atomic.Uint64 // of the newest change known
 	listed   atomic.Bool
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -87,7 +86,7 @@
 	g.peering = newPeering(g)
 	g.follower = &source.Follower{
 		Store: a.Store(s.Store, log), Log: log, Deliver: g.take,
-		Others: func() int { return len(node.Live()) },
+		Others: g.followers, Rest: func() bool { return g.peering.rests() },
 	}
 	g.inst = newInstruments(gauges{
 		catalogVersion:   func() float64 { return float64(g.catalog.Version()) },
@@ -103,7 +102,7 @@
 		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Zone: g.settings.Zone,
 		Address: g.settings.Listen.Peers, Front: g.settings.Listen.Front, Ready: g.Ready(),
 		CatalogVersion: g.catalog.Version(), BackendsRevision: g.changed.Load(),
-		Load: g.registry.OwnLoad(time.Now()),
+		Load: g.registry.OwnLoad(time.Now()), StoreHeard: g.follower.Heard(),
 	}
 }
 
@@ -141,6 +140,7 @@
 	g.run.Go(func() { g.follower.Run(ctx) })
 	g.run.Go(func() { g.expire(ctx) })
 	g.run.Go(func() { g.probe(ctx) })
+	g.run.Go(func() { g.peering.run(ctx) })
 	g.log.Info().Str("adapter", g.adapter.Name()).Uint64("incarnation", uint64(g.incarnation)).
 		Str("front", g.settings.Listen.Front).Str("store", g.settings.Store).Strs("seeds", g.settings.Seeds).Msg("started")
 	return nil
@@ -183,7 +183,6 @@
 	g.takeCatalog(u)
 	g.takeBackends(u)
 	g.changed.Store(u.Changed)
-	g.known.Store(&u)
 }
 
 // takeCatalog puts a published configuration in force.
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -4,15 +4,19 @@
 	"context"
 	"net"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"baywall.example/core/cluster"
 	"baywall.example/core/link"
+	"baywall.example/core/rendezvous"
 	"baywall.example/core/source"
 	"baywall.example/core/timeline"
 	"baywall.example/core/vm"
+	"baywall.example/core/wait"
 	"baywall.example/core/wire"
 	"baywall.example/core/zone"
 )
@@ -29,17 +33,35 @@
 	pullAfter  = 3
 	// pullTimeout bounds the exchange with another gateway.
 	pullTimeout = 2 * time.Second
+	// watchersPerZone is how many gateways of an availability zone follow the
+	// store, as each call has its price and the store's rate is shared; the others
+	// take what these hear.
+	watchersPerZone = 2
+	// smallFleet is up to how many gateways all of them follow the store: it can
+	// bear their calls, and no change takes a second way.
+	smallFleet = 12
+	// storeFresh is how long ago the store may have answered another gateway for
+	// this one to leave the store to it. A watch waits for a second or two.
+	storeFresh = 2500 * time.Millisecond
+	// restLook is how often a gateway that does not follow the store itself looks
+	// whether others know more.
+	restLook = 50 * time.Millisecond
 	// linkIdle is how long an unused link to another gateway is kept.
 	linkIdle = 10 * time.Second
 )
 
+// watcherKey is what the order of those who follow the store is drawn for.
+const watcherKey = "store-watch"
+
 // peering exchanges states of the store with other gateways.
 type peering struct {
 	gateway *Gateway
 	local   *link.Local
 	pool    *link.Pool
+	mu      sync.Mutex
 	pulling chan struct{} // holds one token while a pull is under way
 	behind  int           // looks in a row that found a newer change
+	resting atomic.Bool   // others follow the store for this one
 }
 
 func newPeering(g *Gateway) *peering {
@@ -53,8 +75,62 @@
 	return p
 }
 
+// rests reports whether the gateway leaves the store to others.
+func (p *peering) rests() bool {
+	now := time.Now()
+	live := p.gateway.node.Live()
+	zone := []string{p.gateway.settings.VM}
+	fresh := false
+	for _, peer := range live {
+		fresh = fresh || now.Sub(peer.StoreHeard) < storeFresh
+		if peer.Zone == p.gateway.settings.Zone {
+			zone = append(zone, string(peer.VM))
+		}
+	}
+	rest := fresh && len(live)+1 > smallFleet &&
+		!slices.Contains(watchers(zone), p.gateway.settings.VM)
+	if p.resting.Swap(rest) != rest {
+		p.gateway.log.Info().Bool("resting", rest).Int("gateways", len(live)+1).Bool("fresh", fresh).Msg("following of the store changed")
+	}
+	return rest
+}
+
+// watchers returns those of an availability zone's gateways that follow the store.
+func watchers(zone []string) []string {
+	order := rendezvous.Order(zone, watcherKey, func(id string) string { return id })
+	return order[:min(len(order), watchersPerZone)]
+}
+
+// followers returns how many other gateways follow the store.
+func (g *Gateway) followers() int {
+	live := g.node.Live()
+	if len(live) < smallFleet {
+		return len(live)
+	}
+	zones := map[string]int{g.settings.Zone: 1}
+	for _, p := range live {
+		zones[p.Zone]++
+	}
+	sum := 0
+	for _, n := range zones {
+		sum += min(n, watchersPerZone)
+	}
+	return sum - 1
+}
+
+// run looks often while others follow the store for this gateway.
+func (p *peering) run(ctx context.Context) {
+	for wait.Sleep(ctx, restLook) {
+		if p.resting.Load() {
+			p.look(ctx)
+		}
+	}
+}
+
 // look compares what others know with what this gateway knows.
 func (p *peering) look(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	newest, peer := p.newest()
 	if newest <= p.gateway.changed.Load() {
 		p.behind = 0
@@ -64,7 +140,7 @@
 	if p.behind == nudgeAfter {
 		p.gateway.follower.Nudge(newest)
 	}
-	if p.behind < pullAfter && p.gateway.listed.Load() {
+	if p.behind < pullAfter && p.gateway.listed.Load() && !p.resting.Load() {
 		return
 	}
 	select {
@@ -109,7 +185,8 @@
 	if err != nil {
 		return source.State{}, err
 	}
-	reply, err := conn.Call(ctx, &wire.Call{Body: &wire.Call_Source{Source: &wire.SourcePull{}}})
+	pull := &wire.SourcePull{After: p.gateway.revision.Load()}
+	reply, err := conn.Call(ctx, &wire.Call{Body: &wire.Call_Source{Source: pull}})
 	if err != nil {
 		p.pool.Retain(func(id vm.ID) bool { return id != from.VM }) // the link may have gone silent
 		return source.State{}, err
@@ -123,10 +200,7 @@
 		p.gateway.log.Warn().Str("peer", string(from.Remote)).Msg("unexpected call")
 		return
 	}
-	reply := &wire.SourceReply{}
-	if u := p.gateway.known.Load(); u != nil {
-		reply = stateToWire(*u)
-	}
+	reply := stateToWire(p.gateway.follower.Since(call.GetSource().GetAfter()))
 	if err := s.SendReply(&wire.Reply{Body: &wire.Reply_Source{Source: reply}}); err != nil {
 		p.gateway.log.Info().Err(err).Str("peer", string(from.Remote)).Msg("state not sent")
 	}
@@ -148,18 +222,29 @@
 	return nil
 }
 
-func stateToWire(u source.Update) *wire.SourceReply {
-	out := &wire.SourceReply{Revision: u.Revision, Changed: u.Changed}
-	for _, item := range u.Items {
+func stateToWire(s source.State) *wire.SourceReply {
+	out := &wire.SourceReply{Revision: s.Revision, Changed: s.Changed, After: s.After}
+	for _, item := range s.Items {
 		out.Items = append(out.Items, &wire.SourceItem{Key: item.Key, Value: item.Value, Revision: item.Revision})
 	}
+	for _, e := range s.Events {
+		out.Items = append(out.Items, &wire.SourceItem{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Removed})
+	}
 	return out
 }
 
 func stateFromWire(w *wire.SourceReply) source.State {
-	out := source.State{Items: make(map[string]source.Item, len(w.GetItems())), Revision: w.GetRevision(), Changed: w.GetChanged()}
-	for _, item := range w.GetItems() {
-		out.Items[item.GetKey()] = source.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision()}
+	out := source.State{Revision: w.GetRevision(), Changed: w.GetChanged(), After: w.GetAfter()}
+	if out.After == 0 {
+		out.Items = make(map[string]source.Item, len(w.GetItems()))
+	}
+	for _, i := range w.GetItems() {
+		item := source.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision()}
+		if out.After == 0 {
+			out.Items[item.Key] = item
+			continue
+		}
+		out.Events = append(out.Events, source.Event{Item: item, Removed: i.GetRemoved()})
 	}
 	return out
 }
--- a/entry/gateway/probe.go
+++ b/entry/gateway/probe.go
@@ -50,7 +50,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	answer, err := server.Pool.Do(ctx, &upstream.Request{
-		Method: http.MethodGet, Target: target, Host: server.Address, Fresh: true,
+		Method: http.MethodGet, Target: target, Host: server.Address,
 		Header: http.Header{g.headers.ExpectServer: {server.ID}}, IDHeader: g.headers.RequestID,
 	})
 	if err != nil {
