Steer streams away from a group only when its passes are clearly too long

Cause: around the gap target the two groups take turns in being a little over it, and a ramp from 0.9 to 1.2 of it moved streams to and fro. Taken: 1.1 to 1.5.

--- a/entry/balance/pace.go
+++ b/entry/balance/pace.go
@@ -20,7 +20,7 @@
 	gapLifetime = 800 * time.Millisecond
 	// lateFrom and lateAt are the parts of the gap target between which a
 	// server's lateness rises from 0 to lateCost.
-	lateFrom, lateAt = 0.9, 1.2
+	lateFrom, lateAt = 1.1, 1.5
 	// lateCost is what streams on a server whose passes are too long are worth in
 	// load: a server counts as if it were full.
 	lateCost = 1.0
