--- a/agent/rankserver/server.go
+++ b/agent/rankserver/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -159,7 +158,7 @@
 		return err
 	}
 	r.run.Go(func() {
-		if err := link.Accept(ln, r.local, r.authorize, r); err != nil && ctx.Err() == nil {
+		if err := link.Accept(ln, r.local, r.node.Authorize, r); err != nil && ctx.Err() == nil {
 			r.log.Error().Err(err).Msg("link listener failed")
 		}
 	})
@@ -215,22 +214,6 @@
 	r.log.Info().Bool("restart_needed", next != r.settings).Msg("settings reloaded")
 }
 
-// authorize accepts links from agents that are heard, from their own address.
-func (r *Server) authorize(h *wire.Hello, remote net.Addr) error {
-	host, _, err := net.SplitHostPort(remote.String())
-	if err != nil {
-		return eris.Wrapf(link.ErrUnauthorized, "%v", err)
-	}
-	known := slices.ContainsFunc(r.node.Live(), func(p cluster.Peer) bool {
-		at, _, _ := net.SplitHostPort(p.Address)
-		return string(p.VM) == h.GetVm() && at == host
-	})
-	if !known {
-		return eris.Wrapf(link.ErrUnauthorized, "%s at %s is not heard", h.GetVm(), host)
-	}
-	return nil
-}
-
 // ServeStream handles one call of another agent.
 func (r *Server) ServeStream(ctx context.Context, from *link.Link, s *link.Stream, call *wire.Call) {
 	order, ok := call.GetBody().(*wire.Call_SwitchOrder)
--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -169,6 +170,27 @@
 	}
 }
 
+// ErrUnknown means that a VM which asks for a link is not a live member at its
+// address.
+var ErrUnknown = eris.New("cluster: not a live member")
+
+// Authorize accepts links from live members, from their own address. It is a
+// link.Authorizer.
+func (n *Node) Authorize(h *wire.Hello, remote net.Addr) error {
+	host, _, err := net.SplitHostPort(remote.String())
+	if err != nil {
+		return eris.Wrapf(ErrUnknown, "%v", err)
+	}
+	known := slices.ContainsFunc(n.Live(), func(p Peer) bool {
+		at, _, _ := net.SplitHostPort(p.Address) // it was heard from there
+		return string(p.VM) == h.GetVm() && at == host
+	})
+	if !known {
+		return eris.Wrapf(ErrUnknown, "%s at %s", h.GetVm(), host)
+	}
+	return nil
+}
+
 // Members returns the number of live members, this one included.
 func (n *Node) Members() int {
 	n.mu.Lock()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -171,7 +171,7 @@
 		g.peering.pool.Close()
 	})
 	g.run.Go(func() {
-		if err := link.Accept(ln, g.peering.local, g.peering.authorize, g.peering); err != nil && ctx.Err() == nil {
+		if err := link.Accept(ln, g.peering.local, g.node.Authorize, g.peering); err != nil && ctx.Err() == nil {
 			g.log.Error().Err(err).Msg("link listener failed")
 		}
 	})
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"baywall.example/core/cluster"
 	"baywall.example/core/link"
 	"baywall.example/core/rendezvous"
@@ -206,22 +204,6 @@
 	}
 }
 
-// authorize accepts links from gateways that are heard, from their own address.
-func (p *peering) authorize(h *wire.Hello, remote net.Addr) error {
-	host, _, err := net.SplitHostPort(remote.String())
-	if err != nil {
-		return eris.Wrapf(link.ErrUnauthorized, "%v", err)
-	}
-	known := slices.ContainsFunc(p.gateway.node.Live(), func(peer cluster.Peer) bool {
-		at, _, _ := net.SplitHostPort(peer.Address)
-		return string(peer.VM) == h.GetVm() && at == host
-	})
-	if !known {
-		return eris.Wrapf(link.ErrUnauthorized, "%s at %s is not heard", h.GetVm(), host)
-	}
-	return nil
-}
-
 func stateToWire(s source.State) *wire.SourceReply {
 	out := &wire.SourceReply{Revision: s.Revision, Changed: s.Changed, After: s.After}
 	for _, item := range s.Items {
--- a/standin/soak/cmd/soak/faults.go
+++ b/standin/soak/cmd/soak/faults.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"baywall.example/core/wait"
 	"baywall.example/platform/standin"
 )
 
@@ -86,7 +87,7 @@
 			defer f.pending.Done()
 			f.inject(ctx, kind, d)
 		}()
-		pause(ctx, gap)
+		wait.Sleep(ctx, gap)
 	}
 	f.pending.Wait()
 }
@@ -154,7 +155,7 @@
 func (f *faults) changeConfig(ctx context.Context, d draw) {
 	for range d.variant + 1 {
 		f.world.config.publish()
-		pause(ctx, d.duration/3)
+		wait.Sleep(ctx, d.duration/3)
 	}
 }
 
@@ -177,7 +178,7 @@
 		w.list(i, r, true)
 	}
 	r.Drain()
-	pause(ctx, drainNotice)
+	wait.Sleep(ctx, drainNotice)
 	w.store.Delete(standin.ServerPrefix + r.ID)
 	if b.current() != r {
 		return // it crashed meanwhile
@@ -193,7 +194,7 @@
 func (f *faults) pauseGateway(ctx context.Context, d draw) {
 	g := f.gateway(d)
 	g.signal(syscall.SIGSTOP)
-	pause(ctx, d.duration)
+	wait.Sleep(ctx, d.duration)
 	g.signal(syscall.SIGCONT)
 }
 
@@ -204,7 +205,7 @@
 func (f *faults) pauseAgent(ctx context.Context, d draw) {
 	a := f.agent(d)
 	a.signal(syscall.SIGSTOP)
-	pause(ctx, d.duration)
+	wait.Sleep(ctx, d.duration)
 	a.signal(syscall.SIGCONT)
 }
 
@@ -216,7 +217,7 @@
 	b := w.backends[i]
 	r := b.current()
 	r.Crash()
-	pause(ctx, d.duration/2)
+	wait.Sleep(ctx, d.duration/2)
 	if b.current() != r {
 		return // replaced meanwhile
 	}
@@ -226,7 +227,7 @@
 	if err := w.startRunner(i); err != nil {
 		fmt.Println("  backend server not started:", err)
 	}
-	pause(ctx, d.duration/2) // the old entry's lease
+	wait.Sleep(ctx, d.duration/2) // the old entry's lease
 	w.store.Delete(standin.ServerPrefix + r.ID)
 }
 
@@ -238,7 +239,7 @@
 
 func (f *faults) silence(ctx context.Context, r *relay, d draw) {
 	r.silence(d.variant != 1, d.variant != 2)
-	pause(ctx, d.duration)
+	wait.Sleep(ctx, d.duration)
 	r.silence(false, false)
 }
 
@@ -249,7 +250,7 @@
 func (f *faults) delayBackend(ctx context.Context, d draw) {
 	r := f.backend(d).relay
 	r.delay(d.duration / 10)
-	pause(ctx, d.duration)
+	wait.Sleep(ctx, d.duration)
 	r.delay(0)
 }
 
@@ -261,7 +262,7 @@
 		mode = standin.StoreSilent
 	}
 	f.world.store.SetMode(mode)
-	pause(ctx, d.duration)
+	wait.Sleep(ctx, d.duration)
 	f.world.store.SetMode(standin.StoreServes)
 }
 
--- a/standin/soak/cmd/soak/load.go
+++ b/standin/soak/cmd/soak/load.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"baywall.example/core/wait"
 	"baywall.example/platform/standin"
 )
 
@@ -81,7 +82,7 @@
 		if c.connect(ctx, sender) {
 			c.send(sender)
 		}
-		pause(ctx, time.Duration(float64(interval)*(0.5+c.rnd.Float64())))
+		wait.Sleep(ctx, time.Duration(float64(interval)*(0.5+c.rnd.Float64())))
 	}
 	if c.conn != nil {
 		_ = c.conn.Close() // nothing is in flight on it
--- a/standin/soak/cmd/soak/main.go
+++ b/standin/soak/cmd/soak/main.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/signal"
 	"time"
+
+	"baywall.example/core/wait"
 )
 
 const (
@@ -101,7 +103,7 @@
 	f.play(ctx, o.length)
 	f.heal(ctx)
 	calm := time.Now()
-	pause(ctx, recovery)
+	wait.Sleep(ctx, recovery)
 	stopLoad()
 	load.wait()
 	r.check(w, load, f, calm)
@@ -110,14 +112,3 @@
 	}
 	return r, nil
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/soak/cmd/soak/world.go
+++ b/standin/soak/cmd/soak/world.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"baywall.example/core/wait"
 	"baywall.example/platform/standin"
 	proxy "baywall.example/standin/faults"
 )
@@ -270,7 +271,7 @@
 	defer cancel()
 	for _, g := range w.gateways {
 		for !standin.Ready(ctx, g.ready) {
-			if !pause(ctx, 50*time.Millisecond) {
+			if !wait.Sleep(ctx, 50*time.Millisecond) {
 				return errors.New(g.vm + " is not ready in time")
 			}
 		}
