Tell callers of a starting process to come back after an outage, not into it

Callers with one retry came back into the outage. A process that can reach the store knows a configuration within the 35 ms that requests wait for it, so who is refused as starting has met an outage: 2 s again.

--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -15,7 +15,7 @@
 // A request for which no backend server is free waits for one, but never long: a
 // caller that comes for the first time is told early enough that it can still be
 // served on time when it comes back. One that has come back already has no other
-// try left, so it may wait longer, here and in a server's queue.
+// try left, so it may wait longer.
 
 const (
 	// refusalShare is the part of a route's objective for which a caller's first
@@ -128,22 +128,18 @@
 	// of backend servers turn over in a few hundred milliseconds.
 	minRetryAfter = 250 * time.Millisecond
 	// outageRetryAfter is when a caller may come back where no backend server
-	// can take requests: processes and groups of ranks are back about two
-	// seconds after a loss of power.
+	// can take requests, or this process still knows no configuration, as the
+	// store is away: processes and groups of ranks are back about two seconds
+	// after a loss of power.
 	outageRetryAfter = 2 * time.Second
-	// startRetryAfter is when a caller may come back to a process that has just
-	// started: as a rule it knows a configuration by then.
-	startRetryAfter = 600 * time.Millisecond
 )
 
 // retryAfter returns when the caller may come back.
 func retryAfter(r contract.Refusal) time.Duration {
 	after := minRetryAfter
 	switch r.Reason {
-	case contract.ReasonNoBackend, contract.ReasonReplacedAgent, contract.ReasonOverload:
+	case contract.ReasonNoBackend, contract.ReasonReplacedAgent, contract.ReasonOverload, contract.ReasonStarting:
 		after = outageRetryAfter
-	case contract.ReasonStarting:
-		after = startRetryAfter
 	}
 	after = max(r.RetryAfter, after)
 	return after + time.Duration(retrySpread*rand.Float64()*float64(after))
--- a/entry/gateway/patience_test.go
+++ b/entry/gateway/patience_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"baywall.example/core/contract"
 	"baywall.example/core/source"
 	"baywall.example/entry/catalog"
 )
@@ -103,3 +104,13 @@
 	is.Equal(w.gateway.inFlight.Load(), int64(0))
 	is.Equal(w.gateway.inst.left.Get(), uint64(1))
 }
+
+// A process that knows no configuration after its wait has no store: callers with
+// one try left must not come back into the outage.
+func TestCallersDoNotComeBackIntoAnOutage(t *testing.T) {
+	is := is.New(t)
+	for _, reason := range []contract.Reason{contract.ReasonStarting, contract.ReasonNoBackend, contract.ReasonOverload} {
+		after := retryAfter(contract.Refusal{Reason: reason})
+		is.True(after >= outageRetryAfter && after <= outageRetryAfter*6/5)
+	}
+}
