--- a/core/expertmap/incremental.go
+++ b/core/expertmap/incremental.go
@@ -5,11 +5,6 @@
 	"slices"
 )
 
-// normPower is the power of the norm that stands for the slowest rank's time in
-// Improve: high enough to follow it, low enough that a change of the second
-// slowest rank still counts.
-const normPower = 8
-
 const (
 	// slowRanks is how many of a layer's slowest ranks changes are looked for on.
 	slowRanks = 2
@@ -151,12 +146,14 @@
 	return s.root(s.powerSum)
 }
 
-// root returns the norm for a sum of powers: the normPower-th root of their mean.
+// root returns the norm for a sum of eighth powers: the eighth root of their mean.
 func (s *layerState) root(sum float64) float64 {
 	return math.Sqrt(math.Sqrt(math.Sqrt(max(0, sum) / float64(len(s.times)))))
 }
 
-// power returns x to the normPower.
+// power returns the eighth power of x. That norm stands for the slowest rank's time:
+// the power is high enough to follow it, and low enough that a change of the second
+// slowest rank still counts.
 func power(x float64) float64 {
 	x *= x
 	x *= x
--- a/standin/soak/cmd/soak/process.go
+++ b/standin/soak/cmd/soak/process.go
@@ -38,14 +38,12 @@
 	settings string
 	log      string
 
-	mu       sync.Mutex
-	cmd      *exec.Cmd
-	done     chan struct{}
-	started  time.Time
-	stopped  bool // for good
-	restarts int
-	killed   bool // the end was asked for
-	exits    []string
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{}
+	stopped bool // for good
+	killed  bool // the end was asked for
+	exits   []string
 }
 
 // restartPause is how long the platform takes to start a process again.
@@ -74,7 +72,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cmd, p.done, p.started, p.killed = cmd, make(chan struct{}), time.Now(), false
+	p.cmd, p.done, p.killed = cmd, make(chan struct{}), false
 	return nil
 }
 
@@ -91,7 +89,6 @@
 			p.exits = append(p.exits, fmt.Sprintf("%s: %v", p.vm, err))
 		}
 		stopped := p.stopped
-		p.restarts++
 		p.mu.Unlock()
 		if stopped {
 			return
@@ -116,20 +113,6 @@
 	_ = p.cmd.Process.Signal(s) // it may have ended
 }
 
-// age returns for how long the present process has run.
-func (p *process) age() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Since(p.started)
-}
-
-// incarnation tells processes of one VM apart.
-func (p *process) incarnation() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.restarts
-}
-
 // end kills the process for good and waits.
 func (p *process) end() {
 	p.mu.Lock()
