Estimate the demand for experts with its changes, and switch where that pays

Cause: counts of one poll were planned on as they were, so a group went on copying experts for the noise in them: 60% of the time, with passes 15% longer for it, and a change of demand found a switch under way and waited for its end. By the log of each pass, the pass that shows a change of demand was followed by 1.2 s on the old map; with about 100 requests in the batch every pass of that time is over the target, and the batch grows to its limit.

Change: core/expertmap.Demand smooths counts and starts a layer anew when they stop resembling what they were (cosine; 0.94 and more from pass to pass, 0.4 and less over a change). Lifetime expects how long the demand will last from the intervals between its changes.

Spare replicas spread over as many experts as possible, so that a change finds twice as many doubled: in a simulation of 60 changes the skew just after one stays (2.81 -> 2.76 at 12 ranks, 4.98 -> 4.87 at 24), and the skew after the switches is worse; not built.

--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -49,9 +49,13 @@
 	Poll time.Duration
 	// Switch holds the times of a switch.
 	Switch mapswitch.Timing
-	// CountsWeight is the weight of the newest counts in the smoothed ones.
-	// Default 0.4.
+	// CountsWeight is the weight of the newest counts in the smoothed ones, as long
+	// as the demand does not change. Default 0.4.
 	CountsWeight float64
+	// LeastGain is what a switch must bring, in skew times the seconds for which the
+	// demand is expected to last: while experts are copied passes are longer, and a
+	// change of demand has to wait. Default 0.
+	LeastGain float64
 }
 
 // Defaults of Timing.
--- a/agent/group/lead.go
+++ b/agent/group/lead.go
@@ -21,8 +21,8 @@
 	coord   *mapswitch.Coordinator
 	answers chan answer
 	bases   bases
-	counts  expertmap.Counts
-	rounds  int
+	demand  *expertmap.Demand
+	life    *expertmap.Lifetime
 	planned time.Time
 	polled  time.Time
 }
@@ -48,7 +48,8 @@
 		set: s, name: name, rank: rank, spec: *spec,
 		coord:   mapswitch.NewCoordinator(len(spec.Ranks), fence, s.env.Timing.Switch, time.Now()),
 		answers: make(chan answer, 4*len(spec.Ranks)),
-		counts:  expertmap.NewCounts(shapeOf(spec)),
+		demand:  expertmap.NewDemand(shapeOf(spec), s.env.Timing.CountsWeight),
+		life:    expertmap.NewLifetime(time.Now()),
 		planned: time.Now(),
 	}
 	l.record(timeline.KindLead, "coordinate", fmt.Sprintf("no coordinator heard; fence %d", fence))
@@ -165,17 +166,10 @@
 		return
 	}
 	l.planned = now
-	l.counts.Smooth(poll.counts, l.weight())
-	l.rounds++
-	l.plan(poll, intent, now)
-}
-
-// weight gives the first counts full weight, as there is nothing to smooth.
-func (l *leadership) weight() float64 {
-	if l.rounds == 0 {
-		return 1
+	if l.demand.Add(poll.counts) > 0 {
+		l.life.Changed(now)
 	}
-	return l.set.env.Timing.CountsWeight
+	l.plan(poll, intent, now)
 }
 
 // collection is what all ranks said in one poll.
@@ -317,7 +311,7 @@
 func (l *leadership) plan(poll collection, intent resource.Intent, now time.Time) {
 	cost := price(intent.MoveCost, poll.running)
 	res, err := l.planner()(expertmap.Input{
-		Shape: shapeOf(&l.spec), Counts: l.counts, Speeds: poll.speeds, Current: poll.active, Price: cost,
+		Shape: shapeOf(&l.spec), Counts: l.demand.Counts(), Speeds: poll.speeds, Current: poll.active, Price: cost,
 		MaxNew: l.spec.MaxNewExperts, MaxNewTotal: l.spec.MaxNewTotal,
 	})
 	if err != nil {
@@ -325,7 +319,7 @@
 		return
 	}
 	reason := fmt.Sprintf("predicted skew %.4f -> %.4f with %d moves at price %.3g", res.SkewBefore, res.SkewAfter, res.Moves, cost)
-	if res.Moves == 0 {
+	if res.Moves == 0 || (res.SkewBefore-res.SkewAfter)*l.life.Rest(now).Seconds() < l.set.env.Timing.LeastGain {
 		l.set.env.Log.Debug().Str("group", l.name).Str("reason", reason).Msg("map kept")
 		return
 	}
--- /dev/null
+++ b/core/expertmap/demand_test.go
@@ -0,0 +1,60 @@
+package expertmap
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// layerOf returns counts of one layer in which one expert gets most tokens.
+func layerOf(experts, hot int, tokens float64) Counts {
+	c := NewCounts(Shape{Layers: 1, Experts: experts})
+	for e := range c[0] {
+		c[0][e] = tokens / float64(4*experts)
+	}
+	c[0][hot] += tokens * 3 / 4
+	return c
+}
+
+func TestDemandSmoothsNoise(t *testing.T) {
+	is := is.New(t)
+	d := NewDemand(Shape{Layers: 1, Experts: 8}, 0.1)
+	for i := range 20 {
+		c := layerOf(8, 3, 1000)
+		c[0][i%8] += 200 // noise
+		is.Equal(d.Add(c), 0)
+	}
+	is.True(d.Counts()[0][3] > 0.6)
+	is.True(d.Counts()[0][0] < 0.1)
+}
+
+// Without starting anew, a plan made just after a change would still be one for the
+// demand before it.
+func TestDemandFollowsAChangeAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := NewDemand(Shape{Layers: 1, Experts: 8}, 0.1)
+	for range 20 {
+		d.Add(layerOf(8, 3, 1000))
+	}
+	is.Equal(d.Add(layerOf(8, 5, 10)), 1) // however few tokens show it
+	is.True(d.Counts()[0][5] > 0.7)
+	is.True(d.Counts()[0][3] < 0.1)
+	is.Equal(d.Add(NewCounts(Shape{Layers: 1, Experts: 8})), 0) // an idle group says nothing
+	is.True(d.Counts()[0][5] > 0.7)
+}
+
+func TestLifetimeOfTheDemand(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(0, 0)
+	l := NewLifetime(start)
+	is.Equal(l.Rest(start.Add(8*time.Second)), 2*time.Second) // nothing known but its age
+	for i := 1; i <= 20; i++ {
+		l.Changed(start.Add(time.Duration(i) * 4 * time.Second))
+		l.Changed(start.Add(time.Duration(i)*4*time.Second + 100*time.Millisecond)) // further layers
+	}
+	at := start.Add(80 * time.Second)
+	is.Equal(l.Rest(at.Add(time.Second)).Round(100*time.Millisecond), 3*time.Second)
+	is.Equal(l.Rest(at.Add(3900*time.Millisecond)).Round(100*time.Millisecond), time.Second)
+	is.True(l.Rest(at.Add(time.Minute)) > 14*time.Second) // it has become calm
+}
