Tell gateways of slow ranks, and give these no streams while most are as usual

Cause: the agents' reports say a rank's pace and the planner takes it, but no gateway knew: a rank 3.3 times as slow went on with as many requests as the others. All ranks wait for the slowest in each step, so each request there costs the whole group 1.8 ms a pass and each prompt up to 16. With 140 requests passes of 130 ms, late for everybody, went on for as long as the rank was slow, and with all slots full for five seconds more.

Change: an agent whose rank is slow (from 1.05) says so to the gateways of its settings, each 0.1 s, in a heartbeat that makes it no member; these pass on what they heard from agents, with its age. A gateway adds to the load of such a rank, and from a pace of 1.3 it gives it no stream as long as most ranks are as usual.

--- a/agent/rankserver/server.go
+++ b/agent/rankserver/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -32,7 +33,7 @@
 
 const (
 	// labelInterval is how often the own rank is asked for its group.
-	labelInterval = 200 * time.Millisecond
+	labelInterval = 100 * time.Millisecond
 	// formingInterval is the same while the group is being formed: until it has a
 	// coordinator, its map is the initial one.
 	formingInterval = 50 * time.Millisecond
@@ -99,6 +100,7 @@
 	groups      *group.Set
 	traffic     atomic.Int64
 	set         *metrics.Set
+	slow        bool // what gateways were told last, by followLabel
 
 	listener net.Listener
 	debug    *http.Server
@@ -211,7 +213,7 @@
 		r.log.Error().Err(err).Msg("settings refused, the old ones stay in force")
 		return
 	}
-	r.log.Info().Bool("restart_needed", next != r.settings).Msg("settings reloaded")
+	r.log.Info().Bool("restart_needed", !reflect.DeepEqual(next, r.settings)).Msg("settings reloaded")
 }
 
 // ServeStream handles one call of another agent.
@@ -245,6 +247,9 @@
 	defer cancel()
 	before := r.world.getLabel()
 	report, err := r.api.Report(ctx)
+	if err == nil {
+		r.tellPace(report.Pace)
+	}
 	if err != nil || report.Group == "" || !report.Open {
 		if before != nil {
 			r.log.Warn().Err(err).Str("group", before.Group).Uint64("epoch", before.Epoch).Bool("open", report.Open).Msg("rank lost")
@@ -265,6 +270,23 @@
 	}
 }
 
+// slowFrom is the pace from which gateways are told of it: less is no reason to
+// give a rank fewer requests.
+const slowFrom = 1.05
+
+// tellPace tells gateways that the own rank is slow, and once that it no longer is.
+func (r *Server) tellPace(pace float64) {
+	slow := pace >= slowFrom
+	if !slow && !r.slow {
+		return
+	}
+	if slow != r.slow {
+		r.log.Info().Float64("pace", pace).Bool("slow", slow).Msg("pace of the rank changed")
+	}
+	r.slow = slow
+	r.node.TellPace(r.settings.Gateways, cluster.Pace{Engine: r.settings.Engine, Pace: pace})
+}
+
 // followList keeps the addresses at which other agents may be heard.
 func (r *Server) followList(ctx context.Context) {
 	known := 0
--- a/agent/rankserver/settings.go
+++ b/agent/rankserver/settings.go
@@ -1,6 +1,7 @@
 package rankserver
 
 import (
+	"fmt"
 	"time"
 
 	"baywall.example/core/settings"
@@ -21,6 +22,9 @@
 	// Store is where configuration and backend servers are read, IP:port.
 	// Required.
 	Store string `yaml:"store"`
+	// Gateways are gateways, IP:port of their heartbeats, that are told when the rank
+	// is slow. Default none.
+	Gateways []string `yaml:"gateways"`
 	// Planner tells how maps are planned.
 	Planner PlannerSettings `yaml:"planner"`
 	// LogLevel is one of debug, info, warn, error. Default info.
@@ -77,6 +81,9 @@
 		c.Address("listen.metrics", s.Listen.Metrics)
 	}
 	c.Address("store", s.Store)
+	for i, gateway := range s.Gateways {
+		c.Address(fmt.Sprintf("gateways[%d]", i), gateway)
+	}
 	c.Duration("planner.period", s.Planner.Period, 20*time.Millisecond, time.Hour)
 	c.Float("planner.move_cost", s.Planner.MoveCost, 0, 10)
 	c.Duration("planner.copy_time", s.Planner.CopyTime, 10*time.Millisecond, time.Minute)
--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -125,6 +125,7 @@
 	alive    map[string]bool
 	totals   map[uint32]int
 	gaps     map[uint32]heardGap
+	paces    paces
 	sequence uint64
 }
 
@@ -134,7 +135,7 @@
 	t := &Table{
 		self: self, perPeer: perPeer,
 		peers: make(map[string]*Peer), alive: make(map[string]bool), totals: make(map[uint32]int),
-		gaps: make(map[uint32]heardGap),
+		gaps: make(map[uint32]heardGap), paces: make(paces),
 	}
 	t.SetSeeds(seeds)
 	return t
@@ -205,7 +206,7 @@
 		Vm: string(self.VM), Incarnation: uint64(self.Incarnation), Sequence: t.sequence, Zone: self.Zone,
 		Address: self.Address, Front: self.Front, Ready: self.Ready,
 		CatalogVersion: self.CatalogVersion, BackendsRevision: self.BackendsRevision,
-		Contacts: t.contacts(rnd), Rank: self.Rank.wire(),
+		Contacts: t.contacts(rnd), Rank: self.Rank.wire(), Paces: t.paces.told(now),
 	}
 	if !self.StoreHeard.IsZero() {
 		hb.StoreAgeMs = uint32(now.Sub(self.StoreHeard).Milliseconds()) + 1
@@ -229,6 +230,7 @@
 
 // Receive takes a heartbeat. A doubled or overtaken one is ignored.
 func (t *Table) Receive(hb *wire.Heartbeat, now time.Time) []Change {
+	t.paces.hear(hb, now)
 	address := hb.GetAddress()
 	if address == "" || address == t.self {
 		return nil
--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		slots := float64(max(1, server.Slots))
-		score := float64(s.inFlight(i))/slots + s.lateness(i, d.GapTarget, now)
+		score := float64(s.inFlight(i))/slots + s.lateness(i, d.GapTarget, now) + s.slowness(i)
 		s.candidates = append(s.candidates, candidate{index: i, slots: slots, score: score})
 	}
 	s.arrivals.note(now)
@@ -82,7 +82,7 @@
 	if d.MostWait <= 0 || slots <= 0 {
 		return false
 	}
-	if s.holdsBack(i, d, now) {
+	if s.holdsBack(i, d, now) || d.GapTarget > 0 && s.spared(i) {
 		return true
 	}
 	if d.HoldAt > 0 && s.usable[i].long.holds(s.pace(i, now) >= d.HoldAt, now) {
--- a/entry/balance/pace_test.go
+++ b/entry/balance/pace_test.go
@@ -1,10 +1,14 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"baywall.example/core/cluster"
 )
 
 // A prompt that is begun while passes are long makes them longer still for all
@@ -41,3 +45,50 @@
 	long(140*time.Millisecond, later)
 	is.Equal(availability(stream, later), AllBusy) // passes became long once more
 }
+
+// ranks returns a registry of three servers of which those at the addresses are slow.
+func ranks(slow slowRanks) *Registry {
+	r := NewRegistry(slow, zerolog.Nop())
+	var list []Info
+	for i := range 3 {
+		list = append(list, Info{ID: fmt.Sprint(i), Service: "s", Address: fmt.Sprintf("127.0.0.1:%d", i+1), Slots: 12})
+	}
+	r.Update(list, 1, false, start)
+	return r
+}
+
+// A slow rank makes its whole group wait, the more the more it has to do.
+func TestASlowRankGetsNoStreamsWhileMostAreAsUsual(t *testing.T) {
+	is := is.New(t)
+	stream := Demand{Service: "s", GapTarget: 120 * time.Millisecond, MostWait: time.Millisecond}
+	one := ranks(slowRanks{cluster.EngineKey("127.0.0.1:1"): 3.3})
+	one.Occupied("s", time.Second)
+	for range 24 {
+		c, found := one.Pick(stream, start)
+		is.Equal(found, Available)
+		is.True(c.Server.ID != "0")
+	}
+	_, found := one.Pick(stream, start)
+	is.Equal(found, AllBusy) // rather than making all of them late
+	c, found := one.Pick(Demand{Service: "s", MostWait: time.Millisecond}, start)
+	is.Equal(found, Available) // what is no stream does not wait for passes
+	is.Equal(c.Server.ID, "0")
+
+	all := ranks(slowRanks{cluster.EngineKey("127.0.0.1:1"): 3, cluster.EngineKey("127.0.0.1:2"): 3})
+	for range 36 {
+		_, found := all.Pick(stream, start)
+		is.Equal(found, Available)
+	}
+}
+
+func TestAnAlmostUsualRankGetsFewerStreams(t *testing.T) {
+	is := is.New(t)
+	r := ranks(slowRanks{cluster.EngineKey("127.0.0.1:1"): 1.1})
+	counts := make(map[string]int)
+	for range 18 {
+		c, _ := r.Pick(Demand{Service: "s", GapTarget: 120 * time.Millisecond}, start)
+		counts[c.Server.ID]++
+	}
+	is.True(counts["0"] > 0)
+	is.True(counts["0"] < 5)
+}
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -29,6 +29,8 @@
 type PeerLoad interface {
 	// Load fills out with the load that peers put on each of the servers.
 	Load(servers []uint32, out []cluster.Load)
+	// Pace fills out with the paces of ranks by engine key, 1 = as usual.
+	Pace(engines []uint32, out []float64)
 	// Members returns the number of gateways, this one included.
 	Members() int
 	// Staleness returns how old what peers said may be.
@@ -41,6 +43,9 @@
 	servers map[string]*Server
 	keys    []uint32       // scratch
 	peers   []cluster.Load // scratch
+	engines []uint32       // scratch
+	paces   []float64      // scratch
+	slow    int            // usable servers with a pace from sparedFrom
 	usable  []*Server
 	// candidates is scratch of Pick.
 	candidates []candidate
@@ -226,16 +231,25 @@
 // refresh fills the shard's scratch lists with the servers that may take
 // requests and what peers have in flight to them.
 func (r *Registry) refresh(s *shard, now time.Time) Load {
-	s.usable, s.keys = s.usable[:0], s.keys[:0]
+	s.usable, s.keys, s.engines = s.usable[:0], s.keys[:0], s.engines[:0]
 	probation := s.onProbation(now)
 	for _, server := range s.servers {
 		if server.usable(now) && server.trusted(probation, now) {
 			s.usable = append(s.usable, server)
 			s.keys = append(s.keys, server.Key)
+			s.engines = append(s.engines, server.engine)
 		}
 	}
 	s.peers = append(s.peers[:0], make([]cluster.Load, len(s.keys))...)
 	r.peers.Load(s.keys, s.peers)
+	s.paces = append(s.paces[:0], make([]float64, len(s.keys))...)
+	r.peers.Pace(s.engines, s.paces)
+	s.slow = 0
+	for _, pace := range s.paces {
+		if pace >= sparedFrom {
+			s.slow++
+		}
+	}
 	load := Load{Servers: len(s.usable)}
 	for i, server := range s.usable {
 		own := server.InFlight()
--- a/entry/balance/registry_test.go
+++ b/entry/balance/registry_test.go
@@ -13,12 +13,31 @@
 // peerLoad is a fixed load of other gateways.
 type peerLoad map[uint32]int
 
+// slowRanks are the paces of ranks by engine key, with no load of peers.
+type slowRanks map[uint32]float64
+
+func (slowRanks) Load([]uint32, []cluster.Load) {}
+func (slowRanks) Members() int                  { return 1 }
+func (slowRanks) Staleness() time.Duration      { return 0 }
+
+func (s slowRanks) Pace(engines []uint32, out []float64) {
+	for i, e := range engines {
+		out[i] = max(1, s[e])
+	}
+}
+
 func (p peerLoad) Load(servers []uint32, out []cluster.Load) {
 	for i, s := range servers {
 		out[i].Requests = p[s]
 	}
 }
 
+func (peerLoad) Pace(_ []uint32, out []float64) {
+	for i := range out {
+		out[i] = 1
+	}
+}
+
 func (peerLoad) Members() int             { return 1 }
 func (peerLoad) Staleness() time.Duration { return 0 }
 
--- a/entry/balance/server.go
+++ b/entry/balance/server.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"baywall.example/core/cluster"
 	"baywall.example/entry/upstream"
 )
 
@@ -29,6 +30,7 @@
 	Pool *upstream.Pool
 	Pace Pace
 
+	engine   uint32 // key of its pace
 	inFlight atomic.Int32
 
 	// under the shard's lock
@@ -49,7 +51,7 @@
 func newServer(info Info) *Server {
 	return &Server{
 		Info: info, Key: uint32(xxhash.Sum64String(info.ID)), draining: info.Draining,
-		Pool: upstream.NewPool(info.Address, dialTimeout),
+		Pool: upstream.NewPool(info.Address, dialTimeout), engine: cluster.EngineKey(info.Address),
 	}
 }
 
