Let streams queue at servers only as long as they can be on time

Cause: after a bad second all slots are full and 14 to 21 streams queue at the servers, for as long as traffic lasts: passes are at 80 ms again, but the first event takes 400 to 750 ms, so nearly everybody is late. Each request might queue for half of its objective, whatever it had waited before, and callers that had come back, which are late in any case, as long as others.

Change: a stream's wait so far counts, and one of a caller that came back takes a free slot only; it waits at the gateway for that, as before.

--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -25,6 +25,9 @@
 	// queueShare is the part of a route's objective for which a request may be
 	// expected to queue at a backend server: the first answer takes the rest.
 	queueShare = 0.5
+	// freeSlot is the bound for a request that does not queue, but takes a slot that
+	// is free.
+	freeSlot = time.Millisecond
 	// holdShare is the part of a route's objective for which a stream waits while
 	// the passes of its group are long, holdFrom the part of the gap target from
 	// which they are. On days with eight changes of demand on 12 ranks 0.875 instead
@@ -94,10 +97,22 @@
 		d.GapTarget = q.route.GapTarget
 		d.HoldAt = q.holdAt(now)
 	}
-	d.MostWait = time.Duration(queueShare * float64(q.route.Objective))
+	d.MostWait = q.mostWait(now)
 	return d
 }
 
+// mostWait returns for how long the request may be expected to queue at a server.
+func (q *request) mostWait(now time.Time) time.Duration {
+	most := time.Duration(queueShare * float64(q.route.Objective))
+	if q.route.Kind != catalog.KindStream {
+		return most
+	}
+	if q.returned {
+		return freeSlot
+	}
+	return max(freeSlot, most-now.Sub(q.began))
+}
+
 // holdAt returns the pause between events from which the request waits for shorter
 // passes, 0 = it does not.
 func (q *request) holdAt(now time.Time) time.Duration {
--- a/entry/gateway/patience_test.go
+++ b/entry/gateway/patience_test.go
@@ -139,3 +139,27 @@
 		})
 	}
 }
+
+// Whoever can still be on time does not queue behind those that cannot.
+func TestHowLongARequestMayQueueAtAServer(t *testing.T) {
+	stream := &catalog.Route{Kind: catalog.KindStream, Objective: 500 * time.Millisecond}
+	began := time.Unix(0, 0)
+	cases := []struct {
+		name string
+		q    request
+		at   time.Duration
+		want time.Duration
+	}{
+		{"first attempt", request{route: stream}, 0, 250 * time.Millisecond},
+		{"held back before", request{route: stream}, 200 * time.Millisecond, 50 * time.Millisecond},
+		{"too late", request{route: stream}, 300 * time.Millisecond, freeSlot},
+		{"returned caller", request{route: stream, returned: true}, 0, freeSlot},
+		{"no stream", request{route: &catalog.Route{Objective: 100 * time.Millisecond}, returned: true}, 0, 50 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.q.began = began
+			is.New(t).Equal(c.q.mostWait(began.Add(c.at)), c.want)
+		})
+	}
+}
