Let streams of a rank that has become slow go on at other ranks

Cause: a slow rank holds its whole group up only while it has requests: by the logs passes fall from 103 to 62 ms, with 127 requests in the group, when the last of its own has ended. That took 2.8 s (six on one 12 times as slow).

Change: with the next event of such a stream the gateway picks another server with a free slot and resumes there after that event, if the route allows a further run, and a retry is left. Retries are charged as ever.

Ruled out: waiting for their end (before). Non-idempotent requests are never moved.

--- a/entry/balance/pace.go
+++ b/entry/balance/pace.go
@@ -130,3 +130,17 @@
 
 // spared reports whether a server gets no streams since its rank is slow.
 func (s *shard) spared(i int) bool { return s.paces[i] >= sparedFrom && 2*s.slow < len(s.usable) }
+
+// Spared reports whether a server gets no streams since its rank is slow. Those that
+// it has are better off elsewhere.
+func (r *Registry) Spared(server *Server) bool {
+	var pace [1]float64
+	r.peers.Pace([]uint32{server.engine}, pace[:])
+	if pace[0] < sparedFrom {
+		return false
+	}
+	s := r.shard(server.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 2*s.slow < len(s.usable)
+}
--- a/entry/balance/pace_test.go
+++ b/entry/balance/pace_test.go
@@ -68,6 +68,9 @@
 		is.Equal(found, Available)
 		is.True(c.Server.ID != "0")
 	}
+	servers := one.shard("s").servers
+	is.True(one.Spared(servers["0"]))
+	is.True(!one.Spared(servers["1"]))
 	_, found := one.Pick(stream, start)
 	is.Equal(found, AllBusy) // rather than making all of them late
 	c, found := one.Pick(Demand{Service: "s", MostWait: time.Millisecond}, start)
@@ -79,6 +82,7 @@
 		_, found := all.Pick(stream, start)
 		is.Equal(found, Available)
 	}
+	is.True(!all.Spared(all.shard("s").servers["0"])) // there is no better place
 }
 
 func TestAnAlmostUsualRankGetsFewerStreams(t *testing.T) {
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -28,9 +28,10 @@
 	verdictCut                         // as lost, after the caller has seen a part
 	verdictLeft                        // the caller left
 	verdictDeadline                    // the time was up; it may have run
+	verdictMoved                       // it was given up to go on elsewhere
 )
 
-var verdictNames = [...]string{"", "answered", "not-sent", "rejected", "failed", "lost", "cut", "caller-left", "deadline"}
+var verdictNames = [...]string{"", "answered", "not-sent", "rejected", "failed", "lost", "cut", "caller-left", "deadline", "moved"}
 
 func (v verdict) String() string { return verdictNames[v] }
 
@@ -73,6 +74,9 @@
 			q.left(stream)
 			return
 		}
+		if a.verdict == verdictMoved {
+			continue
+		}
 		decision := q.next(a)
 		if decision.Action != retry.ActionRetry {
 			q.finish(decision, a, stream)
@@ -162,7 +166,7 @@
 	q.g.registry.Accepted(c.Server)
 	var a attempt
 	if q.route.Kind == catalog.KindStream && answer.Status == http.StatusOK {
-		a = q.forwardStream(ctx, answer, &c.Server.Pace, stream)
+		a = q.forwardStream(ctx, answer, c.Server, stream)
 	} else {
 		a = q.forwardAnswer(answer, stream)
 	}
@@ -182,6 +186,10 @@
 // judge tells an end of the caller or of its time from one of the backend
 // server, and notes the latter.
 func (q *request) judge(ctx context.Context, c balance.Choice, a attempt) attempt {
+	if a.verdict == verdictMoved {
+		q.g.registry.Succeeded(c.Server)
+		return a
+	}
 	failed := a.verdict != verdictAnswered && a.verdict != verdictRejected && a.verdict != verdictFailed
 	if failed && ctx.Err() != nil {
 		q.g.registry.Released(c.Server)
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"baywall.example/core/cluster"
 	"baywall.example/core/process"
 	"baywall.example/core/source"
 	"baywall.example/entry/balance"
@@ -320,6 +321,37 @@
 	is.True(strings.Index(body, "e3") < strings.Index(body, "e4"))
 }
 
+// All ranks of a group wait for the slow one as long as it has anything to do.
+func TestAStreamOfASlowRankGoesOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	agent, err := cluster.NewNode(freeAddress(t), nil, 0, func() cluster.Self { return cluster.Self{} }, zerolog.Nop())
+	is.NoErr(err)
+	left := make(chan struct{})
+	var w *world
+	w = start(t, 3, func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n > 1 {
+			if r.Header.Get("Last-Event-Id") != "3" {
+				t.Errorf("resumed after %q", r.Header.Get("Last-Event-Id"))
+			}
+			events(rw, 4, 5)
+			return
+		}
+		events(rw, 1, 2)
+		slow := cluster.Pace{Engine: r.Context().Value(http.LocalAddrContextKey).(net.Addr).String(), Pace: 3}
+		agent.TellPace([]string{w.gateway.settings.Listen.Peers}, slow)
+		time.Sleep(100 * time.Millisecond)
+		events(rw, 3, 3)
+		<-r.Context().Done() // the gateway has left
+		close(left)
+	})
+	_, body, err := w.get(t, t.Context(), "/stream/x", nil)
+	is.NoErr(err)
+	is.Equal(strings.Count(body, "data: e"), 5)
+	is.True(strings.Index(body, "e3") < strings.Index(body, "e4"))
+	is.Equal(w.runs.Load(), int32(2))
+	<-left
+}
+
 func TestAStreamThatCannotGoOnIsAborted(t *testing.T) {
 	is := is.New(t)
 	w := start(t, 3, func(n int, rw http.ResponseWriter, _ *http.Request) {
--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -127,6 +127,10 @@
 
 // await picks a server, waiting for one as long as the request's patience lasts.
 func (q *request) await(ctx context.Context) (balance.Choice, balance.Availability) {
+	if choice := q.moveTo; choice != nil {
+		q.moveTo = nil
+		return *choice, balance.Available
+	}
 	for {
 		now := time.Now()
 		choice, found := q.g.registry.Pick(q.demand(now), now)
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"baywall.example/core/contract"
+	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
 	"baywall.example/entry/retry"
 )
@@ -48,6 +49,7 @@
 	budget   deferredBudget
 	excluded map[string]bool // servers that it was sent to
 	rejected bool            // a server turned it away
+	moveTo   *balance.Choice // where it goes on, nil = not chosen yet
 	waited   time.Duration   // for a server
 
 	server      string        // of the latest attempt
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -79,7 +79,7 @@
 func (r *eventReader) more() bool { return r.in.Buffered() > 0 }
 
 // forwardStream passes on a stream, whole event by whole event.
-func (q *request) forwardStream(ctx context.Context, answer *upstream.Answer, pace *balance.Pace, s *streamState) attempt {
+func (q *request) forwardStream(ctx context.Context, answer *upstream.Answer, server *balance.Server, s *streamState) attempt {
 	events := newEventReader(answer.Body)
 	last := time.Now()
 	first := true // of this attempt
@@ -106,10 +106,10 @@
 		now := time.Now()
 		if first {
 			first = false
-			pace.Begun(now)
-			defer pace.Ended()
+			server.Pace.Begun(now)
+			defer server.Pace.Ended()
 		} else {
-			pace.Event(now.Sub(last), now)
+			server.Pace.Event(now.Sub(last), now)
 		}
 		last = now
 		q.events++
@@ -125,7 +125,33 @@
 		if err := flusher.Flush(); err != nil {
 			return attempt{verdict: verdictLeft, err: err}
 		}
+		if q.move(server, s) {
+			return attempt{verdict: verdictMoved}
+		}
+	}
+}
+
+// move chooses another server for a stream whose rank has become slow, and reports
+// whether it goes on there. All ranks of a group wait for the slow one, as long as it
+// has anything to do.
+func (q *request) move(from *balance.Server, s *streamState) bool {
+	if s.lastID == "" || !q.route.Idempotent() || !q.g.registry.Spared(from) {
+		return false
+	}
+	now := time.Now()
+	d := q.demand(now)
+	d.HoldAt, d.MostWait = 0, freeSlot
+	choice, found := q.g.registry.Pick(d, now)
+	if found != balance.Available {
+		return false
+	}
+	if !q.sequence.Leave(now) || !q.charge() {
+		choice.Release()
+		return false
 	}
+	q.excluded[from.ID] = true
+	q.moveTo = &choice
+	return true
 }
 
 // endStream ends a stream that the backend server ended. One without an event
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -163,6 +163,16 @@
 	return Decision{Action: ActionRetry}
 }
 
+// Leave reports whether an attempt that goes on may be given up for another one, and
+// counts it as one that ran.
+func (s *Sequence) Leave(now time.Time) bool {
+	if !s.Idempotent || !s.mayRetry(now) || s.MaxRuns > 0 && s.runs+1 >= s.MaxRuns || !s.Budget.Take() {
+		return false
+	}
+	s.runs++
+	return true
+}
+
 func (s *Sequence) mayRetry(now time.Time) bool {
 	return s.attempts < maxAttempts && s.Deadline.Sub(now) > minTimeLeft
 }
--- a/entry/retry/retry_test.go
+++ b/entry/retry/retry_test.go
@@ -128,3 +128,23 @@
 	is.Equal(d.Action, ActionRefuse)
 	is.Equal(d.Refusal.Outcome, contract.Unknown)
 }
+
+// A run that goes on may be left only where its successor may run, and counts then.
+func TestLeavingARunThatGoesOn(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	s := Sequence{Idempotent: true, Deadline: now.Add(time.Second), Budget: NewBudget(), MaxRuns: 2}
+	s.Begin()
+	is.True(s.Leave(now))
+	s.Begin()
+	is.True(!s.Leave(now)) // its second run is its last
+	is.Equal(s.Next(EventRefused, contract.Refusal{Outcome: contract.Unknown}, now).Action, ActionRefuse)
+
+	once := Sequence{Deadline: now.Add(time.Second), Budget: NewBudget()}
+	is.True(!once.Leave(now))
+	late := Sequence{Idempotent: true, Deadline: now, Budget: NewBudget()}
+	is.True(!late.Leave(now))
+	poor := Sequence{Idempotent: true, Deadline: now.Add(time.Second), Budget: &Budget{}}
+	is.True(!poor.Leave(now))
+	is.Equal(poor.runs, 0)
+}
