Send nothing to a group that stands still, and bound queues from the start

A gateway knew a pause only while it had streams that had begun; when their callers had left it took the group for empty and idle. And callers that came back waited up to 2.5 s at the gateway, longer than any of them stays.

Change: streams that were sent and have not begun count for the silence of a server, and a silence counts for a second after the last of them has left. Where most of the servers of which something is known are silent for half a second, a first attempt is refused at once with a time to come back. A request is taken to occupy a slot for an objective, a stream for four, until one has ended. Who came back waits for 1.5 s.

--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -13,6 +13,9 @@
 	// MostWait bounds the time for which the request is expected to queue at a
 	// server, 0 = unbounded.
 	MostWait time.Duration
+	// Occupies is for how long a request is taken to occupy a slot as long as none has
+	// been seen to end.
+	Occupies time.Duration
 	// GapTarget is the longest pause between events of a stream that is on time,
 	// 0 = the request is no stream.
 	GapTarget time.Duration
@@ -33,11 +36,14 @@
 const (
 	Available   Availability = iota + 1
 	AllBusy                  // usable servers are there, but the wait at each is too long
+	Standing                 // usable servers are there, but most of which is known stand still
 	Unavailable              // no server may take the request now
 )
 
 // String returns the availability's name.
-func (a Availability) String() string { return [...]string{"", "available", "busy", "unavailable"}[a] }
+func (a Availability) String() string {
+	return [...]string{"", "available", "busy", "standing", "unavailable"}[a]
+}
 
 // Pick returns a server for the demand and counts a request to it, which the
 // caller releases. See spread for which it is.
@@ -47,11 +53,18 @@
 	defer s.mu.Unlock()
 	load := r.refresh(s, now)
 	s.candidates = s.candidates[:0]
-	busy := false
+	busy, known, standing := false, 0, 0
 	for i, server := range s.usable {
 		if d.Exclude[server.ID] || d.Proven && server.full.rejections > 0 {
 			continue
 		}
+		if pace := s.pace(i, now); d.GapTarget > 0 && pace > 0 {
+			known++
+			if pace >= standsFrom {
+				standing++
+				continue
+			}
+		}
 		if s.tooBusy(i, d, now) {
 			busy = true
 			continue
@@ -62,6 +75,8 @@
 	}
 	s.arrivals.note(now)
 	switch {
+	case 2*standing > known:
+		return Choice{Load: load}, Standing
 	case len(s.candidates) > 0:
 		unheard := s.arrivals.rate() * float64(r.peers.Members()) * r.peers.Staleness().Seconds()
 		return s.choose(spread(s.candidates, unheard, rand.Float64()), load), Available
@@ -89,7 +104,11 @@
 		return true
 	}
 	ahead := s.inFlight(i) + 1 - slots // requests that have to end before this one begins
-	return ahead > 0 && time.Duration(ahead)*s.occupied/time.Duration(slots) > d.MostWait
+	occupied := s.occupied
+	if occupied == 0 {
+		occupied = d.Occupies
+	}
+	return ahead > 0 && time.Duration(ahead)*occupied/time.Duration(slots) > d.MostWait
 }
 
 // choose counts a request to a usable server.
--- a/entry/balance/pace.go
+++ b/entry/balance/pace.go
@@ -18,6 +18,12 @@
 	// gapLifetime is how long a pause counts after it was measured: demand
 	// shifts within seconds.
 	gapLifetime = 800 * time.Millisecond
+	// standsFrom is the pause from which a server is taken to stand still: several
+	// times the longest passes with which streams are served at all.
+	standsFrom = 500 * time.Millisecond
+	// standsLifetime is how long that counts after the last caller that waited for it
+	// has left: without anybody who waits, nothing tells that it goes on.
+	standsLifetime = time.Second
 	// lateFrom and lateAt are the parts of the gap target between which a
 	// server's lateness rises from 0 to lateCost.
 	lateFrom, lateAt = 1.1, 1.5
@@ -32,6 +38,27 @@
 	gap     time.Duration // smoothed
 	at      time.Time     // of the latest event
 	streams int           // that have begun and not ended
+	waiting int           // that have been sent and not begun
+	since   time.Time     // when the first of these was sent
+	stood   time.Time     // when it was last known to stand still
+}
+
+// Sent notes that a stream was sent to the server. Answered follows with its first
+// event, or its end without one.
+func (p *Pace) Sent(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiting == 0 {
+		p.since = now
+	}
+	p.waiting++
+}
+
+// Answered notes that a stream that was sent has begun, or ended without an event.
+func (p *Pace) Answered() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting--
 }
 
 // Begun notes the first event of a stream.
@@ -46,6 +73,7 @@
 func (p *Pace) Event(gap time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	gap = min(gap, standsFrom/2) // once the server goes on, how long it stood says nothing
 	if p.gap == 0 {
 		p.gap = gap
 	}
@@ -66,9 +94,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	since := now.Sub(p.at)
+	if p.streams+p.waiting > 0 {
+		if silent := now.Sub(p.latest()); silent >= standsFrom {
+			p.stood = now
+			return silent
+		}
+	}
 	switch {
 	case p.streams > 0:
 		return max(p.gap, since)
+	case p.stood.After(p.at) && now.Sub(p.stood) < standsLifetime:
+		return standsFrom
 	case since < gapLifetime:
 		return p.gap
 	default:
@@ -77,6 +113,14 @@
 	}
 }
 
+// latest returns since when a stream has been waited for in vain.
+func (p *Pace) latest() time.Time {
+	if p.at.After(p.since) {
+		return p.at
+	}
+	return p.since
+}
+
 // pace returns the pause to expect on a usable server, as far as any gateway
 // knows.
 func (s *shard) pace(i int, now time.Time) time.Duration {
--- a/entry/balance/pace_test.go
+++ b/entry/balance/pace_test.go
@@ -96,3 +96,61 @@
 	is.True(counts["0"] > 0)
 	is.True(counts["0"] < 5)
 }
+
+// A group that stands still is known by the streams that wait for it, also when those
+// that had begun are gone, and for a short time when nobody waits any more.
+func TestAServerThatStandsStill(t *testing.T) {
+	is := is.New(t)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var p Pace
+	p.Begun(at(0))
+	p.Event(60*time.Millisecond, at(60))
+	p.Sent(at(100))
+	p.Ended() // its caller left
+	is.Equal(p.Gap(at(300)), 60*time.Millisecond)
+	is.True(p.Gap(at(700)) >= standsFrom)
+	p.Answered() // without an event
+	is.Equal(p.Gap(at(1000)), standsFrom)
+	is.Equal(p.Gap(at(700).Add(standsLifetime)), time.Duration(0)) // to be tried again
+	p.Begun(at(5000))
+	p.Event(5*time.Second, at(5000))
+	is.True(p.Gap(at(5010)) < standsFrom) // it goes on
+}
+
+// What is sent to a group that stands still is lost to callers that leave after two
+// seconds; so they are told when to come back.
+func TestNothingIsSentToAServiceThatStandsStill(t *testing.T) {
+	is := is.New(t)
+	r := registry(nil, "a", "b", "c")
+	servers := r.shard("s").servers
+	stream := Demand{Service: "s", GapTarget: 120 * time.Millisecond}
+	servers["a"].Pace.Sent(start)
+	servers["b"].Pace.Sent(start)
+	c, found := r.Pick(stream, start)
+	is.Equal(found, Available) // it has only just been asked
+	c.Release()
+	later := start.Add(standsFrom)
+	_, found = r.Pick(stream, later)
+	is.Equal(found, Standing) // although nothing is known of c
+	_, found = r.Pick(Demand{Service: "s"}, later)
+	is.Equal(found, Available) // no stream
+	servers["a"].Pace.Begun(later)
+	servers["a"].Pace.Event(60*time.Millisecond, later)
+	c, found = r.Pick(stream, later)
+	is.Equal(found, Available) // one of two goes on
+	is.True(c.Server.ID != "b")
+}
+
+// A process that has just started has seen no request end; without a guess it would
+// let any number queue.
+func TestQueuesAreBoundedBeforeAnyRequestHasEnded(t *testing.T) {
+	is := is.New(t)
+	r := registry(nil, "a")
+	d := Demand{Service: "s", MostWait: 250 * time.Millisecond, Occupies: 2 * time.Second}
+	for range 13 { // 12 slots, and one that waits for 167 ms
+		_, found := r.Pick(d, start)
+		is.Equal(found, Available)
+	}
+	_, found := r.Pick(d, start)
+	is.Equal(found, AllBusy)
+}
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"baywall.example/core/contract"
@@ -155,6 +156,12 @@
 	defer c.Release()
 	q.server, q.serverLoad, q.serverPace = c.Server.ID, c.InFlight, c.Pace
 	began := time.Now()
+	if q.route.Kind == catalog.KindStream {
+		c.Server.Pace.Sent(began)
+		answered := sync.OnceFunc(c.Server.Pace.Answered)
+		defer answered()
+		stream.onEvent = answered
+	}
 	answer, err := c.Server.Pool.Do(ctx, q.upstreamRequest(c, stream))
 	if err != nil {
 		return q.judge(ctx, c, attempt{verdict: lostOrNotSent(err), err: err, reason: contract.ReasonEngineDial})
--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -25,6 +25,9 @@
 	// queueShare is the part of a route's objective for which a request may be
 	// expected to queue at a backend server: the first answer takes the rest.
 	queueShare = 0.5
+	// usualStay is the time for which a stream occupies a slot, in objectives of its
+	// route, as long as a process has seen none end: four on the sites known.
+	usualStay = 4
 	// freeSlot is the bound for a request that does not queue, but takes a slot that
 	// is free.
 	freeSlot = time.Millisecond
@@ -33,10 +36,10 @@
 	// which they are. On days with eight changes of demand on 12 ranks 0.875 instead
 	// of 0.842 of the worth is served, in the mean of three runs.
 	holdShare, holdFrom = 0.4, 0.75
-	// returnedPatience and returnedShare bound the wait of a caller that has
-	// come back: processes and groups of ranks are back about two seconds after
-	// a loss of power.
-	returnedPatience = 2500 * time.Millisecond
+	// returnedPatience and returnedShare bound the wait of a caller that has come
+	// back: callers leave a stream without an event after two seconds, and the first
+	// event takes some hundred milliseconds.
+	returnedPatience = 1500 * time.Millisecond
 	returnedShare    = 0.4
 	// startPatience is how long a request waits for a process that has just
 	// started to know a configuration, which takes some 20 ms.
@@ -92,9 +95,10 @@
 
 // demand returns what the request asks of a server.
 func (q *request) demand(now time.Time) balance.Demand {
-	d := balance.Demand{Service: q.service, Exclude: q.excluded, Proven: q.rejected, Returned: q.returned}
+	d := balance.Demand{Service: q.service, Exclude: q.excluded, Proven: q.rejected, Returned: q.returned, Occupies: q.route.Objective}
 	if q.route.Kind == catalog.KindStream {
 		d.GapTarget = q.route.GapTarget
+		d.Occupies *= usualStay
 		d.HoldAt = q.holdAt(now)
 	}
 	d.MostWait = q.mostWait(now)
@@ -134,8 +138,11 @@
 	for {
 		now := time.Now()
 		choice, found := q.g.registry.Pick(q.demand(now), now)
-		if found == balance.Available || q.patience(now) <= 0 && q.holdAt(now) == 0 {
+		switch {
+		case found == balance.Available, q.patience(now) <= 0 && q.holdAt(now) == 0:
 			return choice, found
+		case found == balance.Standing && !q.returned:
+			return choice, found // it would wait for nothing
 		}
 		if !wait.Sleep(ctx, waitPoll) {
 			return choice, found
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -18,6 +18,8 @@
 type streamState struct {
 	begun  bool   // the head was sent
 	lastID string // id of the last event sent
+	// onEvent is told of the first event of an attempt.
+	onEvent func()
 }
 
 const (
@@ -106,6 +108,7 @@
 		now := time.Now()
 		if first {
 			first = false
+			s.onEvent()
 			server.Pace.Begun(now)
 			defer server.Pace.Ended()
 		} else {
