Keep requests in their availability zone where loads are about equal

Two of three requests crossed zones without need: a gateway took any of the least loaded servers.

Change: a server of another zone counts 0.12 of a batch more.

--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -45,6 +45,11 @@
 	return [...]string{"", "available", "busy", "standing", "unavailable"}[a]
 }
 
+// otherZoneCost is what a server in another availability zone is worth in load: a
+// little, so that requests stay in their zone as long as its servers are about as
+// loaded as others.
+const otherZoneCost = 0.12
+
 // Pick returns a server for the demand and counts a request to it, which the
 // caller releases. See spread for which it is.
 func (r *Registry) Pick(d Demand, now time.Time) (Choice, Availability) {
@@ -71,6 +76,9 @@
 		}
 		slots := float64(max(1, server.Slots))
 		score := float64(s.inFlight(i))/slots + s.lateness(i, d.GapTarget, now) + s.slowness(i)
+		if server.Zone != r.zone {
+			score += otherZoneCost
+		}
 		s.candidates = append(s.candidates, candidate{index: i, slots: slots, score: score})
 	}
 	s.arrivals.note(now)
--- a/entry/balance/pace_test.go
+++ b/entry/balance/pace_test.go
@@ -48,7 +48,7 @@
 
 // ranks returns a registry of three servers of which those at the addresses are slow.
 func ranks(slow slowRanks) *Registry {
-	r := NewRegistry(slow, zerolog.Nop())
+	r := NewRegistry(slow, "", zerolog.Nop())
 	var list []Info
 	for i := range 3 {
 		list = append(list, Info{ID: fmt.Sprint(i), Service: "s", Address: fmt.Sprintf("127.0.0.1:%d", i+1), Slots: 12})
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -20,6 +20,7 @@
 type Registry struct {
 	log   zerolog.Logger
 	peers PeerLoad
+	zone  string // of this gateway
 
 	mu     sync.RWMutex
 	shards map[string]*shard
@@ -57,9 +58,9 @@
 	slowStart      time.Time // when the latest probation ended
 }
 
-// NewRegistry returns an empty registry.
-func NewRegistry(peers PeerLoad, log zerolog.Logger) *Registry {
-	return &Registry{log: log, peers: peers, shards: make(map[string]*shard)}
+// NewRegistry returns the empty registry of a gateway in an availability zone.
+func NewRegistry(peers PeerLoad, zone string, log zerolog.Logger) *Registry {
+	return &Registry{log: log, peers: peers, zone: zone, shards: make(map[string]*shard)}
 }
 
 func (r *Registry) shard(service string) *shard {
--- a/entry/balance/registry_test.go
+++ b/entry/balance/registry_test.go
@@ -44,7 +44,7 @@
 var start = time.Unix(1_700_000_000, 0)
 
 func registry(peers peerLoad, ids ...string) *Registry {
-	r := NewRegistry(peers, zerolog.Nop())
+	r := NewRegistry(peers, "", zerolog.Nop())
 	r.Update(infos(ids...), 1, false, start)
 	return r
 }
@@ -279,7 +279,7 @@
 // first entry ends; requests to the first would only be turned away.
 func TestALaterServerAtTheSameAddressReplacesTheFirst(t *testing.T) {
 	is := is.New(t)
-	r := NewRegistry(peerLoad(nil), zerolog.Nop())
+	r := NewRegistry(peerLoad(nil), "", zerolog.Nop())
 	first := Info{ID: "old", Service: "s", Address: "127.0.0.1:1", Slots: 12, Revision: 5}
 	later := Info{ID: "new", Service: "s", Address: "127.0.0.1:1", Slots: 12, Revision: 9}
 	r.Update([]Info{first, later}, 9, false, start)
@@ -329,3 +329,17 @@
 		is.Equal(found, Available)
 	}
 }
+
+// Bytes between availability zones cost money; but a longer queue costs more.
+func TestTheOwnZoneIsPreferredAtEqualLoads(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(peerLoad(nil), "here", zerolog.Nop())
+	r.Update([]Info{
+		{ID: "near", Service: "s", Address: "127.0.0.1:1", Zone: "here", Slots: 10},
+		{ID: "far", Service: "s", Address: "127.0.0.1:2", Zone: "there", Slots: 10},
+	}, 1, false, start)
+	is.Equal(pick(t, r, start).Server.ID, "near")
+	near := r.shard("s").servers["near"]
+	near.inFlight.Store(3) // three requests more are too many
+	is.Equal(pick(t, r, start).Server.ID, "far")
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -82,7 +82,7 @@
 		return nil, eris.Wrapf(ErrStart, "%v", err)
 	}
 	g.node = node
-	g.registry = balance.NewRegistry(node, log)
+	g.registry = balance.NewRegistry(node, s.Zone, log)
 	g.peering = newPeering(g)
 	g.follower = &source.Follower{
 		Store: a.Store(s.Store, log), Log: log, Deliver: g.take,
