Name other members in each eighth heartbeat once all are met

Cause: a heartbeat's four addresses of other members are 65 of its 300 bytes, and 32 gateways send 4,000 a second, two thirds between zones. They are of use only until all members are met.

--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -29,6 +29,11 @@
 	gapLifetime = time.Second
 	// contactsPerHeartbeat bounds the addresses passed on in one datagram.
 	contactsPerHeartbeat = 4
+	// contactsEvery is in which heartbeats there are any once all members are met,
+	// meetingTime how long after the latest one that is: they are a fifth of a
+	// heartbeat.
+	contactsEvery = 8
+	meetingTime   = 3 * time.Second
 )
 
 // Self is what this member says about itself.
@@ -126,6 +131,7 @@
 	totals   map[uint32]int
 	gaps     map[uint32]heardGap
 	paces    paces
+	met      time.Time // when a member was met last
 	sequence uint64
 }
 
@@ -206,7 +212,10 @@
 		Vm: string(self.VM), Incarnation: uint64(self.Incarnation), Sequence: t.sequence, Zone: self.Zone,
 		Address: self.Address, Front: self.Front, Ready: self.Ready,
 		CatalogVersion: self.CatalogVersion, BackendsRevision: self.BackendsRevision,
-		Contacts: t.contacts(rnd), Rank: self.Rank.wire(), Paces: t.paces.told(now),
+		Rank: self.Rank.wire(), Paces: t.paces.told(now),
+	}
+	if t.sequence%contactsEvery == 0 || now.Sub(t.met) < meetingTime {
+		hb.Contacts = t.contacts(rnd)
 	}
 	if !self.StoreHeard.IsZero() {
 		hb.StoreAgeMs = uint32(now.Sub(self.StoreHeard).Milliseconds()) + 1
@@ -247,6 +256,7 @@
 	t.learn(hb.GetContacts())
 	if met || !t.alive[address] {
 		t.alive[address] = true
+		t.met = now
 		return []Change{{Peer: *next, Alive: true, Met: met}}
 	}
 	return nil
--- a/core/cluster/table_test.go
+++ b/core/cluster/table_test.go
@@ -109,3 +109,23 @@
 	table.Receive(&wire.Heartbeat{Vm: "b", Address: "b", Incarnation: 3, Sequence: 1, Ready: true}, now.Add(2*silence))
 	is.Equal(table.Live()[0].Ready, true)
 }
+
+// Addresses of others are of use while members are met, and a fifth of a heartbeat.
+func TestContactsAreRareOnceAllMembersAreMet(t *testing.T) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	now := time.Unix(1_700_000_000, 0)
+	table := NewTable("10.0.0.1:1", nil, 0)
+	table.Receive(&wire.Heartbeat{Address: "10.0.0.2:1", Incarnation: 1, Sequence: 1}, now)
+	with := func(at time.Time) int {
+		n := 0
+		for range 10 * contactsEvery {
+			if len(table.heartbeat(Self{}, rnd, at).GetContacts()) > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(with(now), 10*contactsEvery)
+	is.Equal(with(now.Add(meetingTime)), 10)
+}
