Log how a group does each second, and whether an answer was on time

A gateway's line of an answer named its first event and longest gap, but not what the route asks.

Change: a coordinator logs, once a second, the length of a step, the batch, the skew of the map in use on the present demand, and the slowest rank; each answer tells whether it was on time, and if not whether its first event or a gap came late.

--- a/agent/group/lead.go
+++ b/agent/group/lead.go
@@ -26,6 +26,9 @@
 	planned time.Time
 	polled  time.Time
 	step    uint64 // of the group, when it was polled
+
+	described     time.Time // when its state was last logged
+	describedStep uint64    // its step then
 }
 
 // answer is one rank's reply to one order.
@@ -178,6 +181,7 @@
 	}
 	l.planned = now
 	changed := l.demand.Add(poll.counts)
+	l.describe(poll, now)
 	if changed > 0 {
 		l.life.Changed(now)
 	}
@@ -186,6 +190,33 @@
 	}
 }
 
+// describeInterval is how often the state of the group is logged.
+const describeInterval = time.Second
+
+// describe logs how the group does: the length of its steps, its batch, how even the
+// map in use spreads the present demand, and the slowest rank.
+func (l *leadership) describe(poll collection, now time.Time) {
+	passed := now.Sub(l.described)
+	if passed < describeInterval || poll.step <= l.describedStep {
+		return
+	}
+	steps := poll.step - l.describedStep
+	slowest := 0
+	for rank, speed := range poll.speeds {
+		if speed > 0 && (poll.speeds[slowest] <= 0 || speed < poll.speeds[slowest]) {
+			slowest = rank
+		}
+	}
+	if l.describedStep > 0 {
+		l.set.env.Log.Info().Str("group", l.name).Uint64("step", poll.step).Uint64("steps", steps).
+			Dur("step_length", passed/time.Duration(steps)).Float64("batch", poll.running).
+			Float64("skew", expertmap.Skew(poll.active, l.demand.Counts(), l.spec.SlotsPerRank, poll.speeds)).
+			Int("slowest_rank", slowest).Float64("slowest_speed", poll.speeds[slowest]).
+			Str("stage", l.coord.Stage().String()).Msg("group state")
+	}
+	l.described, l.describedStep = now, poll.step
+}
+
 // stepped reports whether this rank has begun another step since the group was
 // polled, where that is to be noticed: what is counted in one step is seldom of two
 // demands.
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -177,7 +177,24 @@
 		q.g.inst.gap(q.route.Name, q.longestGap)
 		e = e.Int("events", q.events).Dur("longest_gap", q.longestGap)
 	}
-	e.Uint32("attempt", number).Msg("request answered")
+	e.Uint32("attempt", number).Str("punctuality", q.punctuality()).Msg("request answered")
+}
+
+// punctuality tells whether an answer met the route's objective and, for a stream, its
+// gap target, and which of them it missed first.
+func (q *request) punctuality() string {
+	first := q.firstAnswer
+	if first == 0 {
+		first = time.Since(q.began)
+	}
+	switch {
+	case q.route.Objective > 0 && first > q.route.Objective:
+		return "late-first"
+	case q.route.GapTarget > 0 && q.longestGap > q.route.GapTarget:
+		return "late-gap"
+	default:
+		return "on-time"
+	}
 }
 
 func (q *request) logAttempt(number uint32, c balance.Choice, a attempt) {
--- a/entry/gateway/patience_test.go
+++ b/entry/gateway/patience_test.go
@@ -163,3 +163,22 @@
 		})
 	}
 }
+
+func TestPunctualityOfAnAnswer(t *testing.T) {
+	stream := &catalog.Route{Kind: catalog.KindStream, Objective: 500 * time.Millisecond, GapTarget: 120 * time.Millisecond}
+	cases := []struct {
+		name       string
+		first, gap time.Duration
+		want       string
+	}{
+		{"on time", 400 * time.Millisecond, 110 * time.Millisecond, "on-time"},
+		{"first event late", 600 * time.Millisecond, 300 * time.Millisecond, "late-first"},
+		{"a gap too long", 400 * time.Millisecond, 130 * time.Millisecond, "late-gap"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := request{route: stream, firstAnswer: c.first, longestGap: c.gap}
+			is.New(t).Equal(q.punctuality(), c.want)
+		})
+	}
+}
