Tell from logs how requests ended, second by second

Operators have logs and metrics.

Change: `experiment answers -log FILE [-service S] [-plot FILE.svg]` counts answers on time, late by their first event, late by a gap, refused, left and cut, for each second, beside each group's step length, batch, skew and slowest rank, as a table and a plot (go-chart).

--- a/standin/cmd/experiment/main.go
+++ b/standin/cmd/experiment/main.go
@@ -22,6 +22,7 @@
 	subcommands.Register(&limitsCommand{}, "")
 	subcommands.Register(&controlCommand{}, "")
 	subcommands.Register(&recoveryCommand{}, "")
+	subcommands.Register(&answersCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
