Plan at once where nothing is known yet of how long a demand lasts

Cause: a coordinator that has just begun expected the demand to last a quarter of the time that it had seen, some milliseconds. So the first plans after a loss of power, or after another rank took the lead, were put off: the second by about 2 s.

Change: until an interval between changes has been seen, 4 s are assumed.

--- a/core/expertmap/demand.go
+++ b/core/expertmap/demand.go
@@ -82,6 +82,10 @@
 	leastLife = 0.25
 	// mergeTime is the time within which changes of several layers are one change.
 	mergeTime = 500 * time.Millisecond
+	// unknownLife is the interval that is assumed as long as none has been seen: a
+	// coordinator that has just begun must not wait to plan. Demand of the users'
+	// sites changes every few seconds.
+	unknownLife = 4 * time.Second
 )
 
 // Lifetime estimates for how long the present demand will last, from the intervals
@@ -112,5 +116,8 @@
 func (l *Lifetime) Rest(now time.Time) time.Duration {
 	age := now.Sub(l.changed)
 	mean := max(l.mean, age)
+	if l.mean == 0 {
+		mean = max(unknownLife, age)
+	}
 	return max(mean-age, time.Duration(leastLife*float64(mean)))
 }
--- a/core/expertmap/demand_test.go
+++ b/core/expertmap/demand_test.go
@@ -48,7 +48,8 @@
 	is := is.New(t)
 	start := time.Unix(0, 0)
 	l := NewLifetime(start)
-	is.Equal(l.Rest(start.Add(8*time.Second)), 2*time.Second) // nothing known but its age
+	is.Equal(l.Rest(start.Add(time.Second)), unknownLife-time.Second) // a new coordinator does not wait
+	is.Equal(l.Rest(start.Add(8*time.Second)), 2*time.Second)         // nothing known but its age
 	for i := 1; i <= 20; i++ {
 		l.Changed(start.Add(time.Duration(i) * 4 * time.Second))
 		l.Changed(start.Add(time.Duration(i)*4*time.Second + 100*time.Millisecond)) // further layers
