Run the soak's programs through the fleet's processes

The soak wrote again how a program is built, started, signalled and waited for. fleet.Process takes the subcommand now and serves both; the soak keeps what is its own, starting again what ends and telling asked-for ends from others. go test ./standin/soak passes.

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -106,7 +106,7 @@
 	}
 	f.Platform.SetVMs(f.list)
 	for _, p := range f.processes {
-		if err := p.start(); err != nil {
+		if err := p.Start(); err != nil {
 			return err
 		}
 	}
@@ -302,7 +302,7 @@
 		return err
 	}
 	f.list = append(f.list, v)
-	f.processes[v.ID] = &Process{binary: binary, settings: path, logPath: filepath.Join(f.dir, string(v.ID)+".log")}
+	f.processes[v.ID] = NewProcess(binary, "serve", path, filepath.Join(f.dir, string(v.ID)+".log"))
 	return nil
 }
 
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -9,9 +9,10 @@
 	"syscall"
 )
 
-// Process is one child process on one VM.
+// Process is one child process on one VM: one of the two programs with a subcommand.
 type Process struct {
 	binary   string
+	command  string
 	settings string
 	logPath  string
 
@@ -21,16 +22,22 @@
 	err  error
 }
 
-// start runs the program; its log goes to the VM's log file.
-func (p *Process) start() error {
+// NewProcess returns a process that is not started yet. Its settings file must be there
+// when it is.
+func NewProcess(binary, command, settings, logPath string) *Process {
+	return &Process{binary: binary, command: command, settings: settings, logPath: logPath}
+}
+
+// Start runs the program; its output goes to the VM's log file.
+func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(p.binary, "serve", "-settings", p.settings)
-	cmd.Stderr = log
+	cmd := exec.Command(p.binary, p.command, "-settings", p.settings)
+	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		log.Close()
@@ -73,7 +80,8 @@
 // Terminate asks the process to stop gracefully.
 func (p *Process) Terminate() { p.Signal(syscall.SIGTERM) }
 
-// Done returns a channel that is closed when the process has ended.
+// Done returns a channel that is closed when the process has ended, nil before its
+// first start.
 func (p *Process) Done() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -96,7 +104,7 @@
 }
 
 // Restart starts the program again after it has ended.
-func (p *Process) Restart() error { return p.start() }
+func (p *Process) Restart() error { return p.Start() }
 
 // Binaries are the paths of the two programs.
 type Binaries struct{ Entry, Agent string }
--- a/standin/soak/cmd/soak/main.go
+++ b/standin/soak/cmd/soak/main.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"baywall.example/core/wait"
+
+	"baywall.example/standin/fleet"
 )
 
 const (
@@ -86,7 +88,7 @@
 }
 
 // runSeed plays one world and returns what was seen.
-func runSeed(ctx context.Context, b binaries, o options, seed uint64) (*report, error) {
+func runSeed(ctx context.Context, b fleet.Binaries, o options, seed uint64) (*report, error) {
 	w, err := newWorld(b, o.size, seed)
 	if err != nil {
 		return nil, err
--- a/standin/soak/cmd/soak/world.go
+++ b/standin/soak/cmd/soak/world.go
@@ -15,6 +15,7 @@
 	"baywall.example/core/wait"
 	"baywall.example/platform/standin"
 	proxy "baywall.example/standin/faults"
+	"baywall.example/standin/fleet"
 )
 
 const (
@@ -118,7 +119,7 @@
 	names    int  // of runners so far
 }
 
-func newWorld(b binaries, s size, seed uint64) (*world, error) {
+func newWorld(b fleet.Binaries, s size, seed uint64) (*world, error) {
 	dir, err := os.MkdirTemp("", "soak-")
 	if err != nil {
 		return nil, err
@@ -153,22 +154,24 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", w.net, kind, i+1, port)
 }
 
-func (w *world) newGateway(b binaries, i int) *gateway {
+func (w *world) newGateway(b fleet.Binaries, i int) *gateway {
 	name := fmt.Sprintf("entry-%d", i)
 	return &gateway{
-		process: &process{
-			vm: name, binary: b.gateway, command: "gateway",
-			settings: filepath.Join(w.dir, name+".yaml"), log: filepath.Join(w.dir, name+".log"),
-		},
-		front: w.at(0, i, 8000), ready: w.at(0, i, 8001), directory: w.at(0, i, 8002),
+		process: w.newProcess(name, b.Entry, "gateway"),
+		front:   w.at(0, i, 8000), ready: w.at(0, i, 8001), directory: w.at(0, i, 8002),
 	}
 }
 
-func (w *world) newAgent(b binaries, i int) *process {
+func (w *world) newAgent(b fleet.Binaries, i int) *process {
 	name := fmt.Sprintf("side-%d", i)
+	return w.newProcess(name, b.Agent, "rank")
+}
+
+func (w *world) newProcess(name, binary, command string) *process {
+	settings := filepath.Join(w.dir, name+".yaml")
 	return &process{
-		vm: name, binary: b.agent, command: "rank",
-		settings: filepath.Join(w.dir, name+".yaml"), log: filepath.Join(w.dir, name+".log"),
+		vm: name, settings: settings,
+		child: fleet.NewProcess(binary, command, settings, filepath.Join(w.dir, name+".log")),
 	}
 }
 
