Let few gateways of a zone carry its requests, and one follow the store

One gateway a zone follows the store, active ones first; one that starts takes the state from another; how long a watch waits follows from the time within which a change has to be in force (setting follow.within).

Ruled out: a subset by a size of fleet (it follows from the zone's gateways and requests).

--- /dev/null
+++ b/core/cluster/activity_test.go
@@ -0,0 +1,142 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+)
+
+// largeFleet is a fleet with some active members that has met.
+func largeFleet(active, standby int) *fleet {
+	var addresses []string
+	for i := range active + standby {
+		addresses = append(addresses, fmt.Sprintf("10.0.%d.%d:1", i/200, i%200))
+	}
+	f := newFleet(addresses[:3], addresses...)
+	for i, a := range addresses {
+		self := f.selves[a]
+		self.Active = i < active
+		f.selves[a] = self
+	}
+	f.run(12 * time.Second)
+	return f
+}
+
+// sent counts the datagrams of a member in a time.
+func (f *fleet) sent(address string, d time.Duration) int {
+	n := 0
+	table := f.tables[address]
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
+		for a, t := range f.tables {
+			out, _ := t.Tick(f.selves[a], f.rnd, f.now)
+			if t == table {
+				n += len(out)
+			}
+			f.deliver(a, out)
+		}
+	}
+	return n
+}
+
+// A fleet in which everyone hears everyone would cost each of 100 members 125
+// datagrams a second.
+func TestAStandbysCostDoesNotGrowWithTheFleet(t *testing.T) {
+	is := is.New(t)
+	const active, standby = 10, 90
+	f := largeFleet(active, standby)
+	for _, table := range f.tables {
+		is.Equal(len(table.Live()), active+standby-1)
+		is.Equal(table.Members(), active)
+	}
+	is.True(f.tables["10.0.0.0:1"].Interval() <= 100*time.Millisecond)
+	seconds := 4
+	fromStandby := f.sent("10.0.0.50:1", time.Duration(seconds)*time.Second) / seconds
+	t.Logf("%d datagrams a second from a standby", fromStandby)
+	is.True(fromStandby <= 50)
+	fromActive := f.sent("10.0.0.0:1", time.Duration(seconds)*time.Second) / seconds
+	t.Logf("%d datagrams a second from an active member", fromActive)
+	is.True(fromActive <= 340)
+}
+
+// Callers ask standbys too where to connect.
+func TestStandbysLearnOfALostActiveMemberWithinTwoSeconds(t *testing.T) {
+	is := is.New(t)
+	f := largeFleet(6, 40)
+	const gone = "10.0.0.1:1"
+	f.cut[gone] = true
+	f.run(1500 * time.Millisecond)
+	for a, table := range f.tables {
+		if a == gone {
+			continue
+		}
+		for _, p := range table.Live() {
+			is.True(p.Address != gone)
+		}
+	}
+	f.cut[gone] = false
+	f.run(2 * time.Second)
+	for a, table := range f.tables {
+		if a != gone {
+			is.Equal(len(table.Live()), 45)
+		}
+	}
+}
+
+// What one member has heard itself counts for more than what others say.
+func TestHearsayLosesNobodyWhoIsHeard(t *testing.T) {
+	is := is.New(t)
+	f := largeFleet(6, 0)
+	f.tables["10.0.0.0:1"].hearLost([]string{"10.0.0.1:1"}, f.now)
+	is.Equal(len(f.tables["10.0.0.0:1"].Live()), 5)
+}
+
+// Agents of ranks need to know only those that may coordinate their own group.
+func TestAgentsOfOtherGroupsAreHeardSeldom(t *testing.T) {
+	is := is.New(t)
+	f := largeFleet(8, 40)
+	i := 0
+	for a, self := range f.selves {
+		self.Rank = &RankLabel{Group: fmt.Sprintf("g%d", i%2), Rank: i}
+		f.selves[a] = self
+		i++
+	}
+	f.run(5 * time.Second)
+	table := f.tables["10.0.0.0:1"]
+	for _, p := range table.Live() {
+		if table.unrelated(&p) {
+			is.Equal(table.expected(&p), standbyFactor*table.sparse())
+		}
+	}
+}
+
+// The counts are most of a heartbeat, and a standby sends few requests.
+func TestOnlyActiveMembersHearOfRequestsInFlight(t *testing.T) {
+	is := is.New(t)
+	f := largeFleet(2, 2)
+	busy := f.selves["10.0.0.0:1"]
+	busy.Load = map[uint32]Load{7: {Requests: 3}}
+	f.selves["10.0.0.0:1"] = busy
+	f.run(3 * time.Second)
+	is.Equal(f.tables["10.0.0.1:1"].Load(7, f.now).Requests, 3)
+	is.Equal(f.tables["10.0.0.2:1"].Load(7, f.now).Requests, 0)
+}
+
+func TestSizeOfAHeartbeat(t *testing.T) {
+	is := is.New(t)
+	self := Self{
+		VM: "edge-availability-zone-12", Incarnation: 1 << 50, Zone: "availability-zone", Address: "10.100.100.100:7341",
+		Front: "10.100.100.100:8080", Ready: true, CatalogVersion: 1000, BackendsRevision: 10_000, Load: map[uint32]Load{},
+	}
+	for i := range uint32(60) {
+		self.Load[0x7000_0000+i<<20] = Load{Requests: 1, Gap: 80 * time.Millisecond}
+	}
+	f := largeFleet(2, 1)
+	hb := f.tables["10.0.0.0:1"].heartbeat(self, f.rnd, f.now)
+	full := proto.Size(hb)
+	hb.InFlight = nil
+	t.Logf("%d B, without requests in flight %d B", full, proto.Size(hb))
+	is.True(proto.Size(hb) < full/4)
+}
--- /dev/null
+++ b/core/cluster/heartbeat.go
@@ -0,0 +1,40 @@
+package cluster
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"baywall.example/core/wire"
+)
+
+func (t *Table) heartbeat(self Self, rnd *rand.Rand, now time.Time) *wire.Heartbeat {
+	t.sequence++
+	hb := &wire.Heartbeat{
+		Vm: string(self.VM), Incarnation: uint64(self.Incarnation), Sequence: t.sequence, Zone: self.Zone,
+		Address: self.Address, Front: self.Front, Ready: self.Ready,
+		CatalogVersion: self.CatalogVersion, BackendsRevision: self.BackendsRevision,
+		Rank: self.Rank.wire(), Paces: t.paces.told(now), Lost: t.toldLost(now),
+		Active: self.Active, Millicores: self.Millicores, Arrivals: self.Arrivals,
+	}
+	if t.sequence%contactsEvery == 0 || now.Sub(t.met) < meetingTime {
+		hb.Contacts = t.contacts(rnd)
+	}
+	if !self.StoreHeard.IsZero() {
+		hb.StoreAgeMs = uint32(now.Sub(self.StoreHeard).Milliseconds()) + 1
+	}
+	for server, l := range self.Load {
+		if l.Requests > 0 {
+			hb.InFlight = append(hb.InFlight, &wire.InFlight{Server: server, Requests: uint32(l.Requests), GapMs: uint32(l.Gap.Milliseconds())})
+		}
+	}
+	return hb
+}
+
+func (t *Table) contacts(rnd *rand.Rand) []string {
+	live := make([]string, 0, len(t.alive))
+	for address := range t.alive {
+		live = append(live, address)
+	}
+	rnd.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(len(live), contactsPerHeartbeat)]
+}
--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -12,12 +11,16 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"baywall.example/core/vm"
+	"baywall.example/core/wait"
 	"baywall.example/core/wire"
 )
 
 const (
-	// tick is how often due heartbeats are looked for.
-	tick = 20 * time.Millisecond
+	// tick is how often due heartbeats are looked for, standbyTick the same at a
+	// standby that has met nobody new lately: each look costs a wake-up of the process.
+	tick        = 20 * time.Millisecond
+	standbyTick = 100 * time.Millisecond
 	// maxDatagram is the largest heartbeat, in bytes.
 	maxDatagram = 8 << 10
 	// receivePause is the pause after a receive that failed.
@@ -58,25 +61,24 @@
 	stop := context.AfterFunc(ctx, func() { _ = n.conn.Close() }) // ends receive
 	defer stop()
 	go n.receive(ctx)
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			n.beat(time.Now())
-		}
+	for pause := tick; wait.Sleep(ctx, pause); {
+		pause = n.beat(time.Now())
 	}
 }
 
-func (n *Node) beat(now time.Time) {
+// beat sends what is due, and returns the pause until the next look.
+func (n *Node) beat(now time.Time) time.Duration {
 	self := n.self()
 	n.mu.Lock()
 	out, changes := n.table.Tick(self, n.rnd, now)
+	settled := n.table.settled(now)
 	n.mu.Unlock()
 	n.note(changes)
 	n.send(out)
+	if settled && !self.Active {
+		return standbyTick
+	}
+	return tick
 }
 
 // Announce tells every peer at once, as when this gateway begins to leave.
@@ -152,6 +154,14 @@
 	n.table.SetSeeds(seeds)
 }
 
+// Expect replaces the addresses from which links are accepted though nobody was heard
+// there yet.
+func (n *Node) Expect(addresses []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.Expect(addresses)
+}
+
 // Live returns the peers that were heard lately.
 func (n *Node) Live() []Peer {
 	n.mu.Lock()
@@ -170,28 +180,33 @@
 	}
 }
 
-// ErrUnknown means that a VM which asks for a link is not a live member at its
-// address.
-var ErrUnknown = eris.New("cluster: not a live member")
+// ErrUnknown means that a VM which asks for a link is not a member at its address.
+var ErrUnknown = eris.New("cluster: not a member")
 
-// Authorize accepts links from live members, from their own address. It is a
-// link.Authorizer.
+// Authorize accepts links from members, from their own address, and from the
+// addresses at which members are expected. It is a link.Authorizer.
 func (n *Node) Authorize(h *wire.Hello, remote net.Addr) error {
 	host, _, err := net.SplitHostPort(remote.String())
 	if err != nil {
 		return eris.Wrapf(ErrUnknown, "%v", err)
 	}
-	known := slices.ContainsFunc(n.Live(), func(p Peer) bool {
-		at, _, _ := net.SplitHostPort(p.Address) // it was heard from there
-		return string(p.VM) == h.GetVm() && at == host
-	})
-	if !known {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.table.knows(vm.ID(h.GetVm()), host) {
 		return eris.Wrapf(ErrUnknown, "%s at %s", h.GetVm(), host)
 	}
 	return nil
 }
 
-// Members returns the number of live members, this one included.
+// Newest returns the live peer that knows the newest change of the backend servers; the
+// zero Peer if there is none.
+func (n *Node) Newest() Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Newest()
+}
+
+// Members returns the number of live active members, this one included.
 func (n *Node) Members() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/core/cluster/pace.go
+++ b/core/cluster/pace.go
@@ -62,6 +62,16 @@
 	return out
 }
 
+// direct reports whether agents themselves told this member something.
+func (p paces) direct() bool {
+	for _, h := range p {
+		if h.direct {
+			return true
+		}
+	}
+	return false
+}
+
 // of returns a backend server's pace, 1 where nothing is known against it.
 func (p paces) of(engine uint32, now time.Time) float64 {
 	h, known := p[engine]
--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -2,8 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"net"
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"baywall.example/core/vm"
 	"baywall.example/core/wire"
 )
@@ -12,8 +16,8 @@
 	// minInterval is the time between two heartbeats to one peer: in-flight
 	// counts are then at most one pass of an engine old.
 	minInterval = 40 * time.Millisecond
-	// DefaultPerPeer stretches the interval in larger fleets, which bounds a
-	// member to 125 heartbeats a second.
+	// DefaultPerPeer stretches the interval in larger fleets, which bounds an active
+	// member to 125 heartbeats a second to other active ones.
 	DefaultPerPeer = 8 * time.Millisecond
 	// silence is how long a peer may be silent and still be handed out: a few
 	// heartbeats, as datagrams may be lost.
@@ -50,6 +54,7 @@
 	// StoreHeard is when the store last answered this member; zero = never.
 	StoreHeard time.Time
 	Rank       *RankLabel // nil unless it is the agent of a rank
+	Activity
 }
 
 // Load is what one or more members put on a backend server.
@@ -95,6 +100,7 @@
 	StoreHeard       time.Time // when the store last answered it; zero = not known
 	Rank             *RankLabel
 	Heard            time.Time
+	Activity
 
 	sequence uint64
 	load     map[uint32]Load
@@ -126,12 +132,17 @@
 	self     string // own address
 	perPeer  time.Duration
 	seeds    map[string]time.Time
+	expects  []string
 	peers    map[string]*Peer
 	alive    map[string]bool
 	totals   map[uint32]int
 	gaps     map[uint32]heardGap
 	paces    paces
 	met      time.Time // when a member was met last
+	told     time.Time // when this member last announced itself
+	own      Self      // as last told
+	actives  int       // live members that are active, this one included
+	lost     map[string]time.Time
 	sequence uint64
 }
 
@@ -141,7 +152,7 @@
 	t := &Table{
 		self: self, perPeer: perPeer,
 		peers: make(map[string]*Peer), alive: make(map[string]bool), totals: make(map[uint32]int),
-		gaps: make(map[uint32]heardGap), paces: make(paces),
+		gaps: make(map[uint32]heardGap), paces: make(paces), lost: make(map[string]time.Time),
 	}
 	t.SetSeeds(seeds)
 	return t
@@ -157,19 +168,21 @@
 	}
 }
 
-// Interval returns the time between two heartbeats to one peer.
-func (t *Table) Interval() time.Duration {
-	return max(minInterval, time.Duration(len(t.alive))*t.perPeer)
-}
-
 // Tick returns the heartbeats that are due and the peers that fell silent.
 func (t *Table) Tick(self Self, rnd *rand.Rand, now time.Time) ([]Datagram, []Change) {
+	t.own = self
+	t.countActives()
 	changes := t.expire(now)
-	var due []string
+	var due, standbys []string
 	for address, p := range t.peers {
-		if now.Sub(p.sent) >= t.intervalTo(address) {
-			p.sent = now
+		if now.Sub(p.sent) < t.intervalTo(p, now) {
+			continue
+		}
+		p.sent = now
+		if p.Active {
 			due = append(due, address)
+		} else {
+			standbys = append(standbys, address)
 		}
 	}
 	for address, sent := range t.seeds {
@@ -178,63 +191,43 @@
 			due = append(due, address)
 		}
 	}
-	if len(due) == 0 {
+	if len(due)+len(standbys) == 0 {
 		return nil, changes
 	}
-	hb := t.heartbeat(self, rnd, now)
-	out := make([]Datagram, 0, len(due))
-	for _, address := range due {
-		out = append(out, Datagram{address, hb})
-	}
-	return out, changes
+	return t.datagrams(t.heartbeat(self, rnd, now), due, standbys), changes
 }
 
-func (t *Table) intervalTo(address string) time.Duration {
-	if t.alive[address] {
-		return t.Interval()
-	}
-	return silentInterval
-}
-
-// All returns a heartbeat to every peer, whether due or not.
-func (t *Table) All(self Self, rnd *rand.Rand, now time.Time) []Datagram {
-	hb := t.heartbeat(self, rnd, now)
-	out := make([]Datagram, 0, len(t.peers))
-	for address := range t.peers {
+// datagrams returns a heartbeat to active members and, without the requests in flight,
+// to standbys. These send few requests, and the counts are most of a heartbeat: 660 of
+// 768 bytes with requests at 60 backend servers.
+func (t *Table) datagrams(hb *wire.Heartbeat, active, standbys []string) []Datagram {
+	out := make([]Datagram, 0, len(active)+len(standbys))
+	for _, address := range active {
 		out = append(out, Datagram{address, hb})
 	}
-	return out
-}
-
-func (t *Table) heartbeat(self Self, rnd *rand.Rand, now time.Time) *wire.Heartbeat {
-	t.sequence++
-	hb := &wire.Heartbeat{
-		Vm: string(self.VM), Incarnation: uint64(self.Incarnation), Sequence: t.sequence, Zone: self.Zone,
-		Address: self.Address, Front: self.Front, Ready: self.Ready,
-		CatalogVersion: self.CatalogVersion, BackendsRevision: self.BackendsRevision,
-		Rank: self.Rank.wire(), Paces: t.paces.told(now),
-	}
-	if t.sequence%contactsEvery == 0 || now.Sub(t.met) < meetingTime {
-		hb.Contacts = t.contacts(rnd)
+	if len(standbys) == 0 {
+		return out
 	}
-	if !self.StoreHeard.IsZero() {
-		hb.StoreAgeMs = uint32(now.Sub(self.StoreHeard).Milliseconds()) + 1
+	brief := proto.CloneOf(hb)
+	brief.InFlight = nil
+	for _, address := range standbys {
+		out = append(out, Datagram{address, brief})
 	}
-	for server, l := range self.Load {
-		if l.Requests > 0 {
-			hb.InFlight = append(hb.InFlight, &wire.InFlight{Server: server, Requests: uint32(l.Requests), GapMs: uint32(l.Gap.Milliseconds())})
-		}
-	}
-	return hb
+	return out
 }
 
-func (t *Table) contacts(rnd *rand.Rand) []string {
-	live := make([]string, 0, len(t.alive))
-	for address := range t.alive {
-		live = append(live, address)
+// All returns a heartbeat to every peer, whether due or not.
+func (t *Table) All(self Self, rnd *rand.Rand, now time.Time) []Datagram {
+	t.told = now
+	var active, standbys []string
+	for address, p := range t.peers {
+		if p.Active {
+			active = append(active, address)
+		} else {
+			standbys = append(standbys, address)
+		}
 	}
-	rnd.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	return live[:min(len(live), contactsPerHeartbeat)]
+	return t.datagrams(t.heartbeat(self, rnd, now), active, standbys)
 }
 
 // Receive takes a heartbeat. A doubled or overtaken one is ignored.
@@ -254,12 +247,14 @@
 	}
 	next := t.replace(p, hb, now)
 	t.learn(hb.GetContacts())
+	changes := t.hearLost(hb.GetLost(), now)
 	if met || !t.alive[address] {
 		t.alive[address] = true
 		t.met = now
-		return []Change{{Peer: *next, Alive: true, Met: met}}
+		delete(t.lost, address)
+		changes = append(changes, Change{Peer: *next, Alive: true, Met: met})
 	}
-	return nil
+	return changes
 }
 
 func (t *Table) replace(old *Peer, hb *wire.Heartbeat, now time.Time) *Peer {
@@ -268,6 +263,7 @@
 		Address: hb.GetAddress(), Front: hb.GetFront(), Ready: hb.GetReady(),
 		CatalogVersion: hb.GetCatalogVersion(), BackendsRevision: hb.GetBackendsRevision(),
 		Rank: rankFromWire(hb.GetRank()), Heard: now, sequence: hb.GetSequence(), load: make(map[uint32]Load, len(hb.GetInFlight())),
+		Activity: Activity{Active: hb.GetActive(), Millicores: hb.GetMillicores(), Arrivals: hb.GetArrivals()},
 	}
 	if age := hb.GetStoreAgeMs(); age > 0 {
 		next.StoreHeard = now.Add(-time.Duration(age-1) * time.Millisecond)
@@ -308,21 +304,26 @@
 
 func (t *Table) expire(now time.Time) []Change {
 	var out []Change
-	limit := max(silence, 4*t.Interval())
 	for address, p := range t.peers {
 		quiet := now.Sub(p.Heard)
-		if quiet > limit && t.alive[address] {
-			delete(t.alive, address)
-			t.subtract(p)
-			out = append(out, Change{Peer: *p})
+		if t.alive[address] && quiet > max(silence, missedIntervals*t.expected(p)) {
+			out = append(out, t.lose(p))
+			t.lost[address] = now
 		}
-		if quiet > forgetAfter {
+		if quiet > forgetAfter && !t.alive[address] {
 			delete(t.peers, address)
 		}
 	}
 	return out
 }
 
+// lose notes that a peer fell silent.
+func (t *Table) lose(p *Peer) Change {
+	delete(t.alive, p.Address)
+	t.subtract(p)
+	return Change{Peer: *p}
+}
+
 // Live returns the peers that were heard lately.
 func (t *Table) Live() []Peer {
 	out := make([]Peer, 0, len(t.alive))
@@ -332,8 +333,48 @@
 	return out
 }
 
-// Members returns the number of live members, this one included.
-func (t *Table) Members() int { return len(t.alive) + 1 }
+// knows reports whether a VM may be a member at the host: one that was heard there,
+// or one at a seed's.
+func (t *Table) knows(id vm.ID, host string) bool {
+	at := func(address string) bool {
+		h, _, err := net.SplitHostPort(address)
+		return err == nil && h == host
+	}
+	for _, p := range t.peers {
+		if p.VM == id {
+			return at(p.Address)
+		}
+	}
+	for address := range t.seeds {
+		if at(address) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(t.expects, at)
+}
+
+// Expect replaces the addresses at which members may be that are not looked for.
+func (t *Table) Expect(addresses []string) { t.expects = addresses }
+
+// Newest returns the live peer that knows the newest change of the backend servers; the
+// zero Peer if there is none.
+func (t *Table) Newest() Peer {
+	var newest Peer
+	for address := range t.alive {
+		if p := t.peers[address]; p.BackendsRevision > newest.BackendsRevision {
+			newest = *p
+		}
+	}
+	return newest
+}
+
+// settled reports whether nobody was met lately and nothing was announced.
+func (t *Table) settled(now time.Time) bool {
+	return now.Sub(t.met) >= meetingTime && now.Sub(t.told) >= repeatTime
+}
+
+// Members returns the number of live active members, this one included.
+func (t *Table) Members() int { return max(1, t.actives) }
 
 // Load returns what live peers put on the backend server.
 func (t *Table) Load(server uint32, now time.Time) Load {
--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"baywall.example/core/settings"
 	"baywall.example/core/wait"
 )
 
@@ -18,10 +19,12 @@
 	// follows the store: a watch may go deaf without an error, and a change has
 	// to be in force two seconds after it was published.
 	shortestWait = 1200 * time.Millisecond
-	// waitPerFollower stretches the wait where others follow too: each hears of
-	// a change from the first whose watch ends, so the calls of all together
-	// stay the same.
-	waitPerFollower = 300 * time.Millisecond
+	// waitPart stretches the wait where others follow too, by this part of the time
+	// within which a change has to be in force for each of them: each hears of a change
+	// from the first whose watch ends, so the calls of all together stay the same.
+	waitPart = 0.15
+	// defaultWithin is that time where none is set.
+	defaultWithin = 2 * time.Second
 	// longestWait keeps watches within the store's own limit of 30 s.
 	longestWait = 10 * time.Second
 	// watchSlack is how much longer than the wait an answer may take.
@@ -65,8 +68,10 @@
 	Log    zerolog.Logger
 	// Deliver takes each state. It is called from one goroutine.
 	Deliver func(Update)
+	// Within is the time within which a change has to be in force. Default 2s.
+	Within time.Duration
 	// Rest, if not nil, tells that others follow for this one and offer what they
-	// hear: it leaves the store alone.
+	// hear: it leaves the store alone. It is asked before each call.
 	Rest func() bool
 	// Others returns how many others follow the same store and are heard, nil
 	// means none.
@@ -77,6 +82,7 @@
 	armed  time.Duration      // how long that waits
 	nudged uint64             // revision of the latest nudge
 	offer  *State             // of another follower, not yet looked at
+	wake   chan struct{}      // tells a resting follower that there is an offer
 	latest State
 
 	items    map[string]Item
@@ -98,8 +104,8 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.adopt()
-		if f.listed && f.Rest != nil && f.Rest() {
-			wait.Sleep(ctx, restPause)
+		if f.Rest != nil && f.Rest() {
+			f.rest(ctx)
 			continue
 		}
 		err := f.next(ctx)
@@ -170,9 +176,14 @@
 	if f.Others == nil {
 		return shortestWait
 	}
-	return min(longestWait, max(shortestWait, time.Duration(f.Others()+1)*waitPerFollower))
+	within := settings.Or(f.Within, defaultWithin)
+	return min(longestWait, max(shortestWait, time.Duration(waitPart*float64(f.Others()+1)*float64(within))))
 }
 
+// Staleness returns how old the store's latest answer to a follower may be while the
+// store answers and the follower follows it.
+func (f *Follower) Staleness() time.Duration { return 2 * f.usualWait() }
+
 func (f *Follower) arm(cancel context.CancelFunc, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/source/offers.go
+++ b/core/source/offers.go
@@ -1,6 +1,9 @@
 package source
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // State is what a follower knows of a prefix: all items, or the events after a
 // revision.
@@ -13,9 +16,8 @@
 }
 
 const (
-	// restPause is how often a resting follower looks whether it is offered
-	// something or has to follow itself.
-	restPause = 20 * time.Millisecond
+	// restPause is how often a resting follower looks whether it has to follow itself.
+	restPause = 200 * time.Millisecond
 	// mostRecent bounds the events that are kept for others.
 	mostRecent = 256
 )
@@ -72,6 +74,32 @@
 	if f.cancel != nil {
 		f.cancel()
 	}
+	select {
+	case f.wakeUp() <- struct{}{}:
+	default: // it is about to look
+	}
+}
+
+// wakeUp returns the channel that ends a pause of a resting follower, under mu.
+func (f *Follower) wakeUp() chan struct{} {
+	if f.wake == nil {
+		f.wake = make(chan struct{}, 1)
+	}
+	return f.wake
+}
+
+// rest pauses until it is offered something or the pause is over.
+func (f *Follower) rest(ctx context.Context) {
+	f.mu.Lock()
+	wake := f.wakeUp()
+	f.mu.Unlock()
+	timer := time.NewTimer(restPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-timer.C:
+	}
 }
 
 // adopt takes over an offered state that is newer than the own.
--- a/entry/gateway/directory.go
+++ b/entry/gateway/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 )
 
@@ -11,28 +12,65 @@
 	return !g.leaving.Load() && g.catalog.Current() != nil && g.listed.Load()
 }
 
-// Entries returns the gateways that take requests, as far as heard lately. The
-// zone's own come first. A gateway that knows of none names itself as long as
-// it serves.
+const (
+	// leastEntries is how many addresses of its own zone a caller is told at least
+	// without those of other zones: two of them may have failed unheard.
+	leastEntries = 3
+	// standbyEvery is in which answers a standby is named too: a trickle of requests
+	// shows that those that stand by do serve.
+	standbyEvery = 16
+)
+
+// Entries returns where a caller may connect, as far as heard lately: the active
+// gateways of its zone, and those of other zones where that has few. Without any
+// active one it is told of all that take requests. A gateway that knows of none names
+// itself as long as it serves.
 func (g *Gateway) Entries(_ context.Context, zone string) Entries {
-	var own, others []string
-	add := func(z, front string) {
-		if z == zone {
-			own = append(own, front)
-		} else {
-			others = append(others, front)
-		}
-	}
+	var known candidates
 	for _, p := range g.node.Live() {
 		if p.Ready {
-			add(p.Zone, p.Front)
+			known.add(p.Zone == zone, p.Active, p.Front)
 		}
 	}
 	if g.Ready() {
-		add(g.settings.Zone, g.settings.Listen.Front)
+		known.add(g.settings.Zone == zone, g.activity.is(), g.settings.Listen.Front)
 	}
-	slices.Sort(own)
-	slices.Sort(others)
-	all := append(own, others...)
+	all := known.choose(rand.IntN)
 	return Entries{Addresses: all[:min(len(all), g.settings.Entries.Most)], TTLSeconds: int(g.settings.Entries.TTL.Seconds())}
 }
+
+// candidates are addresses of gateways that take requests.
+type candidates struct {
+	own, ownStandby       []string // in the caller's zone
+	others, othersStandby []string
+}
+
+func (c *candidates) add(own, active bool, front string) {
+	list := &c.othersStandby
+	switch {
+	case own && active:
+		list = &c.own
+	case own:
+		list = &c.ownStandby
+	case active:
+		list = &c.others
+	}
+	*list = append(*list, front)
+}
+
+// choose returns the addresses for one caller, those of its zone first.
+func (c *candidates) choose(draw func(n int) int) []string {
+	for _, list := range [][]string{c.own, c.ownStandby, c.others, c.othersStandby} {
+		slices.Sort(list)
+	}
+	switch {
+	case len(c.own)+len(c.others) == 0:
+		return slices.Concat(c.ownStandby, c.othersStandby)
+	case len(c.own) < leastEntries:
+		return slices.Concat(c.own, c.others)
+	case len(c.ownStandby) > 0 && draw(standbyEvery) == 0:
+		return append(c.own, c.ownStandby[draw(len(c.ownStandby))])
+	default:
+		return c.own
+	}
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -55,6 +55,7 @@
 	inst        *instruments
 	shares      sync.Map // service -> *retry.Share
 	limits      timeLimits
+	activity    activity
 
 	follower *source.Follower
 	peering  *peering
@@ -85,7 +86,7 @@
 	g.registry = balance.NewRegistry(node, s.Zone, log)
 	g.peering = newPeering(g)
 	g.follower = &source.Follower{
-		Store: a.Store(s.Store, log), Log: log, Deliver: g.take,
+		Store: a.Store(s.Store, log), Log: log, Deliver: g.take, Within: s.Follow.Within,
 		Others: g.followers, Rest: func() bool { return g.peering.rests() },
 	}
 	g.inst = newInstruments(gauges{
@@ -103,6 +104,9 @@
 		Address: g.settings.Listen.Peers, Front: g.settings.Listen.Front, Ready: g.Ready(),
 		CatalogVersion: g.catalog.Version(), BackendsRevision: g.changed.Load(),
 		Load: g.registry.OwnLoad(time.Now()), StoreHeard: g.follower.Heard(),
+		Activity: cluster.Activity{
+			Active: g.activity.is() && !g.leaving.Load(), Millicores: g.settings.Machine.millicores(), Arrivals: g.activity.rate(),
+		},
 	}
 }
 
@@ -241,6 +245,7 @@
 			return
 		case now := <-ticker.C:
 			g.registry.Expire(g.revision.Load(), now)
+			g.decideActivity(now)
 			g.peering.look(ctx)
 			g.peering.pool.Trim(now.Add(-linkIdle))
 			g.follower.Recheck()
@@ -254,7 +259,6 @@
 		return s.(*retry.Share)
 	}
 	limit := retry.Limit{Ratio: g.settings.Retry.Ratio, Slack: g.settings.Retry.Slack, Window: g.settings.Retry.Window}
-	members := func() int { return len(g.node.Live()) + 1 }
-	s, _ := g.shares.LoadOrStore(service, retry.NewShare(limit, members, time.Now))
+	s, _ := g.shares.LoadOrStore(service, retry.NewShare(limit, g.node.Members, time.Now))
 	return s.(*retry.Share)
 }
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -34,16 +35,20 @@
 	// watchersPerZone is how many gateways of an availability zone follow the
 	// store, as each call has its price and the store's rate is shared; the others
 	// take what these hear.
-	watchersPerZone = 2
+	watchersPerZone = 1
 	// smallFleet is up to how many gateways all of them follow the store: it can
 	// bear their calls, and no change takes a second way.
 	smallFleet = 12
-	// storeFresh is how long ago the store may have answered another gateway for
-	// this one to leave the store to it. A watch waits for a second or two.
-	storeFresh = 2500 * time.Millisecond
+	// shortestMeeting and longestMeeting bound the random time for which a gateway that
+	// has just started waits to meet one that knows the state of the store already: when
+	// a fleet of 150 starts, some of them list the backend servers in place of all.
+	shortestMeeting, longestMeeting = 80 * time.Millisecond, 280 * time.Millisecond
+	// askedAfter is when a gateway that has not got the state from another one asks the
+	// store itself.
+	askedAfter = 1500 * time.Millisecond
 	// restLook is how often a gateway that does not follow the store itself looks
 	// whether others know more.
-	restLook = 50 * time.Millisecond
+	restLook = 100 * time.Millisecond
 	// linkIdle is how long an unused link to another gateway is kept.
 	linkIdle = 10 * time.Second
 )
@@ -60,11 +65,16 @@
 	pulling chan struct{} // holds one token while a pull is under way
 	behind  int           // looks in a row that found a newer change
 	resting atomic.Bool   // others follow the store for this one
+	began   time.Time
+	meeting time.Duration // for which others are looked for at first
 }
 
 func newPeering(g *Gateway) *peering {
 	host, _, _ := net.SplitHostPort(g.settings.Listen.Peers) // validated
-	p := &peering{gateway: g, pulling: make(chan struct{}, 1)}
+	p := &peering{
+		gateway: g, pulling: make(chan struct{}, 1), began: time.Now(),
+		meeting: shortestMeeting + rand.N(longestMeeting-shortestMeeting),
+	}
 	p.local = &link.Local{
 		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Role: vm.RoleEntry, Zone: zone.ID(g.settings.Zone), BindIP: host,
 		Clock: &timeline.Clock{}, Log: g.log, Revisions: func() (config, vms uint64) { return g.catalog.Version(), g.changed.Load() },
@@ -76,26 +86,47 @@
 // rests reports whether the gateway leaves the store to others.
 func (p *peering) rests() bool {
 	now := time.Now()
+	age := now.Sub(p.began)
+	listed := p.gateway.listed.Load()
+	if !listed && age < p.meeting && len(p.gateway.settings.Seeds) > 0 {
+		return true
+	}
 	live := p.gateway.node.Live()
-	zone := []string{p.gateway.settings.VM}
+	var zone watchable
+	zone.add(p.gateway.settings.VM, p.gateway.activity.is())
 	fresh := false
 	for _, peer := range live {
-		fresh = fresh || now.Sub(peer.StoreHeard) < storeFresh
+		fresh = fresh || now.Sub(peer.StoreHeard) < p.gateway.follower.Staleness()
 		if peer.Zone == p.gateway.settings.Zone {
-			zone = append(zone, string(peer.VM))
+			zone.add(string(peer.VM), peer.Active)
 		}
 	}
-	rest := fresh && len(live)+1 > smallFleet &&
-		!slices.Contains(watchers(zone), p.gateway.settings.VM)
+	rest := fresh && len(live)+1 > smallFleet && !slices.Contains(zone.watchers(), p.gateway.settings.VM)
+	if !listed && age > askedAfter {
+		rest = false
+	}
 	if p.resting.Swap(rest) != rest {
 		p.gateway.log.Info().Bool("resting", rest).Int("gateways", len(live)+1).Bool("fresh", fresh).Msg("following of the store changed")
 	}
 	return rest
 }
 
-// watchers returns those of an availability zone's gateways that follow the store.
-func watchers(zone []string) []string {
-	order := rendezvous.Order(zone, watcherKey, func(id string) string { return id })
+// watchable are the ids of an availability zone's gateways.
+type watchable struct{ active, standby []string }
+
+func (w *watchable) add(id string, active bool) {
+	if active {
+		w.active = append(w.active, id)
+		return
+	}
+	w.standby = append(w.standby, id)
+}
+
+// watchers returns those that follow the store: active ones first, as the others hear
+// these most often.
+func (w *watchable) watchers() []string {
+	name := func(id string) string { return id }
+	order := slices.Concat(rendezvous.Order(w.active, watcherKey, name), rendezvous.Order(w.standby, watcherKey, name))
 	return order[:min(len(order), watchersPerZone)]
 }
 
@@ -129,7 +160,8 @@
 func (p *peering) look(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	newest, peer := p.newest()
+	peer := p.gateway.node.Newest()
+	newest := peer.BackendsRevision
 	if newest <= p.gateway.changed.Load() {
 		p.behind = 0
 		return
@@ -151,17 +183,6 @@
 	}
 }
 
-// newest returns the newest change that another gateway knows of, and which.
-func (p *peering) newest() (uint64, cluster.Peer) {
-	var newest cluster.Peer
-	for _, peer := range p.gateway.node.Live() {
-		if peer.BackendsRevision > newest.BackendsRevision {
-			newest = peer
-		}
-	}
-	return newest.BackendsRevision, newest
-}
-
 // pull takes the state that another gateway knows.
 func (p *peering) pull(ctx context.Context, from cluster.Peer, newest uint64) {
 	state, err := p.fetch(ctx, from)
--- a/entry/gateway/probe.go
+++ b/entry/gateway/probe.go
@@ -30,6 +30,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			if !g.activity.is() {
+				continue // it gets few requests, and each probe costs its server
+			}
 			for _, server := range g.registry.DueProbes(now) {
 				g.run.Go(func() { g.registry.Probed(server, g.takesRequests(ctx, server)) })
 			}
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -64,6 +64,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	g.inst.requests.Inc()
+	g.activity.arrived()
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -20,6 +20,10 @@
 	// Store is where configuration and backend servers are read, IP:port.
 	// Required.
 	Store string `yaml:"store"`
+	// Follow tells how the store is followed.
+	Follow FollowSettings `yaml:"follow"`
+	// Machine tells what this VM may use.
+	Machine MachineSettings `yaml:"machine"`
 	// Entries tell what callers learn about where to connect.
 	Entries EntriesSettings `yaml:"entries"`
 	// Retry bounds the retries of each service over all gateways.
@@ -44,6 +48,25 @@
 	Metrics string `yaml:"metrics"`
 }
 
+// FollowSettings tell how the store is followed.
+type FollowSettings struct {
+	// Within is the time within which a published change has to be in force; the
+	// longer, the fewer calls to the store. From 500ms to 1m, default 2s.
+	Within time.Duration `yaml:"within"`
+}
+
+// MachineSettings tell what the VM may use.
+type MachineSettings struct {
+	// CPUShare is the part of the time for which a core runs the process. From 0 to 1,
+	// default 0: not known.
+	CPUShare float64 `yaml:"cpu_share"`
+	// Cores is how many cores' work is done then. From 0 to 1024, default 1.
+	Cores float64 `yaml:"cores"`
+}
+
+// millicores returns the processor time, in thousandths of a core, 0 = not known.
+func (m MachineSettings) millicores() uint32 { return uint32(1000 * m.CPUShare * m.Cores) }
+
 // EntriesSettings tell what callers learn about where to connect.
 type EntriesSettings struct {
 	// TTL is how long a caller keeps the addresses. From 1s to 1h, default 2s:
@@ -72,6 +95,7 @@
 }
 
 const (
+	defaultWithin      = 2 * time.Second
 	defaultTTL         = 2 * time.Second
 	defaultMost        = 64
 	defaultRetryRatio  = 0.2
@@ -82,6 +106,8 @@
 
 // Provision fills in the defaults.
 func (s *Settings) Provision() {
+	s.Follow.Within = settings.Or(s.Follow.Within, defaultWithin)
+	s.Machine.Cores = settings.Or(s.Machine.Cores, 1)
 	s.Entries.TTL = settings.Or(s.Entries.TTL, defaultTTL)
 	s.Entries.Most = settings.Or(s.Entries.Most, defaultMost)
 	s.Retry.Ratio = settings.Or(s.Retry.Ratio, defaultRetryRatio)
@@ -108,6 +134,9 @@
 		c.Address("seeds", seed)
 	}
 	c.Address("store", s.Store)
+	c.Duration("follow.within", s.Follow.Within, 500*time.Millisecond, time.Minute)
+	c.Float("machine.cpu_share", s.Machine.CPUShare, 0, 1)
+	c.Float("machine.cores", s.Machine.Cores, 0, 1024)
 	c.Duration("entries.ttl", s.Entries.TTL, time.Second, time.Hour)
 	c.Int("entries.most", s.Entries.Most, 1, 1000)
 	c.Float("retry.ratio", s.Retry.Ratio, 0, 10)
