Do not hold a step again after its commit, and look for groups that stand held

Holding had taken 0.22 s, so orders were sent again after 0.15 s, straight to ranks; such a copy that arrives after the rank was committed held the step once more, and an idle coordinator never looked. Not new with relays: any order that is sent again can be overtaken.

The explorer did not see it, as its schedules ended with a new coordinator, which finishes what it finds held.

--- a/agent/group/collect.go
+++ b/agent/group/collect.go
@@ -31,6 +31,7 @@
 	answered int
 	active   uint64 // version in use
 	mixed    bool   // ranks named different ones: a switch is under way
+	held     bool   // a rank holds a step
 	step     uint64 // the furthest begun
 	speeds   []float64
 	// running is the mean number of requests in a rank's batch, 0 = not known.
@@ -139,6 +140,7 @@
 	g.active = r.GetActive()
 	g.answered++
 	g.step = max(g.step, r.GetStep())
+	g.held = g.held || r.GetArmedStep() != 0
 	g.speeds[rank] = r.GetSpeed()
 	g.running += float64(r.GetRunning()) / float64(len(g.speeds))
 	g.parts[rank] = r.GetMap()
--- a/agent/group/lead.go
+++ b/agent/group/lead.go
@@ -147,7 +147,7 @@
 		return
 	}
 	l.step = c.step
-	l.coord.Observe(c.step, now)
+	l.coord.Observe(c.step, c.held, now)
 	current, known := l.currentMap(&c)
 	if !c.asked.counts || c.counted == 0 || !l.coord.InEffect(c.active) {
 		return
--- a/agent/mapswitch/coordinator.go
+++ b/agent/mapswitch/coordinator.go
@@ -103,6 +103,7 @@
 	epoch   uint64 // of the group, as all ranks said when they were read
 	version uint64 // largest version seen on any rank
 	pace    pace
+	held    time.Time // since when ranks are seen to hold a step though no switch is under way
 	// committed is the version of the latest switch, 0 = none yet.
 	committed uint64
 }
@@ -336,8 +337,27 @@
 	return min(c.timing.MostLead, max(c.timing.Lead, c.pace.steps()))
 }
 
-// Observe notes the step that the group has begun.
-func (c *Coordinator) Observe(step uint64, now time.Time) { c.pace.observe(step, now) }
+// heldPatience is for how long ranks may be seen to hold a step while no switch is under
+// way: what was seen may be older than the end of the latest one.
+const heldPatience = 300 * time.Millisecond
+
+// Observe notes the step that the group has begun, and whether any rank was seen to hold
+// one. Where one does for longer than the end of a switch explains, as after an order
+// that was carried out late, the group stands, and this coordinator reads all ranks anew
+// to finish what is there.
+func (c *Coordinator) Observe(step uint64, held bool, now time.Time) {
+	c.pace.observe(step, now)
+	resting := c.stage == StageIdle || c.stage == StagePreparing
+	switch {
+	case !held || !resting:
+		c.held = time.Time{}
+	case c.held.IsZero():
+		c.held = now
+	case now.Sub(c.held) >= heldPatience:
+		c.held = time.Time{}
+		c.enter(StageReading, now)
+	}
+}
 
 // recover finishes what an earlier coordinator may have begun.
 func (c *Coordinator) recover(now time.Time) {
--- a/agent/mapswitch/coordinator_test.go
+++ b/agent/mapswitch/coordinator_test.go
@@ -66,7 +66,7 @@
 			c := idleCoordinator(t, Timing{Lead: 1, MostLead: 8})
 			c.pace.took = 60 * time.Millisecond
 			for step := range 10 {
-				c.Observe(uint64(step+1), start.Add(time.Duration(step)*test.length))
+				c.Observe(uint64(step+1), false, start.Add(time.Duration(step)*test.length))
 			}
 			is.Equal(c.lead(), test.lead)
 		})
--- a/agent/mapswitch/member.go
+++ b/agent/mapswitch/member.go
@@ -167,7 +167,10 @@
 		m.prepared = preparation{o.Fence, o.Version}
 		return m.order(ctx, engine.Order{Kind: engine.OrderLoad, Fence: o.Fence, Version: o.Version, Map: o.Map.Layers})
 	case PhaseArm:
-		if s.Hold == o.Step && s.Loaded == o.Version {
+		// A copy of the order may arrive after the commit: to hold the step again would let
+		// the group stand.
+		committed := s.Activate == o.Step
+		if s.Loaded == o.Version && (s.Hold == o.Step || committed) {
 			return m.accept(s)
 		}
 		if s.Step >= o.Step {
--- a/agent/mapswitch/ranks_world_test.go
+++ b/agent/mapswitch/ranks_world_test.go
@@ -350,8 +350,9 @@
 	}
 }
 
-// settle ends all faults and runs the ordinary course with one coordinator. It
-// reports whether that came to rest with no rank holding.
+// settle ends all faults and runs the ordinary course with one coordinator: the latest,
+// which goes on from where it stands. It reports whether that came to rest with no rank
+// holding.
 func (w *rankWorld) settle() bool {
 	w.orders, w.replies = nil, nil
 	w.lossyOrders, w.lossyReports = false, false
@@ -361,14 +362,14 @@
 			r.carryOutLate()
 		}
 	}
-	w.lead(w.coords[len(w.coords)-1].rank)
 	w.coords = w.coords[len(w.coords)-1:]
-	const rounds = 60
+	const rounds = 80
 	for range rounds {
 		if w.coords[0].Stage() == mapswitch.StageSuperseded {
 			w.lead(w.coords[0].rank)
 			w.coords = w.coords[1:]
 		}
+		w.coords[0].Observe(w.step, !w.free(), w.now)
 		w.tick()
 		for len(w.orders) > 0 {
 			w.deliverOrder(0, false)
