--- a/entry/balance/probation.go
+++ b/entry/balance/probation.go
@@ -1,6 +1,11 @@
 package balance
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+
+	"baywall.example/core/cluster"
+)
 
 // While none of a service's servers is known to take requests, as after all VMs
 // lost power, requests would use up their retries on servers that turn them away.
@@ -13,8 +18,9 @@
 	// probeInterval is the time between two probes of a server: groups of ranks
 	// take some seconds to be formed, and callers wait for them.
 	probeInterval = 120 * time.Millisecond
-	// leastProbes and probedPart bound the probes in an interval: as long as no
-	// server takes requests, a part of them tells as much as all.
+	// leastProbes and probedPart bound the probes of all gateways in an interval: as long
+	// as no server takes requests, a part of them tells as much as all, and what one
+	// gateway finds the others hear.
 	leastProbes = 4
 	probedPart  = 4
 	// probePatience is for how long requests hold back where probes get no
@@ -33,6 +39,9 @@
 	// not make others late.
 	slowStartPace = 0.8
 	returnedPart  = 0.7
+	// peersPatience is for how long after a server turned a request away what others say
+	// of it may be older than that.
+	peersPatience = 1200 * time.Millisecond
 	// minDoubted and doubtedPart tell how many servers are doubted on probation:
 	// a quarter, where that is more than a few that are full by chance.
 	minDoubted  = 3
@@ -44,6 +53,7 @@
 	accepted bool      // it took a request in, and turned none away since
 	suspect  time.Time // when its service came on probation, zero = not suspect
 	good     bool      // its latest probe
+	rejected time.Time // when it last turned a request away
 	asked    time.Time // when the latest probe began
 	asking   bool
 }
@@ -112,6 +122,22 @@
 	return d.GapTarget > 0 && float64(s.pace(i, now)) >= slowStartPace*float64(d.GapTarget)
 }
 
+// hearPeers takes it from other gateways that suspect servers serve streams again: one
+// that was probed or tried successfully by one of them need not be by all.
+func (r *Registry) hearPeers(s *shard, now time.Time) {
+	for _, server := range s.servers {
+		p := &server.probation
+		if p.suspect.IsZero() || p.good || p.accepted || now.Sub(p.rejected) < peersPatience {
+			continue
+		}
+		key, load := [1]uint32{server.Key}, [1]cluster.Load{}
+		r.peers.Load(key[:], load[:])
+		if gap := load[0].Gap; gap > 0 && gap < standsFrom {
+			p.good, p.suspect = true, time.Time{}
+		}
+	}
+}
+
 // trusted reports whether a server may get requests as far as its probation goes.
 func (s *Server) trusted(probation bool, now time.Time) bool {
 	if s.probation.good || s.probation.accepted {
@@ -127,7 +153,7 @@
 	for _, s := range r.all() {
 		s.mu.Lock()
 		probation := s.onProbation(now)
-		left := max(leastProbes, len(s.servers)/probedPart)
+		left := r.probes(len(s.servers))
 		for _, server := range s.servers { // in random order
 			if server.trusted(probation, now) || server.draining || server.replaced {
 				continue
@@ -148,6 +174,13 @@
 	return out
 }
 
+// probes returns how many servers of some this gateway may probe in an interval: its part
+// of what all gateways together may, drawn so that the mean is right.
+func (r *Registry) probes(servers int) int {
+	part := float64(max(leastProbes, servers/probedPart)) / float64(r.peers.Members())
+	return int(part + rand.Float64())
+}
+
 // Probed notes the answer to a probe: whether the server takes requests.
 func (r *Registry) Probed(server *Server, good bool) {
 	s := r.shard(server.Service)
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -232,6 +232,7 @@
 // refresh fills the shard's scratch lists with the servers that may take
 // requests and what peers have in flight to them.
 func (r *Registry) refresh(s *shard, now time.Time) Load {
+	r.hearPeers(s, now)
 	s.usable, s.keys, s.engines = s.usable[:0], s.keys[:0], s.engines[:0]
 	probation := s.onProbation(now)
 	for _, server := range s.servers {
@@ -276,7 +277,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server.health.trial = false
-	server.probation.accepted, server.probation.good = false, false
+	server.probation.accepted, server.probation.good, server.probation.rejected = false, false, now
 	server.full.rejected(now)
 }
 
--- a/entry/balance/registry_test.go
+++ b/entry/balance/registry_test.go
@@ -343,3 +343,53 @@
 	near.inFlight.Store(3) // three requests more are too many
 	is.Equal(pick(t, r, start).Server.ID, "far")
 }
+
+// servedByPeers are servers to which another gateway's streams flow.
+type servedByPeers struct {
+	peerLoad
+	gap     time.Duration
+	members int
+}
+
+func (p servedByPeers) Members() int { return p.members }
+
+func (p servedByPeers) Load(servers []uint32, out []cluster.Load) {
+	for i, s := range servers {
+		if p.peerLoad[s] > 0 {
+			out[i] = cluster.Load{Requests: p.peerLoad[s], Gap: p.gap}
+		}
+	}
+}
+
+// Load pattern: a group of ranks is formed anew, and each of many gateways would probe
+// all of its servers.
+func TestWhatOtherGatewaysServeNeedsNoProbe(t *testing.T) {
+	for name, c := range map[string]struct {
+		gap  time.Duration
+		want int
+	}{"streams flow": {80 * time.Millisecond, 1}, "they stand": {standsFrom, 0}, "nothing is known": {0, 0}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := registry(nil, "a", "b", "c", "d")
+			r.peers = servedByPeers{peerLoad{r.shard("s").servers["b"].Key: 2}, c.gap, 1}
+			for _, server := range r.shard("s").servers {
+				r.Rejected(server, start)
+			}
+			is.Equal(r.Load("s", start.Add(longestFull)).Servers, 0) // what they said may be older
+			is.Equal(r.Load("s", start.Add(peersPatience)).Servers, c.want)
+		})
+	}
+}
+
+func TestGatewaysShareTheProbes(t *testing.T) {
+	is := is.New(t)
+	r := registry(nil, "a")
+	const members, servers = 16, 192
+	r.peers = servedByPeers{members: members}
+	sum := 0
+	for range 100 * members {
+		sum += r.probes(servers)
+	}
+	mean := float64(sum) / 100
+	is.True(mean > 0.9*servers/probedPart && mean < 1.1*servers/probedPart)
+}
