Let a relay tell of ranks that it does not reach

Cause: a rank whose agent was gone was left out of a relay's answers, so that its stream ended early and the coordinator took the relay for the one that passes nothing on. Found by reading. A relay also waited as long for its ranks as the coordinator for it.

Tests: TestARelayTellsOfARankThatItDoesNotReach, TestCountsOfSeveralRanksAreSummed.

--- a/agent/group/relay.go
+++ b/agent/group/relay.go
@@ -15,14 +15,24 @@
 // message costs its receiver some tenths of a millisecond of a slow core.
 const gatherTime = 6 * time.Millisecond
 
-// rankAnswer is one rank's answer to an order that was passed on, nil = none in time.
+// passTimeout and countsTimeout bound an order, and a poll, that is passed on: less than
+// whoever asked waits, so that one rank that is silent is told from a relay that is.
+const (
+	passTimeout   = callTimeout * 3 / 4
+	countsTimeout = collectTimeout * 3 / 4
+)
+
+// errNotReached is the reason in place of an answer that did not come.
+const errNotReached = "not reached"
+
+// rankAnswer is one rank's answer to an order that was passed on.
 type rankAnswer struct {
 	rank  uint32
 	reply *wire.SwitchReply
 }
 
 // Relay gives an order to each of its targets, this rank among them, and sends back
-// what they answer as it comes. A target that does not answer is left out.
+// what they answer as it comes, or that they do not.
 func (s *Set) Relay(ctx context.Context, r *wire.SwitchRelay, send func(*wire.SwitchRelayReply) error) error {
 	answers := make(chan rankAnswer, len(r.GetTargets()))
 	for _, target := range r.GetTargets() {
@@ -31,34 +41,34 @@
 	for left := len(r.GetTargets()); left > 0; {
 		batch := gather(answers, left)
 		left -= len(batch)
-		out := summed(batch, r.GetOrder())
-		if len(out.GetReplies()) == 0 {
-			continue
-		}
-		if err := send(out); err != nil {
+		if err := send(summed(batch, r.GetOrder())); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// pass gives the order to one target and returns its answer, or nil.
+// pass gives the order to one target and returns its answer.
 func (s *Set) pass(ctx context.Context, order *wire.SwitchOrder, target *wire.RelayTarget) *wire.SwitchReply {
 	mine := addressed(order, target.GetIncarnation())
 	if target.GetVm() == "" {
 		return s.Handle(ctx, mine)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	limit := passTimeout
+	if order.GetPhase() == wire.SwitchPhase_SWITCH_COUNTS {
+		limit = countsTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	conn, err := s.env.Pool.Get(ctx, vm.VM{ID: vm.ID(target.GetVm()), Link: target.GetAddress(), Role: vm.RoleBackend})
 	if err != nil {
 		s.env.Log.Info().Err(err).Str("group", order.GetGroup()).Uint32("rank", target.GetRank()).Msg("order not passed on")
-		return nil
+		return &wire.SwitchReply{Reason: errNotReached}
 	}
 	single := &wire.SwitchRelay{Order: mine, Targets: []*wire.RelayTarget{{Rank: target.GetRank(), Incarnation: target.GetIncarnation()}}}
 	reply, err := conn.Call(ctx, &wire.Call{Body: &wire.Call_SwitchRelay{SwitchRelay: single}})
 	if err != nil || len(reply.GetSwitchRelay().GetReplies()) != 1 {
-		return nil // the coordinator sends the order again
+		return &wire.SwitchReply{Reason: errNotReached} // the coordinator sends the order again
 	}
 	out := reply.GetSwitchRelay().GetReplies()[0].GetReply()
 	out.Counts = reply.GetSwitchRelay().GetCounts()
@@ -87,9 +97,6 @@
 	out := &wire.SwitchRelayReply{}
 	var told [][]*wire.LayerCounts
 	for _, a := range batch {
-		if a.reply == nil {
-			continue
-		}
 		if a.reply.GetOk() && order.GetCounts() {
 			told = append(told, a.reply.GetCounts())
 			a.reply.Counts = nil
--- /dev/null
+++ b/agent/group/relay_test.go
@@ -0,0 +1,52 @@
+package group
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baywall.example/core/expertmap"
+	"baywall.example/core/wire"
+)
+
+// One rank whose agent is gone must not make the rank before it look as if it passed
+// nothing on.
+func TestARelayTellsOfARankThatItDoesNotReach(t *testing.T) {
+	is := is.New(t)
+	world := newAgents(t, expertmap.Shape{Ranks: 3, Slots: 1, Layers: 1, Experts: 3}, Timing{First: time.Hour})
+	world.all[0].set.member.Recovered()
+	r := &wire.SwitchRelay{
+		Order: &wire.SwitchOrder{Group: "g", Phase: wire.SwitchPhase_SWITCH_READ, Fence: 7},
+		Targets: []*wire.RelayTarget{
+			{Rank: 0}, {Rank: 1, Vm: "vm-of-the-rank-1", Address: "127.0.0.1:1"},
+		},
+	}
+	got := make(map[uint32]*wire.SwitchReply)
+	is.NoErr(world.all[0].set.Relay(context.Background(), r, func(reply *wire.SwitchRelayReply) error {
+		for _, one := range reply.GetReplies() {
+			got[one.GetRank()] = one.GetReply()
+		}
+		return nil
+	}))
+	is.True(got[0].GetOk())
+	is.True(got[1] != nil)
+	is.True(!got[1].GetOk())
+	is.Equal(got[1].GetReason(), errNotReached)
+}
+
+func TestCountsOfSeveralRanksAreSummed(t *testing.T) {
+	is := is.New(t)
+	order := &wire.SwitchOrder{Counts: true, Shape: &wire.EngineShape{Layers: 1, Experts: 3, Slots: 1}}
+	answer := func(rank uint32, counts ...int64) rankAnswer {
+		return rankAnswer{rank, &wire.SwitchReply{Ok: true, Counts: encodeCounts([][]int64{counts})}}
+	}
+	out := summed([]rankAnswer{answer(1, 100, 0, 50), answer(2, 100, 200, 0), {3, &wire.SwitchReply{Reason: errNotReached}}}, order)
+	is.Equal(len(out.GetReplies()), 3)
+	sum := expertmap.Counts{make([]float64, 3)}
+	addCounts(sum, out.GetCounts())
+	for e, want := range []float64{200, 200, 50} {
+		is.True(sum[0][e] > want-4 && sum[0][e] < want+4)
+	}
+}
