Let gateways that follow for nobody try a lost store seldom

Once no gateway has heard the store lately, all 149 follow it themselves, each again after at most 0.45 s.

Change: in a fleet of more than 12 only the one of each zone that follows for the others tries as often; the rest after 1 to 3 s, and they take what they are offered meanwhile.

Tests: TestWhoFollowsForNobodyTriesALostStoreSeldom, TestAnOfferEndsThePauseOfAFollower.

--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -36,6 +36,10 @@
 	// failed calls: a store that is back is noticed within half a second.
 	firstPause   = 60 * time.Millisecond
 	longestPause = 450 * time.Millisecond
+	// firstPatience and longestPatience bound the random pause of a follower that knows
+	// the state and does not lead: of 140 some try each tenth of a second.
+	firstPatience   = time.Second
+	longestPatience = 3 * time.Second
 	// eventPause is how long a follower lets events gather that come in a row, as
 	// when a whole service starts: each call has its price, and a change may take
 	// two seconds to be in force.
@@ -73,6 +77,9 @@
 	// Rest, if not nil, tells that others follow for this one and offer what they
 	// hear: it leaves the store alone. It is asked before each call.
 	Rest func() bool
+	// Leads, if not nil, tells that this one is among those who follow for others. The
+	// rest try a store that does not answer seldom: each call has its price.
+	Leads func() bool
 	// Others returns how many others follow the same store and are heard, nil
 	// means none.
 	Others func() int
@@ -82,7 +89,7 @@
 	armed  time.Duration      // how long that waits
 	nudged uint64             // revision of the latest nudge
 	offer  *State             // of another follower, not yet looked at
-	wake   chan struct{}      // tells a resting follower that there is an offer
+	wake   chan struct{}      // tells a follower that pauses of an offer
 	latest State
 
 	items    map[string]Item
@@ -105,7 +112,7 @@
 	for ctx.Err() == nil {
 		f.adopt()
 		if f.Rest != nil && f.Rest() {
-			f.rest(ctx)
+			f.pause(ctx, restPause)
 			continue
 		}
 		err := f.next(ctx)
@@ -126,7 +133,7 @@
 			f.regained = now
 			continue
 		}
-		wait.Sleep(ctx, f.failed(err, now))
+		f.pause(ctx, f.failed(err, now))
 	}
 }
 
@@ -287,7 +294,10 @@
 		f.failing = now
 		f.Log.Warn().Err(err).Str("prefix", f.Prefix).Uint64("revision", f.revision).Msg("store lost")
 	}
-	limit := min(longestPause, firstPause<<min(f.failures, 4))
 	f.failures++
+	if f.listed && f.Leads != nil && !f.Leads() {
+		return firstPatience + rand.N(longestPatience-firstPatience)
+	}
+	limit := min(longestPause, firstPause<<min(f.failures-1, 4))
 	return limit/2 + rand.N(limit/2)
 }
--- a/core/source/follower_test.go
+++ b/core/source/follower_test.go
@@ -302,3 +302,38 @@
 	}
 	is.Equal(len(store.watches), 1)
 }
+
+// A store that is away for a whole fleet is tried often by those who follow it for the
+// others only.
+func TestWhoFollowsForNobodyTriesALostStoreSeldom(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	leads := true
+	f := &Follower{Log: zerolog.Nop(), Leads: func() bool { return leads }}
+	for range 20 {
+		is.True(f.failed(ErrUnavailable, now) <= longestPause)
+	}
+	leads = false
+	is.True(f.failed(ErrUnavailable, now) <= longestPause) // it knows nothing yet
+	f.listed = true
+	pause := f.failed(ErrUnavailable, now)
+	is.True(pause >= firstPatience && pause <= longestPatience)
+}
+
+// While it waits to try the store again, it takes what others found out.
+func TestAnOfferEndsThePauseOfAFollower(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	updates := make(chan Update, 8)
+	f := &Follower{
+		Store: unreachable{}, Log: zerolog.Nop(), Leads: func() bool { return false }, listed: true,
+		Deliver: func(u Update) { updates <- u },
+	}
+	go f.Run(ctx)
+	time.Sleep(30 * time.Millisecond) // its first call has failed
+	began := time.Now()
+	f.Offer(State{Items: map[string]Item{"a": {Key: "a", Revision: 3}}, Revision: 3, Changed: 3})
+	is.Equal((<-updates).Revision, uint64(3))
+	is.True(time.Since(began) < firstPatience/2)
+}
--- a/core/source/offers.go
+++ b/core/source/offers.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// wakeUp returns the channel that ends a pause of a resting follower, under mu.
+// wakeUp returns the channel that ends a pause, under mu.
 func (f *Follower) wakeUp() chan struct{} {
 	if f.wake == nil {
 		f.wake = make(chan struct{}, 1)
@@ -88,12 +88,12 @@
 	return f.wake
 }
 
-// rest pauses until it is offered something or the pause is over.
-func (f *Follower) rest(ctx context.Context) {
+// pause waits until the follower is offered something or the time is over.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
 	f.mu.Lock()
 	wake := f.wakeUp()
 	f.mu.Unlock()
-	timer := time.NewTimer(restPause)
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -88,6 +88,7 @@
 	g.follower = &source.Follower{
 		Store: a.Store(s.Store, log), Log: log, Deliver: g.take, Within: s.Follow.Within,
 		Others: g.followers, Rest: func() bool { return g.peering.rests() },
+		Leads: func() bool { return g.peering.leads.Load() },
 	}
 	g.inst = newInstruments(gauges{
 		catalogVersion:   func() float64 { return float64(g.catalog.Version()) },
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -65,6 +65,7 @@
 	pulling chan struct{} // holds one token while a pull is under way
 	behind  int           // looks in a row that found a newer change
 	resting atomic.Bool   // others follow the store for this one
+	leads   atomic.Bool   // this one is to follow it
 	began   time.Time
 	meeting time.Duration // for which others are looked for at first
 }
@@ -79,6 +80,7 @@
 		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Role: vm.RoleEntry, Zone: zone.ID(g.settings.Zone), BindIP: host,
 		Clock: &timeline.Clock{}, Log: g.log, Revisions: func() (config, vms uint64) { return g.catalog.Version(), g.changed.Load() },
 	}
+	p.leads.Store(true)
 	p.pool = link.NewPool(p.local, nil, nil, nil)
 	return p
 }
@@ -101,7 +103,9 @@
 			zone.add(string(peer.VM), peer.Active)
 		}
 	}
-	rest := fresh && len(live)+1 > smallFleet && !slices.Contains(zone.watchers(), p.gateway.settings.VM)
+	leads := len(live)+1 <= smallFleet || slices.Contains(zone.watchers(), p.gateway.settings.VM)
+	p.leads.Store(leads)
+	rest := fresh && !leads
 	if !listed && age > askedAfter {
 		rest = false
 	}
