Do not take the wait for the first requests for the time that demands last

The gain was taken for worth it as demands were expected to last ten seconds: the time from the election of the coordinator to the first change was counted as one.

Test: TestTheFirstChangeSaysNothingOfTheIntervals.

--- a/core/expertmap/demand.go
+++ b/core/expertmap/demand.go
@@ -92,7 +92,8 @@
 // between its changes.
 type Lifetime struct {
 	changed time.Time     // latest
-	mean    time.Duration // between changes, 0 = none seen
+	known   bool          // a change was seen
+	mean    time.Duration // between changes, 0 = no two were seen
 }
 
 // NewLifetime returns the estimate of a group whose demand is seen for the first
@@ -105,11 +106,15 @@
 	if interval < mergeTime {
 		return
 	}
+	l.changed = now
+	if !l.known {
+		l.known = true // the demand may have begun long after it was looked for
+		return
+	}
 	if l.mean == 0 {
 		l.mean = interval
 	}
 	l.mean += time.Duration(lifeWeight * float64(interval-l.mean))
-	l.changed = now
 }
 
 // Rest returns for how long the present demand is expected to last still.
--- a/core/expertmap/demand_test.go
+++ b/core/expertmap/demand_test.go
@@ -59,3 +59,16 @@
 	is.Equal(l.Rest(at.Add(3900*time.Millisecond)).Round(100*time.Millisecond), time.Second)
 	is.True(l.Rest(at.Add(time.Minute)) > 14*time.Second) // it has become calm
 }
+
+// A coordinator that waited ten seconds for the first requests must not take that for the
+// time for which demands last.
+func TestTheFirstChangeSaysNothingOfTheIntervals(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(0, 0)
+	l := NewLifetime(start)
+	at := start.Add(10 * time.Second)
+	l.Changed(at)
+	is.Equal(l.Rest(at.Add(time.Second)), unknownLife-time.Second)
+	l.Changed(at.Add(3 * time.Second))
+	is.Equal(l.Rest(at.Add(4*time.Second)), 2*time.Second)
+}
