Send other gateways compressed configurations, the last one only

Whoever pulls got each version in between, whole.

Tests: TestOnlyTheLatestEventOfAKeyIsKeptForOthers, TestACompressedValueIsOfItsRevision.

--- a/core/source/follower_test.go
+++ b/core/source/follower_test.go
@@ -337,3 +337,17 @@
 	is.Equal((<-updates).Revision, uint64(3))
 	is.True(time.Since(began) < firstPatience/2)
 }
+
+// Load pattern: configurations of most of a megabyte in quick succession. Who is behind
+// by many of them needs the last one.
+func TestOnlyTheLatestEventOfAKeyIsKeptForOthers(t *testing.T) {
+	is := is.New(t)
+	f := &Follower{}
+	f.keep(nil)
+	f.keep([]Event{{Item: item("config", 3)}, {Item: item("server", 4)}})
+	f.keep([]Event{{Item: item("config", 5)}})
+	f.keep([]Event{{Item: item("config", 6), Removed: true}})
+	is.Equal(f.Since(2).Events, []Event{{Item: item("server", 4)}, {Item: item("config", 6), Removed: true}})
+	is.Equal(f.Since(4).Events, []Event{{Item: item("config", 6), Removed: true}})
+	is.Equal(len(f.Since(6).Events), 0)
+}
--- a/core/source/offers.go
+++ b/core/source/offers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -59,12 +60,23 @@
 		return
 	}
 	f.recent = append(f.recent, events...)
+	f.recent = latestByKey(f.recent)
 	if over := len(f.recent) - mostRecent; over > 0 {
 		f.recentFrom = f.recent[over-1].Revision
 		f.recent = append([]Event(nil), f.recent[over:]...)
 	}
 }
 
+// latestByKey returns the events without those that a later one of the same key
+// replaces. Configurations that come in quick succession are most of a megabyte each.
+func latestByKey(events []Event) []Event {
+	latest := make(map[string]uint64, len(events))
+	for _, e := range events {
+		latest[e.Key] = max(latest[e.Key], e.Revision)
+	}
+	return slices.DeleteFunc(slices.Clone(events), func(e Event) bool { return e.Revision < latest[e.Key] })
+}
+
 // Offer hands over what another follower of the same store knows, for when this
 // one does not reach the store. It is safe for concurrent use.
 func (f *Follower) Offer(s State) {
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -66,6 +66,8 @@
 	behind  int           // looks in a row that found a newer change
 	resting atomic.Bool   // others follow the store for this one
 	leads   atomic.Bool   // this one is to follow it
+	packed  packer
+	pulled  time.Time // when the latest pull began, under mu
 	began   time.Time
 	meeting time.Duration // for which others are looked for at first
 }
@@ -177,8 +179,13 @@
 	if p.behind < pullAfter && p.gateway.listed.Load() && !p.resting.Load() {
 		return
 	}
+	now := time.Now()
+	if now.Sub(p.pulled) < p.pullGap() {
+		return
+	}
 	select {
 	case p.pulling <- struct{}{}:
+		p.pulled = now
 		p.gateway.run.Go(func() {
 			defer func() { <-p.pulling }()
 			p.pull(ctx, peer, newest)
@@ -187,6 +194,14 @@
 	}
 }
 
+// pullPart is the part of the time within which a change has to be in force that passes
+// between two pulls at least: changes in quick succession then come together.
+const pullPart = 0.1
+
+func (p *peering) pullGap() time.Duration {
+	return time.Duration(pullPart * float64(p.gateway.settings.Follow.Within))
+}
+
 // pull takes the state that another gateway knows.
 func (p *peering) pull(ctx context.Context, from cluster.Peer, newest uint64) {
 	state, err := p.fetch(ctx, from)
@@ -214,7 +229,7 @@
 		p.pool.Retain(func(id vm.ID) bool { return id != from.VM }) // the link may have gone silent
 		return source.State{}, err
 	}
-	return stateFromWire(reply.GetSource()), nil
+	return stateFromWire(reply.GetSource())
 }
 
 // ServeStream answers another gateway.
@@ -223,35 +238,8 @@
 		p.gateway.log.Warn().Str("peer", string(from.Remote)).Msg("unexpected call")
 		return
 	}
-	reply := stateToWire(p.gateway.follower.Since(call.GetSource().GetAfter()))
+	reply := p.packed.reply(p.gateway.follower.Since(call.GetSource().GetAfter()))
 	if err := s.SendReply(&wire.Reply{Body: &wire.Reply_Source{Source: reply}}); err != nil {
 		p.gateway.log.Info().Err(err).Str("peer", string(from.Remote)).Msg("state not sent")
 	}
 }
-
-func stateToWire(s source.State) *wire.SourceReply {
-	out := &wire.SourceReply{Revision: s.Revision, Changed: s.Changed, After: s.After}
-	for _, item := range s.Items {
-		out.Items = append(out.Items, &wire.SourceItem{Key: item.Key, Value: item.Value, Revision: item.Revision})
-	}
-	for _, e := range s.Events {
-		out.Items = append(out.Items, &wire.SourceItem{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Removed})
-	}
-	return out
-}
-
-func stateFromWire(w *wire.SourceReply) source.State {
-	out := source.State{Revision: w.GetRevision(), Changed: w.GetChanged(), After: w.GetAfter()}
-	if out.After == 0 {
-		out.Items = make(map[string]source.Item, len(w.GetItems()))
-	}
-	for _, i := range w.GetItems() {
-		item := source.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision()}
-		if out.After == 0 {
-			out.Items[item.Key] = item
-			continue
-		}
-		out.Events = append(out.Events, source.Event{Item: item, Removed: i.GetRemoved()})
-	}
-	return out
-}
--- /dev/null
+++ b/entry/gateway/state_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"baywall.example/core/source"
+	"baywall.example/core/wire"
+)
+
+// manyRoutes looks like a configuration of many routes.
+func manyRoutes(n int) []byte {
+	var out strings.Builder
+	for i := range n {
+		fmt.Fprintf(&out, `{"name":"r-%d","host":"host%d.example","path-prefix":"/p%d/","service":"s","kind":"streaming","timeout-ms":8000},`, i, i%7, i*7919)
+	}
+	return []byte(out.String())
+}
+
+func TestStatesComeBackAsTheyWereSent(t *testing.T) {
+	is := is.New(t)
+	large := source.Item{Key: "config", Value: manyRoutes(1400), Revision: 9}
+	small := source.Item{Key: "server", Value: []byte("{}"), Revision: 8}
+	var p packer
+	whole := source.State{Items: map[string]source.Item{"config": large, "server": small}, Revision: 9, Changed: 9}
+	w := p.reply(whole)
+	t.Logf("%d B of routes in %d B", len(large.Value), proto.Size(w))
+	is.True(proto.Size(w) < len(large.Value)/8)
+	got, err := stateFromWire(w)
+	is.NoErr(err)
+	is.Equal(got, whole)
+
+	events := source.State{
+		Events: []source.Event{{Item: large}, {Item: source.Item{Key: "gone", Revision: 7}, Removed: true}}, After: 3, Revision: 9, Changed: 9,
+	}
+	got, err = stateFromWire(p.reply(events))
+	is.NoErr(err)
+	is.Equal(got, events)
+}
+
+func TestACompressedValueIsOfItsRevision(t *testing.T) {
+	is := is.New(t)
+	var p packer
+	first := source.Item{Key: "config", Value: manyRoutes(100), Revision: 1}
+	second := source.Item{Key: "config", Value: manyRoutes(101), Revision: 2}
+	for _, i := range []source.Item{first, first, second, first} {
+		got, err := itemFromWire(p.item(i))
+		is.NoErr(err)
+		is.Equal(got, i)
+	}
+}
+
+func TestABrokenValueIsRefused(t *testing.T) {
+	is := is.New(t)
+	_, err := stateFromWire(&wire.SourceReply{Items: []*wire.SourceItem{{Key: "a", Value: []byte("no flate"), Packed: true}}})
+	is.True(err != nil)
+}
