--- a/agent/rankserver/server.go
+++ b/agent/rankserver/server.go
@@ -35,8 +35,9 @@
 	// labelInterval is how often the own rank is asked for its group where nobody else
 	// asks it anything.
 	labelInterval = 150 * time.Millisecond
-	// formingInterval is the same while the group is being formed: until it has a
-	// coordinator, its map is the initial one.
+	// formingInterval is the same while the group is being formed, and how often it is
+	// looked then whether this rank may coordinate it: until it has a coordinator, its
+	// map is the initial one.
 	formingInterval = 50 * time.Millisecond
 	// listInterval is how often the addresses of the service's backend servers
 	// are read. Stale lists do, as the group is checked rank by rank.
@@ -392,7 +393,7 @@
 // readEngine reads the shape of the service's engines until it is known.
 func (r *Server) readEngine(ctx context.Context) {
 	for began := time.Now(); !r.heir() && (time.Since(began) < startPatience || r.rests()); {
-		if !wait.Sleep(ctx, startInterval) {
+		if !wait.Sleep(ctx, formingInterval) {
 			return
 		}
 	}
