Keep a gateway's probes to its part in each interval

Change: a budget that fills with time, up to one interval's part.

Tests: TestGatewaysShareTheProbes now counts three looks an interval and asks for the same mean, TestProbesAreNotSavedUp.

--- a/entry/balance/probation.go
+++ b/entry/balance/probation.go
@@ -153,34 +153,53 @@
 	for _, s := range r.all() {
 		s.mu.Lock()
 		probation := s.onProbation(now)
-		left := r.probes(len(s.servers))
+		left := s.probes.take(r.probesAtOnce(len(s.servers)), now)
 		for _, server := range s.servers { // in random order
 			if server.trusted(probation, now) || server.draining || server.replaced {
 				continue
 			}
 			p := &server.probation
-			if now.Sub(p.asked) < probeInterval {
-				left--
-				continue
-			}
-			if !p.asking && left > 0 {
+			if now.Sub(p.asked) >= probeInterval && !p.asking && left > 0 {
 				p.asking, p.asked = true, now
 				out = append(out, server)
 				left--
 			}
 		}
+		s.probes.putBack(left)
 		s.mu.Unlock()
 	}
 	return out
 }
 
-// probes returns how many servers of some this gateway may probe in an interval: its part
-// of what all gateways together may, drawn so that the mean is right.
-func (r *Registry) probes(servers int) int {
-	part := float64(max(leastProbes, servers/probedPart)) / float64(r.peers.Members())
-	return int(part + rand.Float64())
+// probesAtOnce returns how many of some servers this gateway may probe in an interval:
+// its part of what all gateways together may.
+func (r *Registry) probesAtOnce(servers int) float64 {
+	return float64(max(leastProbes, servers/probedPart)) / float64(r.peers.Members())
+}
+
+// probeBudget spreads a gateway's probes over time.
+type probeBudget struct {
+	left float64
+	at   time.Time // when it was last filled, zero = never
 }
 
+// take returns how many probes may begin now, of so many in an interval.
+func (b *probeBudget) take(perInterval float64, now time.Time) int {
+	if b.at.IsZero() {
+		b.left = max(perInterval, rand.Float64()) // those that start together begin one after the other
+	} else {
+		b.left += perInterval * now.Sub(b.at).Seconds() / probeInterval.Seconds()
+	}
+	b.left = min(b.left, max(1, perInterval))
+	b.at = now
+	n := int(b.left)
+	b.left -= float64(n)
+	return n
+}
+
+// putBack returns probes that were not needed.
+func (b *probeBudget) putBack(n int) { b.left += float64(n) }
+
 // Probed notes the answer to a probe: whether the server takes requests.
 func (r *Registry) Probed(server *Server, good bool) {
 	s := r.shard(server.Service)
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -54,6 +54,7 @@
 	// occupied is for how long a request occupies a slot, smoothed; 0 = not
 	// known.
 	occupied       time.Duration
+	probes         probeBudget
 	probationSince time.Time // zero = not on probation
 	slowStart      time.Time // when the latest probation ended
 }
--- a/entry/balance/registry_test.go
+++ b/entry/balance/registry_test.go
@@ -386,10 +386,31 @@
 	r := registry(nil, "a")
 	const members, servers = 16, 192
 	r.peers = servedByPeers{members: members}
+	const intervals, looks = 40, 3
 	sum := 0
-	for range 100 * members {
-		sum += r.probes(servers)
+	for range members {
+		var b probeBudget
+		for i := range intervals * looks {
+			at := start.Add(time.Duration(i) * probeInterval / looks)
+			sum += b.take(r.probesAtOnce(servers), at)
+		}
+	}
+	perInterval := float64(sum) / intervals
+	is.True(perInterval > 0.9*servers/probedPart && perInterval < 1.1*servers/probedPart)
+}
+
+// What is not needed is not saved up for the next outage.
+func TestProbesAreNotSavedUp(t *testing.T) {
+	is := is.New(t)
+	var b probeBudget
+	is.Equal(b.take(4, start), 4)
+	is.Equal(b.take(4, start), 0)
+	b.putBack(3)
+	is.Equal(b.take(4, start.Add(time.Hour)), 4)
+	var rare probeBudget
+	sum := 0
+	for i := range 100 {
+		sum += rare.take(0.25, start.Add(time.Duration(i)*probeInterval))
 	}
-	mean := float64(sum) / 100
-	is.True(mean > 0.9*servers/probedPart && mean < 1.1*servers/probedPart)
+	is.True(sum >= 24 && sum <= 26)
 }
