--- a/agent/group/collect.go
+++ b/agent/group/collect.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"baywall.example/core/expertmap"
+	"baywall.example/core/settings"
 	"baywall.example/core/wire"
 )
 
@@ -175,7 +176,7 @@
 	g.answered++
 	g.step = max(g.step, r.GetStep())
 	g.held = g.held || r.GetArmedStep() != 0
-	g.speeds[rank] = r.GetSpeed()
+	g.speeds[rank] = settings.Or(r.GetSpeed(), 1)
 	g.running += float64(r.GetRunning()) / float64(len(g.speeds))
 	g.parts[rank] = r.GetMap()
 }
