--- a/agent/rankserver/world.go
+++ b/agent/rankserver/world.go
@@ -74,13 +74,6 @@
 	w.told = shape
 }
 
-// knows reports whether the configuration of the engines was read.
-func (w *world) knows() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.engine.Experts > 0
-}
-
 // lookInterval is how often the group is put together from what agents say, which
 // takes a tenth of a millisecond with 192 of them.
 const lookInterval = 60 * time.Millisecond
