Ignore an answer to an older ask of the same instant

Its next ask names the newer lease, so the grantor counts the older one as given back.

Tests: TestAnOlderAnswerOfTheSameInstantIsIgnored; the kept case failed before.

--- a/entry/limits/holder.go
+++ b/entry/limits/holder.go
@@ -81,7 +81,8 @@
 // answer that comes later than that of a newer ask is ignored.
 func (h *Holder) Granted(g Grant, sent time.Time) {
 	until := sent.Add(g.Duration)
-	if until.Before(h.until) {
+	overtaken := until.Equal(h.until) && g.Sequence < h.sequence // asked for at the same instant
+	if until.Before(h.until) || overtaken {
 		return
 	}
 	h.sequence, h.share, h.until = g.Sequence, g.Share, until
--- a/entry/limits/limits_test.go
+++ b/entry/limits/limits_test.go
@@ -70,6 +70,19 @@
 	})
 }
 
+// The grantor takes the holder's next ask, which names the newer lease, as proof that
+// the older one is not in use.
+func TestAnOlderAnswerOfTheSameInstantIsIgnored(t *testing.T) {
+	is := is.New(t)
+	var h Holder
+	h.Granted(Grant{Sequence: 2, Share: 0, Duration: LeaseTime}, start)
+	h.Granted(Grant{Sequence: 1, Share: 20, Duration: LeaseTime}, start)
+	is.Equal(h.leased(start), 0)
+	is.Equal(h.Ask("a", start).HeldSequence, uint64(2))
+	h.Granted(Grant{Sequence: 3, Share: 10, Duration: LeaseTime}, start)
+	is.Equal(h.leased(start), 10)
+}
+
 func TestANewGrantorGrantsNothingMoreUntilEarlierLeasesEnded(t *testing.T) {
 	is := is.New(t)
 	fleet := Fleet{Listed: 4, Reachable: 4, Stable: start}
