Give the gateway's tests addresses that no connection can take

The port was free when it was chosen; until the gateway listened, the kernel gave it to a connection of some other process. Outgoing connections get ports of 127.0.0.1, so each test process now listens on a loopback address of its own.

--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -77,14 +79,27 @@
 	runs    atomic.Int32
 }
 
+// testHost is a loopback address of this process alone: a free port of 127.0.0.1 may be
+// given to any connection on the machine before the test listens on it.
+var testHost = fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>16&0x7f, os.Getpid()>>8&0xff, 1+os.Getpid()&0x7f)
+
+// given are the addresses that freeAddress has returned.
+var given sync.Map
+
+// freeAddress returns an address on which nothing listens, another one each time.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		ln, err := net.Listen("tcp4", net.JoinHostPort(testHost, "0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := ln.Addr().String()
+		ln.Close()
+		if _, taken := given.LoadOrStore(address, true); !taken {
+			return address
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
 }
 
 // routes of the tests: /once/ runs at most once, /many/ and /stream/ may run
