Count the frames of a poll's streams in its budget

A call costs nine frames of 12 bytes of its session besides its message, which the budget left out.

Polls of 96 ranks on 6 Mbit/s may come each 0.14 s.

--- a/agent/group/sample.go
+++ b/agent/group/sample.go
@@ -8,7 +8,7 @@
 
 // What a coordinator asks of its group is bounded by its VM's link, which also carries
 // the requests of the backend server beside it. It may ask as often as the answers of
-// all ranks fit a third of its part, and asks as many of them for their counts as the
+// all ranks fit half of its part, and asks as many of them for their counts as the
 // rest allows, in turn. Which experts are popular is a property of the group's whole
 // work, so some ranks tell it nearly as well as all: one step of 30 streams chooses
 // each of 192 experts a hundred times.
@@ -17,10 +17,11 @@
 	// controlShare is the part of its VM's link that a coordinator may use.
 	controlShare = 0.1
 	// stateShare is the part of that for what ranks say besides their counts.
-	stateShare = 0.33
-	// callBytes is about what the order to one chunk takes in a poll, stateBytes the
-	// answer of one rank without its counts: 63 and 27 bytes measured.
-	callBytes, stateBytes = 70, 27
+	stateShare = 0.5
+	// callBytes is about what the order to one chunk takes in a poll, the frames of its
+	// stream both ways included, stateBytes the answer of one rank without its counts: 63
+	// bytes and nine frames of 12, and 27 bytes, measured.
+	callBytes, stateBytes = 170, 27
 	// rootBytes is what the counts of one expert take, layerBytes what each layer takes
 	// besides.
 	rootBytes  = 1
--- a/agent/group/sample_test.go
+++ b/agent/group/sample_test.go
@@ -36,10 +36,10 @@
 		gap                    time.Duration
 		told                   int // chunks, when a poll comes after 200 ms
 	}{
-		{"96 ranks on 6 Mbit/s", 6, 96, 16, 192, 149979797, 3},
-		{"24 ranks on 8 Mbit/s", 8, 24, 16, 96, 53575757, 10},
-		{"8 ranks on 20 Mbit/s", 20, 8, 6, 64, 9406060, 7},
-		{"128 ranks of 58 layers on 100 Mbit/s", 100, 128, 58, 256, 11093333, 16},
+		{"96 ranks on 6 Mbit/s", 6, 96, 16, 192, 141653333, 3},
+		{"24 ranks on 8 Mbit/s", 8, 24, 16, 96, 67360 * time.Microsecond, 9},
+		{"8 ranks on 20 Mbit/s", 20, 8, 6, 64, 12608 * time.Microsecond, 7},
+		{"128 ranks of 58 layers on 100 Mbit/s", 100, 128, 58, 256, 9881600, 15},
 		{"a link that is not known", 0, 96, 16, 192, 0, 16},
 	}
 	for _, c := range cases {
