--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -6,7 +6,12 @@
 // number, takes the lead with a larger fencing number; so normally the lowest
 // live rank leads. Two leaders at a time are harmless (package mapswitch). The
 // leader collects token counts, smooths them, plans, and switches when the plan
-// moves anything.
+// pays for its moves.
+//
+// A leader's cost does not grow with its group: it calls up to 16 ranks, which
+// pass its orders on to the others (tree.go, relay.go), and asks for as many
+// counts as a part of its VM's link allows (sample.go). Polls (collect.go) and
+// plans (plan.go) run aside, so that the ranks hear it meanwhile.
 package group
 
 import (
