Tell other gateways which servers take requests again

Change: heartbeats name, for half a second, servers that a probe or a request found; who suspects them trusts that unless they turned away its own request within a second.

Tests: TestWhatOneGatewayFindsTheOthersKnow, TestWhatAMemberFoundIsKnownToOthersForAWhile.

--- a/core/cluster/activity_test.go
+++ b/core/cluster/activity_test.go
@@ -140,3 +140,19 @@
 	t.Logf("%d B, without requests in flight %d B", full, proto.Size(hb))
 	is.True(proto.Size(hb) < full/4)
 }
+
+func TestWhatAMemberFoundIsKnownToOthersForAWhile(t *testing.T) {
+	is := is.New(t)
+	f := largeFleet(2, 1)
+	finder := f.selves["10.0.0.0:1"]
+	finder.Found = []uint32{7}
+	f.selves["10.0.0.0:1"] = finder
+	f.run(200 * time.Millisecond)
+	other := f.tables["10.0.0.1:1"]
+	is.True(other.Load(7, f.now).Found)
+	is.True(!other.Load(8, f.now).Found)
+	finder.Found = nil
+	f.selves["10.0.0.0:1"] = finder
+	f.run(foundLifetime + 200*time.Millisecond)
+	is.True(!other.Load(7, f.now).Found)
+}
--- a/core/cluster/heartbeat.go
+++ b/core/cluster/heartbeat.go
@@ -14,7 +14,7 @@
 		Address: self.Address, Front: self.Front, Ready: self.Ready,
 		CatalogVersion: self.CatalogVersion, BackendsRevision: self.BackendsRevision,
 		Rank: self.Rank.wire(), Paces: t.paces.told(now), Lost: t.toldLost(now),
-		Active: self.Active, Millicores: self.Millicores, Arrivals: self.Arrivals,
+		Found: self.Found[:min(len(self.Found), mostFound)], Active: self.Active, Millicores: self.Millicores, Arrivals: self.Arrivals,
 	}
 	if t.sequence%contactsEvery == 0 || now.Sub(t.met) < meetingTime {
 		hb.Contacts = t.contacts(rnd)
--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -31,6 +31,10 @@
 	gapFresh = 300 * time.Millisecond
 	// gapLifetime is how long a gap counts where no newer one is heard.
 	gapLifetime = time.Second
+	// foundLifetime is how long a server counts as found after a member said so.
+	foundLifetime = 500 * time.Millisecond
+	// mostFound bounds the servers named in one datagram.
+	mostFound = 256
 	// contactsPerHeartbeat bounds the addresses passed on in one datagram.
 	contactsPerHeartbeat = 4
 	// contactsEvery is in which heartbeats there are any once all members are met,
@@ -51,6 +55,8 @@
 	CatalogVersion   uint64
 	BackendsRevision uint64
 	Load             map[uint32]Load // by backend server key
+	// Found are backend servers, by key, that lately turned out to take requests again.
+	Found []uint32
 	// StoreHeard is when the store last answered this member; zero = never.
 	StoreHeard time.Time
 	Rank       *RankLabel // nil unless it is the agent of a rank
@@ -63,6 +69,8 @@
 	// Gap is the pause between events of the streams, 0 = not known; of several
 	// members the longest.
 	Gap time.Duration
+	// Found tells that a member lately found the server to take requests again.
+	Found bool
 }
 
 // RankLabel is the place of a rank in its expert-parallel group.
@@ -138,10 +146,11 @@
 	totals   map[uint32]int
 	gaps     map[uint32]heardGap
 	paces    paces
-	met      time.Time // when a member was met last
-	told     time.Time // when this member last announced itself
-	own      Self      // as last told
-	actives  int       // live members that are active, this one included
+	found    map[uint32]time.Time // when members named a server as found
+	met      time.Time            // when a member was met last
+	told     time.Time            // when this member last announced itself
+	own      Self                 // as last told
+	actives  int                  // live members that are active, this one included
 	lost     map[string]time.Time
 	sequence uint64
 }
@@ -153,6 +162,7 @@
 		self: self, perPeer: perPeer,
 		peers: make(map[string]*Peer), alive: make(map[string]bool), totals: make(map[uint32]int),
 		gaps: make(map[uint32]heardGap), paces: make(paces), lost: make(map[string]time.Time),
+		found: make(map[uint32]time.Time),
 	}
 	t.SetSeeds(seeds)
 	return t
@@ -246,6 +256,9 @@
 		return nil // an earlier process's datagram that was on its way
 	}
 	next := t.replace(p, hb, now)
+	for _, server := range hb.GetFound() {
+		t.found[server] = now
+	}
 	t.learn(hb.GetContacts())
 	changes := t.hearLost(hb.GetLost(), now)
 	if met || !t.alive[address] {
@@ -304,6 +317,11 @@
 
 func (t *Table) expire(now time.Time) []Change {
 	var out []Change
+	for server, at := range t.found {
+		if now.Sub(at) >= foundLifetime {
+			delete(t.found, server)
+		}
+	}
 	for address, p := range t.peers {
 		quiet := now.Sub(p.Heard)
 		if t.alive[address] && quiet > max(silence, missedIntervals*t.expected(p)) {
@@ -378,7 +396,7 @@
 
 // Load returns what live peers put on the backend server.
 func (t *Table) Load(server uint32, now time.Time) Load {
-	out := Load{Requests: t.totals[server]}
+	out := Load{Requests: t.totals[server], Found: now.Sub(t.found[server]) < foundLifetime}
 	if g := t.gaps[server]; out.Requests > 0 && now.Sub(g.heard) < gapLifetime {
 		out.Gap = g.gap
 	}
--- a/entry/balance/probation.go
+++ b/entry/balance/probation.go
@@ -39,6 +39,11 @@
 	// not make others late.
 	slowStartPace = 0.8
 	returnedPart  = 0.7
+	// foundTold is for how long other gateways are told of a server that takes requests
+	// again, foundPatience for how long after a server turned a request away that may be
+	// older: what is told, and what was heard, both last half a second.
+	foundTold     = 500 * time.Millisecond
+	foundPatience = 2 * foundTold
 	// peersPatience is for how long after a server turned a request away what others say
 	// of it may be older than that.
 	peersPatience = 1200 * time.Millisecond
@@ -54,6 +59,7 @@
 	suspect  time.Time // when its service came on probation, zero = not suspect
 	good     bool      // its latest probe
 	rejected time.Time // when it last turned a request away
+	found    time.Time // when it turned out to take requests again
 	asked    time.Time // when the latest probe began
 	asking   bool
 }
@@ -122,18 +128,21 @@
 	return d.GapTarget > 0 && float64(s.pace(i, now)) >= slowStartPace*float64(d.GapTarget)
 }
 
-// hearPeers takes it from other gateways that suspect servers serve streams again: one
+// hearPeers takes it from other gateways that suspect servers take requests again: one
 // that was probed or tried successfully by one of them need not be by all.
 func (r *Registry) hearPeers(s *shard, now time.Time) {
 	for _, server := range s.servers {
 		p := &server.probation
-		if p.suspect.IsZero() || p.good || p.accepted || now.Sub(p.rejected) < peersPatience {
+		if p.suspect.IsZero() || p.trustedSelf() || now.Sub(p.rejected) < foundPatience {
 			continue
 		}
 		key, load := [1]uint32{server.Key}, [1]cluster.Load{}
 		r.peers.Load(key[:], load[:])
-		if gap := load[0].Gap; gap > 0 && gap < standsFrom {
+		gap := load[0].Gap
+		flows := gap > 0 && gap < standsFrom && now.Sub(p.rejected) >= peersPatience
+		if flows || load[0].Found {
 			p.good, p.suspect = true, time.Time{}
+			server.full = fullness{}
 		}
 	}
 }
@@ -212,7 +221,7 @@
 	}
 	p.good = good
 	if good {
-		p.suspect = time.Time{}
+		p.suspect, p.found = time.Time{}, time.Now()
 		server.full = fullness{}
 	}
 }
@@ -223,5 +232,27 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server.full = fullness{}
-	server.probation.accepted, server.probation.suspect = true, time.Time{}
+	p := &server.probation
+	if !p.suspect.IsZero() {
+		p.found = time.Now()
+	}
+	p.accepted, p.suspect = true, time.Time{}
 }
+
+// Found returns the keys of servers that lately turned out to take requests again, for
+// the other gateways: each probes only its part of them.
+func (r *Registry) Found(now time.Time) []uint32 {
+	var out []uint32
+	for _, s := range r.all() {
+		s.mu.Lock()
+		for _, server := range s.servers {
+			if p := &server.probation; p.trustedSelf() && now.Sub(p.found) < foundTold {
+				out = append(out, server.Key)
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+func (p *probation) trustedSelf() bool { return p.good || p.accepted }
--- a/entry/balance/registry_test.go
+++ b/entry/balance/registry_test.go
@@ -381,6 +381,40 @@
 	}
 }
 
+// foundByPeers are servers that another gateway found to take requests again.
+type foundByPeers struct{ peerLoad }
+
+func (p foundByPeers) Load(servers []uint32, out []cluster.Load) {
+	for i, s := range servers {
+		out[i].Found = p.peerLoad[s] > 0
+	}
+}
+
+// Load pattern: all processes and groups come back together, and each of the gateways
+// may probe a few of several hundred servers in an interval.
+func TestWhatOneGatewayFindsTheOthersKnow(t *testing.T) {
+	is := is.New(t)
+	finder := registry(nil, "a", "b", "c", "d")
+	for _, server := range finder.shard("s").servers {
+		finder.Rejected(server, start)
+	}
+	is.Equal(finder.Load("s", start.Add(longestFull)).Servers, 0)
+	b := finder.shard("s").servers["b"]
+	finder.Probed(b, true)
+	found := finder.Found(time.Now())
+	is.Equal(found, []uint32{b.Key})
+	is.Equal(len(finder.Found(time.Now().Add(foundTold))), 0) // not for ever
+
+	other := registry(nil, "a", "b", "c", "d")
+	other.peers = foundByPeers{peerLoad{found[0]: 1}}
+	for _, server := range other.shard("s").servers {
+		other.Rejected(server, start)
+	}
+	is.Equal(other.Load("s", start.Add(longestFull)).Servers, 0) // it may be older than the rejection
+	is.Equal(other.Load("s", start.Add(foundPatience)).Servers, 1)
+	is.Equal(pick(t, other, start.Add(foundPatience)).Server.ID, "b")
+}
+
 func TestGatewaysShareTheProbes(t *testing.T) {
 	is := is.New(t)
 	r := registry(nil, "a")
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -105,6 +105,7 @@
 		Address: g.settings.Listen.Peers, Front: g.settings.Listen.Front, Ready: g.Ready(),
 		CatalogVersion: g.catalog.Version(), BackendsRevision: g.changed.Load(),
 		Load: g.registry.OwnLoad(time.Now()), StoreHeard: g.follower.Heard(),
+		Found: g.registry.Found(time.Now()),
 		Activity: cluster.Activity{
 			Active: g.activity.is() && !g.leaving.Load(), Millicores: g.settings.Machine.millicores(), Arrivals: g.activity.rate(),
 		},
