--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -7,7 +7,7 @@
 
 // failedSeeds are seeds that ever broke a promise, with the cause. They are run
 // again for as long as they ran then.
-var failedSeeds []struct {
+var failedSeeds = []struct {
 	name   string
 	seed   uint64
 	length time.Duration
