--- a/core/source/follower_test.go
+++ b/core/source/follower_test.go
@@ -352,3 +352,44 @@
 	is.Equal(f.Since(4).Events, []Event{{Item: item("config", 6), Removed: true}})
 	is.Equal(len(f.Since(6).Events), 0)
 }
+
+// forgetful is a store that has dropped the history that any watch asks for, just when
+// its follower comes to rest.
+type forgetful struct{ rest *atomic.Bool }
+
+func (forgetful) List(context.Context, string, Freshness) ([]Item, uint64, error) {
+	return []Item{item("a", 1)}, 1, nil
+}
+
+func (s forgetful) Watch(context.Context, string, uint64, time.Duration) ([]Event, uint64, error) {
+	s.rest.Store(true)
+	return nil, 0, ErrHistoryLost
+}
+
+// A gateway that follows for nobody got 410 just when it came to rest. Without a list it
+// refused the events that others offered, and as it knew a revision it was offered nothing
+// else: it stayed behind, and sent requests to a backend server that had left.
+//
+//	"watch history lost, listing again" revision=143
+//	"following of the store changed" resting=true
+//	"state asked from another gateway" newest=144 known=143 (again each 0.3 s)
+func TestAFollowerThatLostItsHistoryTakesEventsThatOthersOffer(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var rest atomic.Bool
+	updates := make(chan Update, 8)
+	f := &Follower{Store: forgetful{&rest}, Log: zerolog.Nop(), Rest: rest.Load, Deliver: func(u Update) { updates <- u }}
+	go f.Run(ctx)
+	is.Equal((<-updates).Revision, uint64(1))
+	for !rest.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	f.Offer(State{Events: []Event{{Item: item("b", 2)}}, After: 1, Revision: 2, Changed: 2})
+	select {
+	case u := <-updates:
+		is.Equal(len(u.Items), 2)
+	case <-time.After(time.Second):
+		t.Fatal("it took no event")
+	}
+}
