--- a/core/cluster/activity_test.go
+++ b/core/cluster/activity_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
+
+	"baywall.example/core/source"
 )
 
 // largeFleet is a fleet with some active members that has met.
@@ -130,7 +132,7 @@
 	is := is.New(t)
 	self := Self{
 		VM: "edge-availability-zone-12", Incarnation: 1 << 50, Zone: "availability-zone", Address: "10.100.100.100:7341",
-		Front: "10.100.100.100:8080", Ready: true, CatalogVersion: 1000, BackendsRevision: 10_000, Load: map[uint32]Load{},
+		Front: "10.100.100.100:8080", Ready: true, CatalogVersion: 1000, StoreChanged: source.Position{Revision: 10_000}, Load: map[uint32]Load{},
 	}
 	for i := range uint32(60) {
 		self.Load[0x7000_0000+i<<20] = Load{Requests: 1, Gap: 80 * time.Millisecond}
--- a/core/cluster/heartbeat.go
+++ b/core/cluster/heartbeat.go
@@ -12,7 +12,8 @@
 	hb := &wire.Heartbeat{
 		Vm: string(self.VM), Incarnation: uint64(self.Incarnation), Sequence: t.sequence, Zone: self.Zone,
 		Address: self.Address, Front: self.Front, Ready: self.Ready,
-		CatalogVersion: self.CatalogVersion, BackendsRevision: self.BackendsRevision,
+		CatalogVersion: self.CatalogVersion, Retained: self.Retained,
+		BackendsEra: self.StoreChanged.Era, BackendsRevision: self.StoreChanged.Revision,
 		Rank: self.Rank.wire(), Paces: t.paces.told(now), Lost: t.toldLost(now),
 		Found: self.Found[:min(len(self.Found), mostFound)], Active: self.Active, Millicores: self.Millicores, Arrivals: self.Arrivals,
 	}
--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -220,14 +220,6 @@
 	return nil
 }
 
-// Newest returns the live peer that knows the newest change of the backend servers; the
-// zero Peer if there is none.
-func (n *Node) Newest() Peer {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.table.Newest()
-}
-
 // Members returns the number of live active members, this one included.
 func (n *Node) Members() int {
 	n.mu.Lock()
--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"baywall.example/core/source"
 	"baywall.example/core/vm"
 	"baywall.example/core/wire"
 )
@@ -53,12 +54,14 @@
 	Front            string // where callers connect, IP:port
 	Ready            bool
 	CatalogVersion   uint64
-	BackendsRevision uint64
+	StoreChanged     source.Position // newest change of the store that it knows
 	Load             map[uint32]Load // by backend server key
 	// Found are backend servers, by key, that lately turned out to take requests again.
 	Found []uint32
 	// StoreHeard is when the store last answered this member; zero = never.
 	StoreHeard time.Time
+	// Retained is the digest of what it knows better than the store, 0 = nothing.
+	Retained uint64
 	Rank       *RankLabel // nil unless it is the agent of a rank
 	// Suspects returns what is told of requests that may end backend servers; nil =
 	// nothing.
@@ -107,8 +110,9 @@
 	Front            string
 	Ready            bool
 	CatalogVersion   uint64
-	BackendsRevision uint64
-	StoreHeard       time.Time // when the store last answered it; zero = not known
+	StoreChanged     source.Position // newest change of the store that it knows
+	StoreHeard       time.Time       // when the store last answered it, or one that it hears; zero = not known
+	Retained         uint64          // digest of what it knows better than the store, 0 = nothing
 	Rank             *RankLabel
 	Heard            time.Time
 	Activity
@@ -277,7 +281,8 @@
 	next := &Peer{
 		VM: vm.ID(hb.GetVm()), Incarnation: vm.Incarnation(hb.GetIncarnation()), Zone: hb.GetZone(),
 		Address: hb.GetAddress(), Front: hb.GetFront(), Ready: hb.GetReady(),
-		CatalogVersion: hb.GetCatalogVersion(), BackendsRevision: hb.GetBackendsRevision(),
+		CatalogVersion: hb.GetCatalogVersion(), Retained: hb.GetRetained(),
+		StoreChanged: source.Position{Era: hb.GetBackendsEra(), Revision: hb.GetBackendsRevision()},
 		Rank: rankFromWire(hb.GetRank()), Heard: now, sequence: hb.GetSequence(), load: make(map[uint32]Load, len(hb.GetInFlight())),
 		Activity: Activity{Active: hb.GetActive(), Millicores: hb.GetMillicores(), Arrivals: hb.GetArrivals()},
 	}
@@ -377,18 +382,6 @@
 // Expect replaces the addresses at which members may be that are not looked for.
 func (t *Table) Expect(addresses []string) { t.expects = addresses }
 
-// Newest returns the live peer that knows the newest change of the backend servers; the
-// zero Peer if there is none.
-func (t *Table) Newest() Peer {
-	var newest Peer
-	for address := range t.alive {
-		if p := t.peers[address]; p.BackendsRevision > newest.BackendsRevision {
-			newest = *p
-		}
-	}
-	return newest
-}
-
 // settled reports whether nobody was met lately and nothing was announced.
 func (t *Table) settled(now time.Time) bool {
 	return now.Sub(t.met) >= meetingTime && now.Sub(t.told) >= repeatTime
--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -8,11 +8,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"baywall.example/core/clock"
 	"baywall.example/core/settings"
-	"baywall.example/core/wait"
 )
 
 const (
@@ -33,37 +33,39 @@
 	// listTimeout bounds a list; the store answers in milliseconds, in some
 	// seconds when it is slow.
 	listTimeout = 4 * time.Second
-	// firstPause and longestPause bound the jittered, doubling pause between
-	// failed calls: a store that is back is noticed within half a second.
-	firstPause   = 60 * time.Millisecond
-	longestPause = 450 * time.Millisecond
-	// firstPatience and longestPatience bound the random pause of a follower that knows
-	// the state and does not lead: of 140 some try each tenth of a second.
-	firstPatience   = time.Second
-	longestPatience = 3 * time.Second
-	// eventPause is how long a follower lets events gather that come in a row, as
-	// when a whole service starts: each call has its price, and a change may take
-	// two seconds to be in force.
-	eventPause = 250 * time.Millisecond
-	// inARow is how soon after the last event the next one counts as in a row.
-	inARow = time.Second
 	// recoveryTime is how long after an outage live entries may still be
 	// missing: they are back within about two seconds.
 	recoveryTime = 2200 * time.Millisecond
+	// outageAbsence is for how long an entry that goes missing after an outage is taken for
+	// one that is to come back: one whose writer left on purpose just then looks the same,
+	// and has to be gone two seconds later.
+	outageAbsence = 1500 * time.Millisecond
 )
 
-// errInterrupted means that a call was cut short by a nudge, an offer or the
-// follower's end: it tells nothing about the store.
-var errInterrupted = errors.New("interrupted")
+var (
+	// errInterrupted means that a call was cut short by a nudge, an offer or the
+	// follower's end: it tells nothing about the store.
+	errInterrupted = errors.New("interrupted")
+	// errReturned means that the store is back from an older copy: a new era has begun.
+	errReturned = errors.New("the store is back from an older copy")
+	// errOlder means an answer of an earlier history than the known one, or a list of an
+	// earlier moment: it was on its way for long, or the store is not the one it was.
+	errOlder = eris.Wrap(ErrUnavailable, "older answer")
+	// errEmpty means that a watch ended long before its time without any event.
+	errEmpty = errors.New("a watch ended early without events")
+)
 
 // Update is the state of a prefix.
 type Update struct {
 	Items    map[string]Item // by key; the receiver does not change it
-	Revision uint64
-	// Changed is the revision of the newest change that is known.
-	Changed uint64
-	// Recovering is set for a while after the store was away.
-	Recovering bool
+	Position                 // a watch goes on from here
+	// Changed is the position of the newest change that is known.
+	Changed Position
+	// Absence is for how long an entry that is missing may be on its way back, since the
+	// store was away; 0 = it is gone.
+	Absence time.Duration
+	// From names the follower that it was taken from, empty = the store itself.
+	From string
 }
 
 // Follower keeps a prefix of a store up to date.
@@ -85,68 +87,111 @@
 	// means none.
 	Others func() int
 
-	mu     sync.Mutex
-	cancel context.CancelFunc // of the call under way
-	armed  time.Duration      // how long that waits
-	nudged uint64             // revision of the latest nudge
-	offer  *State             // of another follower, not yet looked at
-	wake   chan struct{}      // tells a follower that pauses of an offer
-	latest State
+	// Rules tell what is newer where the store is back from an older copy.
+	Rules Rules
+
+	mu       sync.Mutex
+	cancel   context.CancelFunc // of the call under way
+	armed    time.Duration      // how long that waits
+	nudged   Position           // of the latest nudge
+	offers   []State            // of other followers, not yet looked at
+	wake     chan struct{}      // tells a follower that pauses of an offer
+	latest   State
+	retained uint64 // digest of what is kept
 
-	items    map[string]Item
-	revision uint64
-	changed  uint64
-	listed   bool
-	failing  time.Time // since when, zero = not
-	failures int
-	regained time.Time // when the latest outage ended
+	view      view
+	relist    bool      // its history is lost
+	notBefore time.Time // the next call
+	failing   time.Time // since when, zero = not
+	failures  int
+	odd       int       // answers in a row that brought nothing
+	regained  time.Time // when the latest outage ended
+	absence   time.Duration
+	from      string // whose state it is, empty = the store's
 
-	lastEvent time.Time
+	lastEvent time.Time // when the latest events came
+	inRow     bool      // they came soon after those before
 
 	recent     []Event                   // under mu; the newest last
-	recentFrom uint64                    // under mu; they are all after this revision
+	recentFrom Position                  // under mu; they are all after it
 	heard      atomic.Pointer[time.Time] // when the store last answered
 }
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.view.rules = f.Rules
 	for ctx.Err() == nil {
 		f.adopt()
-		if f.Rest != nil && f.Rest() {
-			f.pause(ctx, restPause)
+		f.reveal(clock.Now())
+		if idle := f.idle(clock.Now()); idle > 0 {
+			f.pause(ctx, idle)
 			continue
 		}
 		err := f.next(ctx)
-		now := clock.Now()
-		if err == nil {
-			f.succeeded(now)
-			continue
+		if ctx.Err() == nil {
+			now := clock.Now()
+			f.notBefore = now.Add(f.pauseAfter(err, now))
 		}
-		if ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, errInterrupted) {
-			continue
+	}
+}
+
+// idle returns for how long the store is left alone, 0 = it is called.
+func (f *Follower) idle(now time.Time) time.Duration {
+	if f.Rest != nil && f.Rest() {
+		return restPause
+	}
+	return f.notBefore.Sub(now)
+}
+
+// pauseAfter notes how a call ended and returns the pause before the next.
+func (f *Follower) pauseAfter(err error, now time.Time) time.Duration {
+	switch {
+	case err == nil:
+		f.odd = 0
+		if f.inRow {
+			f.inRow = false
+			return eventPause // more are to be expected
 		}
-		if errors.Is(err, ErrHistoryLost) {
-			f.Log.Warn().Str("prefix", f.Prefix).Uint64("revision", f.revision).Msg("watch history lost, listing again")
-			f.listed = false
-			f.regained = now
-			continue
+		return callGap
+	case errors.Is(err, errInterrupted):
+		return callGap
+	case errors.Is(err, ErrHistoryLost), errors.Is(err, errReturned):
+		f.odd++
+		f.relist = true
+		f.regained, f.absence = now, max(f.absence, outageAbsence)
+		f.Log.Warn().Err(err).Str("prefix", f.Prefix).Uint64("era", f.view.at.Era).Uint64("revision", f.view.at.Revision).
+			Int("in_a_row", f.odd).Msg("watch history lost, listing again")
+		return relistPause(f.odd, f.leads())
+	case errors.Is(err, errEmpty):
+		f.odd++
+		if f.odd == 1 {
+			f.Log.Warn().Err(err).Str("prefix", f.Prefix).Uint64("revision", f.view.at.Revision).Msg("odd answer of the store")
 		}
-		f.pause(ctx, f.failed(err, now))
+		return backoff(f.odd)
+	default:
+		return f.failed(err, now)
 	}
 }
 
+func (f *Follower) leads() bool { return f.Leads == nil || f.Leads() }
+
 func (f *Follower) next(ctx context.Context) error {
-	if !f.listed {
+	if !f.view.known() || f.relist {
 		return f.list(ctx)
 	}
+	return f.watch(ctx)
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	began := clock.Now()
 	period := f.wait()
+	if release := f.view.release(began); !release.IsZero() {
+		period = max(callGap, min(period, release.Sub(began)))
+	}
 	ctx, cancel := context.WithTimeout(ctx, period+watchSlack)
 	defer cancel()
 	f.arm(cancel, period)
-	events, revision, err := f.Store.Watch(ctx, f.Prefix, f.revision, period)
+	events, at, err := f.Store.Watch(ctx, f.Prefix, f.view.at, period)
 	f.arm(nil, 0)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return errInterrupted
@@ -154,21 +199,46 @@
 	if err != nil {
 		return err
 	}
-	f.succeeded(clock.Now())
-	f.apply(events, revision)
-	f.gather(ctx, len(events), clock.Now())
-	return nil
+	now := clock.Now()
+	if err := f.sameEra(at); err != nil {
+		return err
+	}
+	f.succeeded(now)
+	if len(events) == 0 {
+		f.view.at = later(f.view.at, at)
+		if now.Sub(began) < period/earlyPart {
+			return errEmpty
+		}
+		return nil
+	}
+	return f.takeEvents(events, at, now)
 }
 
-// gather pauses after events that come in a row.
-func (f *Follower) gather(ctx context.Context, events int, now time.Time) {
-	if events == 0 {
-		return
+// earlyPart divides the wait of a watch: one that ends without events before that part of it
+// did not wait.
+const earlyPart = 2
+
+func (f *Follower) takeEvents(events []Event, at Position, now time.Time) error {
+	if !f.view.apply(events, at, now) {
+		return errEmpty
 	}
-	before := f.lastEvent
+	f.from = ""
+	f.inRow = !f.lastEvent.IsZero() && now.Sub(f.lastEvent) < inARow
 	f.lastEvent = now
-	if !before.IsZero() && now.Sub(before) < inARow {
-		wait.Sleep(ctx, eventPause)
+	f.keep(events)
+	f.deliver()
+	return nil
+}
+
+// sameEra returns an error unless an answer is of the history that is known.
+func (f *Follower) sameEra(at Position) error {
+	switch known := f.view.at.Era; {
+	case !f.view.known() || at.Era == known:
+		return nil
+	case at.Era > known:
+		return errReturned
+	default:
+		return eris.Wrapf(errOlder, "of era %d, known: %d", at.Era, known)
 	}
 }
 
@@ -212,17 +282,18 @@
 	}
 }
 
-// Nudge tells that somebody else knows of a change with the revision. If the
-// waiting watch has not brought it, it is asked again, once a revision. It is
+// Nudge tells that somebody else knows of a change at the position. If the
+// waiting watch has not brought it, it is asked again, once a position. It is
 // safe for concurrent use.
-func (f *Follower) Nudge(revision uint64) {
+func (f *Follower) Nudge(at Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision <= f.nudged || f.cancel == nil || f.armed == 0 {
+	if !at.After(f.nudged) || f.cancel == nil || f.armed == 0 {
 		return
 	}
-	f.nudged = revision
-	f.Log.Info().Str("prefix", f.Prefix).Uint64("revision", revision).Msg("others know a newer revision, watching again")
+	f.nudged = at
+	f.Log.Info().Str("prefix", f.Prefix).Uint64("era", at.Era).Uint64("revision", at.Revision).
+		Msg("others know a newer change, watching again")
 	f.cancel()
 }
 
@@ -230,7 +301,7 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	f.arm(cancel, 0)
-	items, revision, err := f.Store.List(ctx, f.Prefix, Current)
+	items, at, err := f.Store.List(ctx, f.Prefix, Current)
 	f.arm(nil, 0)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return errInterrupted
@@ -238,46 +309,54 @@
 	if err != nil {
 		return err
 	}
-	f.succeeded(clock.Now())
-	if revision < f.revision {
-		f.Log.Warn().Str("prefix", f.Prefix).Uint64("revision", revision).Uint64("known", f.revision).Msg("older list ignored")
-		return nil
+	if f.view.at.After(at) {
+		return eris.Wrapf(errOlder, "list at %d.%d, known: %d.%d", at.Era, at.Revision, f.view.at.Era, f.view.at.Revision)
 	}
-	f.items = make(map[string]Item, len(items))
-	for _, item := range items {
-		f.items[item.Key] = item
+	now := clock.Now()
+	f.succeeded(now)
+	returned := f.view.known() && at.Era > f.view.at.Era
+	f.view.list(items, at, now)
+	f.relist, f.from = false, ""
+	if returned {
+		f.noteReturn(now)
 	}
-	f.revision, f.changed, f.listed = revision, revision, true
 	f.keep(nil)
 	f.deliver()
 	return nil
 }
 
-func (f *Follower) apply(events []Event, revision uint64) {
-	f.revision = max(f.revision, revision)
-	if len(events) == 0 {
-		return
-	}
-	next := make(map[string]Item, len(f.items)+len(events))
-	for key, item := range f.items {
-		next[key] = item
+// noteReturn notes that the store's present era is a new one.
+func (f *Follower) noteReturn(now time.Time) {
+	f.regained, f.absence = now, recoveryTime
+	for key, k := range f.view.kept {
+		f.Log.Info().Str("prefix", f.Prefix).Str("key", key).Uint64("era", k.Era).Uint64("revision", k.Revision).
+			Msg("entry kept from before the store's return")
 	}
-	for _, e := range events {
-		f.changed = max(f.changed, e.Revision)
-		if e.Removed {
-			delete(next, e.Key)
-			continue
-		}
-		next[e.Key] = e.Item
+	f.Log.Warn().Str("prefix", f.Prefix).Uint64("era", f.view.at.Era).Uint64("revision", f.view.at.Revision).
+		Int("items", len(f.view.listed)).Int("kept", len(f.view.kept)).Strs("hidden", bounded(f.view.hidden(now))).
+		Msg("store is back from an older copy")
+}
+
+// reveal delivers the state again once no entry is hidden any longer.
+func (f *Follower) reveal(now time.Time) {
+	f.mu.Lock()
+	retained := f.retained
+	f.mu.Unlock()
+	if retained == 0 || f.view.digest(now) == retained {
+		return
 	}
-	f.items = next
-	f.keep(events)
+	f.view.forget(now)
+	f.keep(nil)
 	f.deliver()
 }
 
 func (f *Follower) deliver() {
-	recovering := !f.regained.IsZero() && clock.Since(f.regained) < recoveryTime
-	f.Deliver(Update{Items: f.items, Revision: f.revision, Changed: f.changed, Recovering: recovering})
+	now := clock.Now()
+	u := Update{Items: f.view.items(now), Position: f.view.at, Changed: f.view.changed, From: f.from}
+	if !f.regained.IsZero() && now.Sub(f.regained) < recoveryTime {
+		u.Absence = f.absence
+	}
+	f.Deliver(u)
 }
 
 func (f *Follower) succeeded(now time.Time) {
@@ -286,19 +365,19 @@
 		return
 	}
 	f.Log.Info().Str("prefix", f.Prefix).Dur("outage", now.Sub(f.failing)).Int("failures", f.failures).Msg("store regained")
-	f.failing, f.failures, f.regained = time.Time{}, 0, now
+	f.failing, f.failures = time.Time{}, 0
+	f.regained, f.absence = now, outageAbsence
 }
 
 // failed notes a failed call and returns the pause before the next.
 func (f *Follower) failed(err error, now time.Time) time.Duration {
 	if f.failing.IsZero() {
 		f.failing = now
-		f.Log.Warn().Err(err).Str("prefix", f.Prefix).Uint64("revision", f.revision).Msg("store lost")
+		f.Log.Warn().Err(err).Str("prefix", f.Prefix).Uint64("era", f.view.at.Era).Uint64("revision", f.view.at.Revision).Msg("store lost")
 	}
 	f.failures++
-	if f.listed && f.Leads != nil && !f.Leads() {
+	if f.view.known() && !f.leads() {
 		return firstPatience + rand.N(longestPatience-firstPatience)
 	}
-	limit := min(longestPause, firstPause<<min(f.failures-1, 4))
-	return limit/2 + rand.N(limit/2)
+	return backoff(f.failures)
 }
--- a/core/source/follower_test.go
+++ b/core/source/follower_test.go
@@ -22,9 +22,12 @@
 	items    []Item
 	events   []Event
 	revision uint64
+	era      uint64
 	err      error
 }
 
+func (s step) at() Position { return Position{s.era, s.revision} }
+
 func (s *script) take(call string) step {
 	s.calls = append(s.calls, call)
 	if len(s.steps) == 0 {
@@ -36,14 +39,14 @@
 	return next
 }
 
-func (s *script) List(context.Context, string, Freshness) ([]Item, uint64, error) {
+func (s *script) List(context.Context, string, Freshness) ([]Item, Position, error) {
 	st := s.take("list")
-	return st.items, st.revision, st.err
+	return st.items, st.at(), st.err
 }
 
-func (s *script) Watch(context.Context, string, uint64, time.Duration) ([]Event, uint64, error) {
+func (s *script) Watch(context.Context, string, Position, time.Duration) ([]Event, Position, error) {
 	st := s.take("watch")
-	return st.events, st.revision, st.err
+	return st.events, st.at(), st.err
 }
 
 func follow(steps ...step) (updates []Update, calls []string) {
@@ -54,7 +57,10 @@
 	return updates, s.calls
 }
 
-func item(key string, revision uint64) Item { return Item{Key: key, Revision: revision} }
+func item(key string, revision uint64) Item { return Item{Key: key, Position: at(revision)} }
+
+// at is a position in a store without eras.
+func at(revision uint64) Position { return Position{Revision: revision} }
 
 func TestEventsChangeTheListedState(t *testing.T) {
 	is := is.New(t)
@@ -67,7 +73,7 @@
 	_, kept := updates[1].Items["a"]
 	is.True(!kept)
 	is.Equal(updates[1].Revision, uint64(4))
-	is.True(!updates[1].Recovering)
+	is.True(updates[1].Absence == 0)
 }
 
 func TestLostHistoryIsListedAgain(t *testing.T) {
@@ -100,24 +106,24 @@
 		step{err: ErrUnavailable},
 		step{events: []Event{{Item: item("a", 2), Removed: true}}, revision: 2},
 	)
-	is.True(updates[1].Recovering)
+	is.True(updates[1].Absence > 0)
 }
 
 // deaf is a store whose watches bring nothing until they are asked again.
 type deaf struct{ watches chan struct{} }
 
-func (d deaf) List(context.Context, string, Freshness) ([]Item, uint64, error) {
-	return []Item{item("a", 1)}, 1, nil
+func (d deaf) List(context.Context, string, Freshness) ([]Item, Position, error) {
+	return []Item{item("a", 1)}, at(1), nil
 }
 
-func (d deaf) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]Event, uint64, error) {
+func (d deaf) Watch(ctx context.Context, _ string, after Position, _ time.Duration) ([]Event, Position, error) {
 	select {
 	case d.watches <- struct{}{}:
 	default:
-		return []Event{{Item: item("b", after+1)}}, after + 1, nil
+		return []Event{{Item: item("b", after.Revision+1)}}, at(after.Revision + 1), nil
 	}
 	<-ctx.Done()
-	return nil, 0, ErrUnavailable
+	return nil, Position{}, ErrUnavailable
 }
 
 func TestANudgeAsksADeafWatchAgain(t *testing.T) {
@@ -133,12 +139,12 @@
 		}
 	}}
 	go f.Run(ctx)
-	is.Equal((<-updates).Changed, uint64(1))
+	is.Equal((<-updates).Changed, at(1))
 	for len(store.watches) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	f.Nudge(2)
-	is.True((<-updates).Changed >= 2)
+	f.Nudge(at(2))
+	is.True((<-updates).Changed.Revision >= 2)
 }
 
 func TestWaitsGrowWithTheNumberOfFollowers(t *testing.T) {
@@ -198,7 +204,7 @@
 		}
 	}}
 	go f.Run(ctx)
-	is.Equal((<-updates).Changed, uint64(1))
+	is.Equal((<-updates).Changed, at(1))
 	for len(store.watches) == 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -206,20 +212,20 @@
 	is.Equal(len(updates), 0)
 	others.Store(0)
 	f.Recheck()
-	is.True((<-updates).Changed >= 2)
+	is.True((<-updates).Changed.Revision >= 2)
 }
 
 // unreachable is a store that never answers.
 type unreachable struct{}
 
-func (unreachable) List(ctx context.Context, _ string, _ Freshness) ([]Item, uint64, error) {
+func (unreachable) List(ctx context.Context, _ string, _ Freshness) ([]Item, Position, error) {
 	<-ctx.Done()
-	return nil, 0, ErrUnavailable
+	return nil, Position{}, ErrUnavailable
 }
 
-func (unreachable) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]Event, uint64, error) {
+func (unreachable) Watch(ctx context.Context, _ string, _ Position, _ time.Duration) ([]Event, Position, error) {
 	<-ctx.Done()
-	return nil, 0, ErrUnavailable
+	return nil, Position{}, ErrUnavailable
 }
 
 func TestAnOfferedStateIsTakenIfItIsNewer(t *testing.T) {
@@ -230,7 +236,7 @@
 	f := &Follower{Store: unreachable{}, Log: zerolog.Nop(), Deliver: func(u Update) { updates <- u }}
 	go f.Run(ctx)
 	state := func(revision uint64) State {
-		return State{Items: map[string]Item{"a": item("a", revision)}, Revision: revision, Changed: revision}
+		return State{Items: map[string]Item{"a": item("a", revision)}, Position: at(revision), Changed: at(revision)}
 	}
 	f.Offer(state(5))
 	is.Equal((<-updates).Revision, uint64(5))
@@ -251,19 +257,19 @@
 	updates := make(chan Update, 8)
 	f := &Follower{Store: unreachable{}, Log: zerolog.Nop(), Deliver: func(u Update) { updates <- u }}
 	go f.Run(ctx)
-	f.Offer(State{Items: map[string]Item{"a": item("a", 3)}, Revision: 5, Changed: 3})
+	f.Offer(State{Items: map[string]Item{"a": item("a", 3)}, Position: at(5), Changed: at(3)})
 	<-updates
-	f.Offer(State{Events: []Event{{Item: item("b", 7)}, {Item: item("a", 8), Removed: true}}, After: 5, Revision: 8, Changed: 8})
+	f.Offer(State{Events: []Event{{Item: item("b", 7)}, {Item: item("a", 8), Removed: true}}, After: at(5), Position: at(8), Changed: at(8)})
 	u := <-updates
 	is.Equal(u.Revision, uint64(8))
 	is.Equal(len(u.Items), 1)
-	since := f.Since(5)
+	since := f.Since(at(5))
 	is.Equal(len(since.Events), 2)
 	is.Equal(since.Revision, uint64(8))
-	is.Equal(len(f.Since(7).Events), 1)
-	is.Equal(len(f.Since(0).Items), 1) // all of it
-	is.Equal(len(f.Since(2).Items), 1) // from before what is kept
-	f.Offer(State{Events: []Event{{Item: item("c", 12)}}, After: 10, Revision: 12, Changed: 12})
+	is.Equal(len(f.Since(at(7)).Events), 1)
+	is.Equal(len(f.Since(at(0)).Items), 1) // all of it
+	is.Equal(len(f.Since(at(2)).Items), 1) // from before what is kept
+	f.Offer(State{Events: []Event{{Item: item("c", 12)}}, After: at(10), Position: at(12), Changed: at(12)})
 	select {
 	case u := <-updates:
 		t.Fatalf("took events with a gap, to %d", u.Revision)
@@ -293,7 +299,7 @@
 	go f.Run(ctx)
 	time.Sleep(50 * time.Millisecond)
 	is.Equal(len(updates), 0)
-	f.Offer(State{Items: map[string]Item{"a": {Key: "a", Revision: 3}}, Revision: 3, Changed: 3})
+	f.Offer(State{Items: map[string]Item{"a": {Key: "a", Position: at(3)}}, Position: at(3), Changed: at(3)})
 	is.Equal((<-updates).Revision, uint64(3))
 	time.Sleep(50 * time.Millisecond)
 	is.Equal(len(store.watches), 0)
@@ -316,7 +322,7 @@
 	}
 	leads = false
 	is.True(f.failed(ErrUnavailable, now) <= longestPause) // it knows nothing yet
-	f.listed = true
+	f.view.listed = map[string]Item{}
 	pause := f.failed(ErrUnavailable, now)
 	is.True(pause >= firstPatience && pause <= longestPatience)
 }
@@ -328,13 +334,13 @@
 	defer cancel()
 	updates := make(chan Update, 8)
 	f := &Follower{
-		Store: unreachable{}, Log: zerolog.Nop(), Leads: func() bool { return false }, listed: true,
+		Store: unreachable{}, Log: zerolog.Nop(), Leads: func() bool { return false }, view: view{listed: map[string]Item{}},
 		Deliver: func(u Update) { updates <- u },
 	}
 	go f.Run(ctx)
 	time.Sleep(30 * time.Millisecond) // its first call has failed
 	began := time.Now()
-	f.Offer(State{Items: map[string]Item{"a": {Key: "a", Revision: 3}}, Revision: 3, Changed: 3})
+	f.Offer(State{Items: map[string]Item{"a": {Key: "a", Position: at(3)}}, Position: at(3), Changed: at(3)})
 	is.Equal((<-updates).Revision, uint64(3))
 	is.True(time.Since(began) < firstPatience/2)
 }
@@ -348,22 +354,22 @@
 	f.keep([]Event{{Item: item("config", 3)}, {Item: item("server", 4)}})
 	f.keep([]Event{{Item: item("config", 5)}})
 	f.keep([]Event{{Item: item("config", 6), Removed: true}})
-	is.Equal(f.Since(2).Events, []Event{{Item: item("server", 4)}, {Item: item("config", 6), Removed: true}})
-	is.Equal(f.Since(4).Events, []Event{{Item: item("config", 6), Removed: true}})
-	is.Equal(len(f.Since(6).Events), 0)
+	is.Equal(f.Since(at(2)).Events, []Event{{Item: item("server", 4)}, {Item: item("config", 6), Removed: true}})
+	is.Equal(f.Since(at(4)).Events, []Event{{Item: item("config", 6), Removed: true}})
+	is.Equal(len(f.Since(at(6)).Events), 0)
 }
 
 // forgetful is a store that has dropped the history that any watch asks for, just when
 // its follower comes to rest.
 type forgetful struct{ rest *atomic.Bool }
 
-func (forgetful) List(context.Context, string, Freshness) ([]Item, uint64, error) {
-	return []Item{item("a", 1)}, 1, nil
+func (forgetful) List(context.Context, string, Freshness) ([]Item, Position, error) {
+	return []Item{item("a", 1)}, at(1), nil
 }
 
-func (s forgetful) Watch(context.Context, string, uint64, time.Duration) ([]Event, uint64, error) {
+func (s forgetful) Watch(context.Context, string, Position, time.Duration) ([]Event, Position, error) {
 	s.rest.Store(true)
-	return nil, 0, ErrHistoryLost
+	return nil, Position{}, ErrHistoryLost
 }
 
 // A gateway that follows for nobody got 410 just when it came to rest. Without a list it
@@ -385,7 +391,7 @@
 	for !rest.Load() {
 		time.Sleep(time.Millisecond)
 	}
-	f.Offer(State{Events: []Event{{Item: item("b", 2)}}, After: 1, Revision: 2, Changed: 2})
+	f.Offer(State{Events: []Event{{Item: item("b", 2)}}, After: at(1), Position: at(2), Changed: at(2)})
 	select {
 	case u := <-updates:
 		is.Equal(len(u.Items), 2)
--- a/core/source/offers.go
+++ b/core/source/offers.go
@@ -2,18 +2,25 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
+
+	"baywall.example/core/clock"
 )
 
-// State is what a follower knows of a prefix: all items, or the events after a
-// revision.
+// State is what a follower knows of a prefix: all items, or the events after a position;
+// and what it knows better than the store since that is back from an older copy.
 type State struct {
-	Items    map[string]Item // by key, nil = there are events; nobody changes it
+	Items    map[string]Item // as the store lists them, nil = there are events; nobody changes it
 	Events   []Event
-	After    uint64 // of the events
-	Revision uint64 // a watch goes on from here
-	Changed  uint64 // revision of the newest change
+	After    Position // of the events
+	Position          // a watch goes on from here
+	Changed  Position // of the newest change
+	Base     Position // earliest known list of the era
+	Kept     []Item   // in place of what the store lists
+	Gone     []Removal
+	From     string // whose state it is, for logs
 }
 
 const (
@@ -32,37 +39,50 @@
 	return time.Time{}
 }
 
-// Since returns what this follower knows beyond a revision: the events if they are
+// Since returns what this follower knows beyond a position: the events if they are
 // still kept, or else all items. It is safe for concurrent use.
-func (f *Follower) Since(after uint64) State {
+func (f *Follower) Since(after Position) State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.latest
-	if after == 0 || after < f.recentFrom {
+	if after.Revision == 0 || after.Era != s.Era || f.recentFrom.After(after) {
 		return s
 	}
 	s.Items, s.After = nil, after
 	for _, e := range f.recent {
-		if e.Revision > after {
+		if e.Position.After(after) {
 			s.Events = append(s.Events, e)
 		}
 	}
 	return s
 }
 
+// Retained tells followers that keep different entries in place of what the store lists
+// from each other; 0 = none are kept. It is safe for concurrent use.
+func (f *Follower) Retained() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.retained
+}
+
 // keep keeps events for others. Without any, the state came as a whole.
 func (f *Follower) keep(events []Event) {
+	now := clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.latest = State{Items: f.items, Revision: f.revision, Changed: f.changed}
+	f.latest = State{
+		Items: f.view.listed, Position: f.view.at, Changed: f.view.changed, Base: f.view.base,
+		Kept: slices.Collect(maps.Values(f.view.kept)), Gone: slices.Collect(maps.Values(f.view.gone)),
+	}
+	f.retained = f.view.digest(now)
 	if events == nil {
-		f.recent, f.recentFrom = nil, f.revision
+		f.recent, f.recentFrom = nil, f.view.at
 		return
 	}
 	f.recent = append(f.recent, events...)
 	f.recent = latestByKey(f.recent)
 	if over := len(f.recent) - mostRecent; over > 0 {
-		f.recentFrom = f.recent[over-1].Revision
+		f.recentFrom = f.recent[over-1].Position
 		f.recent = append([]Event(nil), f.recent[over:]...)
 	}
 }
@@ -70,19 +90,19 @@
 // latestByKey returns the events without those that a later one of the same key
 // replaces. Configurations that come in quick succession are most of a megabyte each.
 func latestByKey(events []Event) []Event {
-	latest := make(map[string]uint64, len(events))
+	latest := make(map[string]Position, len(events))
 	for _, e := range events {
-		latest[e.Key] = max(latest[e.Key], e.Revision)
+		latest[e.Key] = later(latest[e.Key], e.Position)
 	}
-	return slices.DeleteFunc(slices.Clone(events), func(e Event) bool { return e.Revision < latest[e.Key] })
+	return slices.DeleteFunc(slices.Clone(events), func(e Event) bool { return latest[e.Key].After(e.Position) })
 }
 
 // Offer hands over what another follower of the same store knows, for when this
-// one does not reach the store. It is safe for concurrent use.
+// one does not reach the store, and from whom it is. It is safe for concurrent use.
 func (f *Follower) Offer(s State) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.offer = &s
+	f.offers = append(f.offers, s)
 	if f.cancel != nil {
 		f.cancel()
 	}
@@ -114,39 +134,73 @@
 	}
 }
 
-// adopt takes over an offered state that is newer than the own.
+// adopt takes over what was offered and is news.
 func (f *Follower) adopt() {
 	f.mu.Lock()
-	offer := f.offer
-	f.offer = nil
+	offers := f.offers
+	f.offers = nil
 	f.mu.Unlock()
-	if offer == nil || f.listed && offer.Changed <= f.changed || offer.Revision < f.revision {
-		return
+	for i := range offers {
+		f.adoptOne(&offers[i])
 	}
-	if offer.Items == nil {
-		f.adoptEvents(offer)
+}
+
+func (f *Follower) adoptOne(offer *State) {
+	now := clock.Now()
+	known, took := f.view.at, 0
+	newer := !f.view.known() || offer.Changed.After(f.view.changed) && !f.view.at.After(offer.Position)
+	switch {
+	case newer && offer.Items != nil:
+		took = len(offer.Items)
+		f.adoptItems(offer, now)
+	case newer && f.view.known() && offer.After.Era == f.view.at.Era && !offer.After.After(f.view.at):
+		took = f.adoptEvents(offer, now)
+	}
+	kept := offer.Kept
+	if offer.Era < f.view.at.Era {
+		kept = append(slices.Collect(maps.Values(offer.Items)), kept...)
+	}
+	absorbed := f.view.absorb(kept, offer.Gone, now)
+	if took == 0 && !absorbed {
 		return
 	}
-	f.Log.Info().Str("prefix", f.Prefix).Uint64("revision", offer.Revision).Uint64("known", f.revision).
-		Int("items", len(offer.Items)).Msg("state taken from another follower")
-	f.items, f.revision, f.changed, f.listed = offer.Items, offer.Revision, offer.Changed, true
-	f.keep(nil)
+	if offer.Items != nil || absorbed {
+		f.keep(nil)
+	}
+	f.from = offer.From
 	f.deliver()
+	f.Log.Info().Str("prefix", f.Prefix).Str("from", offer.From).Uint64("era", f.view.at.Era).Uint64("revision", f.view.at.Revision).
+		Uint64("known_era", known.Era).Uint64("known", known.Revision).Int("taken", took).Bool("events", offer.Items == nil).
+		Int("kept", len(f.view.kept)).Strs("hidden", bounded(f.view.hidden(now))).Msg("state taken from another follower")
 }
 
-// adoptEvents takes over the events that are news.
-func (f *Follower) adoptEvents(offer *State) {
-	if !f.listed || offer.After > f.revision {
-		return // what was between is not known
+func (f *Follower) adoptItems(offer *State, now time.Time) {
+	returned := f.view.known() && offer.Era > f.view.at.Era
+	if !returned && f.view.known() && offer.Base.After(Position{}) && f.view.base.After(offer.Base) {
+		f.view.base = offer.Base
+	}
+	f.view.replace(offer.Items, offer.Position, offer.Changed, offer.Base, now)
+	f.relist = false
+	if returned {
+		f.noteReturn(now)
 	}
-	known := f.revision
+}
+
+// adoptEvents takes over the events that are news and returns their number.
+func (f *Follower) adoptEvents(offer *State, now time.Time) int {
 	var news []Event
 	for _, e := range offer.Events {
-		if e.Revision > known {
+		if e.Position.After(f.view.at) {
 			news = append(news, e)
 		}
 	}
-	f.apply(news, offer.Revision)
-	f.Log.Info().Str("prefix", f.Prefix).Uint64("revision", f.revision).Uint64("known", known).
-		Int("events", len(news)).Msg("events taken from another follower")
+	f.view.apply(news, offer.Position, now)
+	f.relist = false // the events of between are known: a watch can go on from here
+	f.keep(news)
+	return len(news)
 }
+
+// mostNamed bounds the keys that one log line names.
+const mostNamed = 8
+
+func bounded(keys []string) []string { return keys[:min(len(keys), mostNamed)] }
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -9,18 +9,18 @@
 
 // Errors of a Store.
 var (
-	// ErrHistoryLost means that the events after a revision are no longer
-	// kept: list again.
+	// ErrHistoryLost means that the events after a position are not kept, or never were in
+	// the store's present history: list again.
 	ErrHistoryLost = eris.New("source: history lost")
 	// ErrUnavailable means that the store gave no usable answer.
 	ErrUnavailable = eris.New("source: unavailable")
 )
 
-// Item is one entry of a store.
+// Item is one entry of a store, with the position of its last change.
 type Item struct {
-	Key      string
-	Value    []byte
-	Revision uint64 // of its last change
+	Key   string
+	Value []byte
+	Position
 }
 
 // Event is a change of one entry.
@@ -41,12 +41,13 @@
 	Stale
 )
 
-// Store is a read-only store with one revision counter.
+// Store is a read-only store with one revision counter. Positions are of the era that the
+// answer names.
 type Store interface {
-	// List returns all entries under the prefix and the revision from which a
+	// List returns all entries under the prefix and the position from which a
 	// watch goes on.
-	List(ctx context.Context, prefix string, f Freshness) ([]Item, uint64, error)
-	// Watch returns the events after the revision as soon as there are any, or
-	// none after the wait, and the revision to go on from.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
+	List(ctx context.Context, prefix string, f Freshness) ([]Item, Position, error)
+	// Watch returns the events after the position as soon as there are any, or
+	// none after the wait, and the position to go on from.
+	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Event, Position, error)
 }
--- a/entry/balance/pace_test.go
+++ b/entry/balance/pace_test.go
@@ -53,7 +53,7 @@
 	for i := range 3 {
 		list = append(list, Info{ID: fmt.Sprint(i), Service: "s", Address: fmt.Sprintf("127.0.0.1:%d", i+1), Slots: 12})
 	}
-	r.Update(list, 1, false, start)
+	r.Update(list, at(1), 0, start)
 	return r
 }
 
--- a/entry/balance/probation_test.go
+++ b/entry/balance/probation_test.go
@@ -146,7 +146,7 @@
 	is := is.New(t)
 	var formed time.Time
 	r := NewRegistry(formedGroups{at: &formed}, "", zerolog.Nop())
-	r.Update(infos("a", "b", "c"), 1, false, start)
+	r.Update(infos("a", "b", "c"), at(1), 0, start)
 	d := Demand{Service: "s", GapTarget: 120 * time.Millisecond, MostWait: 200 * time.Millisecond}
 	for _, server := range r.shard("s").servers {
 		server.Pace.Sent(start.Add(-time.Second))
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -8,14 +8,9 @@
 	"github.com/rs/zerolog"
 
 	"baywall.example/core/cluster"
+	"baywall.example/core/source"
 )
 
-// lapseGrace is how long a server that went missing while the source was away
-// is kept after it was missed. Live servers are listed again within about two
-// seconds; but one that left on purpose just after the outage looks the same, and
-// must get nothing new two seconds after it left.
-const lapseGrace = 1500 * time.Millisecond
-
 // Registry holds the backend servers of all services. It is safe for
 // concurrent use.
 type Registry struct {
@@ -86,9 +81,9 @@
 	return s
 }
 
-// Update takes over a full list. With recovering set, the source has been away
-// until now: servers that are missing are kept for a grace period.
-func (r *Registry) Update(list []Info, revision uint64, recovering bool, now time.Time) {
+// Update takes over a full list. Servers that are missing are kept for the time of their
+// absence: it is over zero where the source has been away until now.
+func (r *Registry) Update(list []Info, at source.Position, absence time.Duration, now time.Time) {
 	byService := make(map[string][]Info)
 	for _, info := range list {
 		byService[info.Service] = append(byService[info.Service], info)
@@ -101,7 +96,7 @@
 	}
 	r.mu.RUnlock()
 	for service, infos := range byService {
-		r.updateShard(r.shard(service), infos, revision, recovering, now)
+		r.updateShard(r.shard(service), infos, at, absence, now)
 	}
 	r.replaceOlder(list)
 }
@@ -109,12 +104,14 @@
 // replaceOlder takes the servers out at whose address a later one is listed: a
 // server that crashed stays listed until its lease ends.
 func (r *Registry) replaceOlder(list []Info) {
-	latest := make(map[string]uint64, len(list))
+	latest := make(map[string]Info, len(list))
 	for _, info := range list {
-		latest[info.Address] = max(latest[info.Address], info.Revision)
+		if l, ok := latest[info.Address]; !ok || info.laterThan(l) {
+			latest[info.Address] = info
+		}
 	}
 	for _, info := range list {
-		if info.Revision >= latest[info.Address] {
+		if !latest[info.Address].laterThan(info) {
 			continue
 		}
 		s := r.shard(info.Service)
@@ -127,7 +124,7 @@
 	}
 }
 
-func (r *Registry) updateShard(s *shard, infos []Info, revision uint64, recovering bool, now time.Time) {
+func (r *Registry) updateShard(s *shard, infos []Info, at source.Position, absence time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := make(map[string]bool, len(infos))
@@ -136,47 +133,51 @@
 		old := s.servers[info.ID]
 		if old == nil || old.Address != info.Address || old.Started != info.Started {
 			if old != nil {
+				old.gone = true
 				old.Pool.Close()
 			}
 			s.servers[info.ID] = newServer(info)
 			r.log.Info().Str("server", info.ID).Str("service", info.Service).Str("address", info.Address).
-				Uint64("revision", revision).Uint64("started", info.Started).Bool("draining", info.Draining).Msg("backend server listed")
+				Uint64("era", at.Era).Uint64("revision", at.Revision).Uint64("started", info.Started).Bool("draining", info.Draining).Msg("backend server listed")
 			continue
 		}
-		old.lapsed = time.Time{}
+		old.missingUntil = time.Time{}
 		if info.Draining && !old.draining {
 			old.draining = true
-			r.log.Info().Str("server", info.ID).Uint64("revision", revision).Msg("backend server drains")
+			r.log.Info().Str("server", info.ID).Uint64("era", at.Era).Uint64("revision", at.Revision).Msg("backend server drains")
 		}
 	}
 	for id, server := range s.servers {
 		if !listed[id] {
-			r.miss(s, server, revision, recovering, now)
+			r.miss(s, server, at, absence, now)
 		}
 	}
 }
 
 // miss handles a server that is no longer listed.
-func (r *Registry) miss(s *shard, server *Server, revision uint64, recovering bool, now time.Time) {
-	if server.lapsed.IsZero() && recovering && !server.draining {
-		server.lapsed = now
-		r.log.Info().Str("server", server.ID).Uint64("revision", revision).Msg("backend server missing after the source was away")
+func (r *Registry) miss(s *shard, server *Server, at source.Position, absence time.Duration, now time.Time) {
+	if server.missingUntil.IsZero() && absence > 0 && !server.draining {
+		server.missingUntil = now.Add(absence)
+		r.log.Info().Str("server", server.ID).Uint64("era", at.Era).Uint64("revision", at.Revision).Dur("for", absence).
+			Msg("backend server missing after the source was away")
 	}
-	if !server.lapsed.IsZero() && now.Sub(server.lapsed) < lapseGrace {
+	if now.Before(server.missingUntil) {
 		return
 	}
 	delete(s.servers, server.ID)
+	server.gone = true
 	server.Pool.Close()
-	r.log.Info().Str("server", server.ID).Str("service", server.Service).Uint64("revision", revision).Msg("backend server gone")
+	r.log.Info().Str("server", server.ID).Str("service", server.Service).Uint64("era", at.Era).Uint64("revision", at.Revision).
+		Msg("backend server gone")
 }
 
-// Expire removes servers whose grace period is over.
-func (r *Registry) Expire(revision uint64, now time.Time) {
+// Expire removes servers that were missing for too long.
+func (r *Registry) Expire(at source.Position, now time.Time) {
 	for _, s := range r.all() {
 		s.mu.Lock()
 		for _, server := range s.servers {
-			if !server.lapsed.IsZero() {
-				r.miss(s, server, revision, false, now)
+			if !server.missingUntil.IsZero() {
+				r.miss(s, server, at, 0, now)
 			}
 		}
 		s.mu.Unlock()
@@ -354,6 +355,15 @@
 		Dur("for", firstEjection).Msg("backend server ejected")
 }
 
+// MayTake reports whether the server may still be sent a request that was meant for it: it
+// is listed, does not leave, and no other one is known to be at its address.
+func (r *Registry) MayTake(server *Server) bool {
+	s := r.shard(server.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !server.draining && !server.replaced && !server.gone
+}
+
 // Replaced notes that another backend server answers at the server's address.
 // It takes no more requests; the list will say what took its place.
 func (r *Registry) Replaced(server *Server) {
--- a/entry/balance/registry_test.go
+++ b/entry/balance/registry_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"baywall.example/core/cluster"
+	"baywall.example/core/source"
 )
 
 // peerLoad is a fixed load of other gateways.
@@ -16,6 +17,12 @@
 // slowRanks are the paces of ranks by engine key, with no load of peers.
 type slowRanks map[uint32]float64
 
+// at is a position of the list.
+func at(revision uint64) source.Position { return source.Position{Revision: revision} }
+
+// absence is for how long a server that is missing after an outage may be on its way back.
+const absence = 1500 * time.Millisecond
+
 func (slowRanks) Load([]uint32, []cluster.Load) {}
 func (slowRanks) Members() int                  { return 1 }
 func (slowRanks) Staleness() time.Duration      { return 0 }
@@ -49,7 +56,7 @@
 
 func registry(peers peerLoad, ids ...string) *Registry {
 	r := NewRegistry(peers, "", zerolog.Nop())
-	r.Update(infos(ids...), 1, false, start)
+	r.Update(infos(ids...), at(1), 0, start)
 	return r
 }
 
@@ -80,15 +87,15 @@
 	is := is.New(t)
 	r := NewRegistry(peerLoad(nil), "", zerolog.Nop())
 	info := Info{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 12, Started: 1000}
-	r.Update([]Info{info}, 1, false, start)
+	r.Update([]Info{info}, at(1), 0, start)
 	old := r.shard("s").servers["a"]
 	r.Replaced(old)
 	_, found := r.Pick(Demand{Service: "s"}, start)
 	is.Equal(found, Unavailable)
-	r.Update([]Info{info}, 2, false, start) // the same one
+	r.Update([]Info{info}, at(2), 0, start) // the same one
 	is.True(r.shard("s").servers["a"] == old)
 	info.Started = 2000
-	r.Update([]Info{info}, 3, false, start)
+	r.Update([]Info{info}, at(3), 0, start)
 	is.True(r.shard("s").servers["a"] != old)
 	is.Equal(pick(t, r, start).Server.ID, "a")
 	r.Replaced(old) // an answer to a request from before
@@ -111,11 +118,11 @@
 	r := registry(nil, "a", "b")
 	list := infos("a", "b")
 	list[0].Draining = true
-	r.Update(list, 2, false, start)
+	r.Update(list, at(2), 0, start)
 	for range 4 {
 		is.Equal(pick(t, r, start).Server.ID, "b")
 	}
-	r.Update(nil, 3, false, start)
+	r.Update(nil, at(3), 0, start)
 	_, ok := pickFrom(r, nil, start)
 	is.True(!ok)
 }
@@ -123,13 +130,13 @@
 func TestAServerMissingAfterAnOutageIsKeptForAWhile(t *testing.T) {
 	is := is.New(t)
 	r := registry(nil, "a", "b")
-	r.Update(infos("a"), 2, true, start)
+	r.Update(infos("a"), at(2), absence, start)
 	is.Equal(r.Load("s", start).Servers, 2)
-	r.Update(infos("a", "b"), 3, false, start.Add(time.Second)) // listed again
-	r.Expire(3, start.Add(time.Minute))
+	r.Update(infos("a", "b"), at(3), 0, start.Add(time.Second)) // listed again
+	r.Expire(at(3), start.Add(time.Minute))
 	is.Equal(r.Load("s", start).Servers, 2)
-	r.Update(infos("a"), 4, true, start)
-	r.Expire(4, start.Add(lapseGrace+time.Millisecond))
+	r.Update(infos("a"), at(4), absence, start)
+	r.Expire(at(4), start.Add(absence+time.Millisecond))
 	is.Equal(r.Load("s", start).Servers, 1)
 }
 
@@ -190,11 +197,11 @@
 	r := registry(nil, "a", "b")
 	a, _ := pickFrom(r, map[string]bool{"b": true}, start)
 	r.Replaced(a.Server)
-	r.Update(infos("a", "b"), 2, false, start) // a list from before
+	r.Update(infos("a", "b"), at(2), 0, start) // a list from before
 	for range 4 {
 		is.Equal(pick(t, r, start).Server.ID, "b")
 	}
-	r.Update(infos("c", "b"), 3, false, start)
+	r.Update(infos("c", "b"), at(3), 0, start)
 	is.Equal(r.Load("s", start).Servers, 2)
 }
 
@@ -218,8 +225,8 @@
 	is := is.New(t)
 	const drain, look = 2 * time.Second, 200 * time.Millisecond
 	r := registry(nil, "a", "b")
-	r.Update(infos("a"), 2, true, start)
-	r.Expire(2, start.Add(drain-2*look))
+	r.Update(infos("a"), at(2), absence, start)
+	r.Expire(at(2), start.Add(drain-2*look))
 	is.Equal(r.Load("s", start).Servers, 1)
 }
 
@@ -247,7 +254,7 @@
 	r.Accepted(c.Server)
 	is.Equal(pick(t, r, start).Server.ID, "b") // the others stay suspect
 	is.Equal(len(r.DueProbes(start.Add(probeInterval))), 3)
-	r.Update(infos("a", "b", "e"), 2, false, start)
+	r.Update(infos("a", "b", "e"), at(2), 0, start)
 	is.Equal(r.Load("s", start).Servers, 2) // what is listed anew is trusted
 	is.Equal(r.Load("s", start.Add(suspectTime+time.Second)).Servers, 3)
 }
@@ -295,13 +302,13 @@
 func TestALaterServerAtTheSameAddressReplacesTheFirst(t *testing.T) {
 	is := is.New(t)
 	r := NewRegistry(peerLoad(nil), "", zerolog.Nop())
-	first := Info{ID: "old", Service: "s", Address: "127.0.0.1:1", Slots: 12, Revision: 5}
-	later := Info{ID: "new", Service: "s", Address: "127.0.0.1:1", Slots: 12, Revision: 9}
-	r.Update([]Info{first, later}, 9, false, start)
+	first := Info{ID: "old", Service: "s", Address: "127.0.0.1:1", Slots: 12, At: at(5)}
+	later := Info{ID: "new", Service: "s", Address: "127.0.0.1:1", Slots: 12, At: at(9)}
+	r.Update([]Info{first, later}, at(9), 0, start)
 	is.Equal(r.Load("s", start).Servers, 1)
 	is.Equal(pick(t, r, start).Server.ID, "new")
-	moved := Info{ID: "other", Service: "t", Address: "127.0.0.1:1", Slots: 12, Revision: 11}
-	r.Update([]Info{first, later, moved}, 11, false, start) // another service took the address over
+	moved := Info{ID: "other", Service: "t", Address: "127.0.0.1:1", Slots: 12, At: at(11)}
+	r.Update([]Info{first, later, moved}, at(11), 0, start) // another service took the address over
 	is.Equal(r.Load("s", start).Servers, 0)
 	is.Equal(r.Load("t", start).Servers, 1)
 }
@@ -320,7 +327,7 @@
 	r.Update([]Info{
 		{ID: "near", Service: "s", Address: "127.0.0.1:1", Zone: "here", Slots: 10},
 		{ID: "far", Service: "s", Address: "127.0.0.1:2", Zone: "there", Slots: 10},
-	}, 1, false, start)
+	}, at(1), 0, start)
 	is.Equal(pick(t, r, start).Server.ID, "near")
 	near := r.shard("s").servers["near"]
 	near.inFlight.Store(3) // three requests more are too many
--- a/entry/balance/server.go
+++ b/entry/balance/server.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"baywall.example/core/cluster"
+	"baywall.example/core/source"
 	"baywall.example/entry/upstream"
 )
 
@@ -19,14 +20,23 @@
 	Zone     string
 	Slots    int  // requests that it runs at a time
 	Draining bool // it finishes what it has and takes nothing new
-	// Revision is that of its entry's last change. Of two servers that are listed
+	// At is the position of its entry's last change. Of two servers that are listed
 	// at one address, the one changed last is there.
-	Revision uint64
+	At source.Position
 	// Started is the Unix time in ms at which this incarnation began, 0 = not known. One
 	// that starts again under its id knows nothing of what the one before was asked.
 	Started uint64
 }
 
+// laterThan reports whether the server took an address over from the other one. Entries of
+// two eras of the source are told apart by when the servers began.
+func (i Info) laterThan(o Info) bool {
+	if i.At.Era != o.At.Era && i.Started != 0 && o.Started != 0 {
+		return i.Started > o.Started
+	}
+	return i.At.After(o.At)
+}
+
 // Server is one incarnation of a backend server.
 type Server struct {
 	Info
@@ -38,11 +48,12 @@
 	inFlight atomic.Int32
 
 	// under the shard's lock
-	draining bool
-	replaced bool      // another backend server answers at its address
-	lapsed   time.Time // when it went missing while the source was away
-	health   health
-	full     fullness
+	draining     bool
+	gone         bool      // no longer listed
+	replaced     bool      // another backend server answers at its address
+	missingUntil time.Time // zero = it is not missing since the source was away
+	health       health
+	full         fullness
 
 	probation probation
 	slowStart time.Time // when its service, or its group of ranks, began to serve again
--- a/entry/catalog/catalog_test.go
+++ b/entry/catalog/catalog_test.go
@@ -67,12 +67,12 @@
 	var store Store
 	is.Equal(store.Version(), uint64(0))
 	for _, step := range []struct {
-		version uint64
-		applied bool
-	}{{5, true}, {5, false}, {3, false}, {9, true}} {
+		version            uint64
+		rewritten, applied bool
+	}{{5, false, true}, {5, false, false}, {3, false, false}, {3, true, false}, {5, true, true}, {9, false, true}} {
 		s, err := New(content(step.version))
 		is.NoErr(err)
-		is.Equal(store.Apply(s), step.applied)
+		is.Equal(store.Apply(s, step.rewritten), step.applied)
 	}
 	is.Equal(store.Version(), uint64(9))
 }
--- a/entry/catalog/store.go
+++ b/entry/catalog/store.go
@@ -22,12 +22,12 @@
 	return 0
 }
 
-// Apply puts the snapshot in force unless one of the same or a higher version
-// is. It reports whether it did.
-func (s *Store) Apply(next *Snapshot) bool {
+// Apply puts the snapshot in force unless one of a higher version is, or one of the same
+// version that was not rewritten since. It reports whether it did.
+func (s *Store) Apply(next *Snapshot, rewritten bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if next.Version <= s.Version() {
+	if next.Version < s.Version() || next.Version == s.Version() && !rewritten {
 		return false
 	}
 	s.current.Store(next)
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -210,5 +210,5 @@
 		e = e.Str("liveness", a.liveness.String()).Stringer("fingerprint", q.fingerprint())
 	}
 	e.AnErr("cause", a.err).Int("service_load", c.Load.InFlight).Int("service_slots", c.Load.Slots).
-		Uint64("backends", q.g.revision.Load()).Msg("attempt ended")
+		Uint64("backends", q.g.knows().at.Revision).Msg("attempt ended")
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,10 +63,9 @@
 
 	follower *source.Follower
 	peering  *peering
-	document uint64            // revision of the latest configuration looked at
-	refused  map[string]uint64 // revisions of entries that name no backend server, by key
-	revision atomic.Uint64     // of the store, when it was last heard
-	changed  atomic.Uint64     // of the newest change known
+	document document
+	refused  map[string]source.Position // of entries that name no backend server, by key
+	known    atomic.Pointer[known]
 	listed   atomic.Bool
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -96,13 +94,14 @@
 	g.peering = newPeering(g)
 	node.OnMet(g.peering.met)
 	g.follower = &source.Follower{
-		Store: a.Store(s.Store, log), Log: log, Deliver: g.take, Within: s.Follow.Within,
+		Store: a.Store(s.Store, log), Log: log, Deliver: g.take, Within: s.Follow.Within, Rules: g.rules(),
 		Others: g.followers, Rest: func() bool { return g.peering.rests() },
 		Leads: func() bool { return g.peering.leads.Load() },
 	}
 	g.inst = newInstruments(gauges{
 		catalogVersion:   func() float64 { return float64(g.catalog.Version()) },
-		backendsRevision: func() float64 { return float64(g.revision.Load()) },
+		storeEra:         func() float64 { return float64(g.knows().at.Era) },
+		backendsRevision: func() float64 { return float64(g.knows().at.Revision) },
 		peers:            func() float64 { return float64(len(node.Live())) },
 		suspects:         func() float64 { return float64(g.suspects.Size()) },
 		logDropped:       func() float64 { return float64(lines.Dropped()) },
@@ -114,7 +113,7 @@
 	return cluster.Self{
 		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Zone: g.settings.Zone,
 		Address: g.settings.Listen.Peers, Front: g.settings.Listen.Front, Ready: g.Ready(),
-		CatalogVersion: g.catalog.Version(), BackendsRevision: g.changed.Load(),
+		CatalogVersion: g.catalog.Version(), StoreChanged: g.knows().changed, Retained: g.follower.Retained(),
 		Load: g.registry.OwnLoad(clock.Now()), StoreHeard: g.follower.Heard(),
 		Found: g.registry.Found(clock.Now()), Suspects: g.suspects.Told,
 		Activity: cluster.Activity{
@@ -195,66 +194,6 @@
 	return nil
 }
 
-// take takes over what the store holds.
-func (g *Gateway) take(u source.Update) {
-	g.takeCatalog(u)
-	g.takeBackends(u)
-	g.changed.Store(u.Changed)
-}
-
-// takeCatalog puts a published configuration in force.
-func (g *Gateway) takeCatalog(u source.Update) {
-	item, ok := u.Items[g.adapter.CatalogKey()]
-	if !ok {
-		g.log.Warn().Uint64("revision", u.Revision).Msg("no configuration is published")
-		return
-	}
-	if item.Revision == g.document {
-		return
-	}
-	g.document = item.Revision
-	content, err := g.adapter.DecodeCatalog(item.Value)
-	var next *catalog.Snapshot
-	if err == nil {
-		next, err = catalog.New(content)
-	}
-	if err != nil {
-		g.log.Error().Err(err).Uint64("revision", item.Revision).Uint64("in_force", g.catalog.Version()).Msg("configuration refused")
-		return
-	}
-	before := g.catalog.Version()
-	if g.catalog.Apply(next) {
-		g.log.Info().Uint64("version", next.Version).Uint64("before", before).Uint64("revision", item.Revision).
-			Int("routes", len(content.Routes)).Int("teams", len(content.Teams)).Msg("configuration in force")
-	}
-}
-
-// takeBackends takes over the list of backend servers.
-func (g *Gateway) takeBackends(u source.Update) {
-	list := make([]balance.Info, 0, len(u.Items))
-	refused := make(map[string]uint64)
-	for key, item := range u.Items {
-		if !strings.HasPrefix(key, g.adapter.BackendsPrefix()) {
-			continue
-		}
-		info, err := g.adapter.DecodeBackend(key, item.Value)
-		if err != nil {
-			refused[key] = item.Revision
-			if g.refused[key] != item.Revision { // each is logged once
-				g.inst.entriesRefused.Inc()
-				g.log.Error().Err(err).Str("key", key).Uint64("revision", item.Revision).Msg("backend server refused")
-			}
-			continue
-		}
-		info.Revision = item.Revision
-		list = append(list, info)
-	}
-	g.refused = refused
-	g.registry.Update(list, u.Revision, u.Recovering, clock.Now())
-	g.revision.Store(u.Revision)
-	g.listed.Store(true)
-}
-
 func (g *Gateway) expire(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
@@ -264,7 +203,7 @@
 			return
 		case <-ticker.C:
 			now := clock.Now()
-			g.registry.Expire(g.revision.Load(), now)
+			g.registry.Expire(g.knows().at, now)
 			g.suspects.Expire(now)
 			g.decideActivity(now)
 			g.peering.look(ctx)
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -64,14 +64,17 @@
 func (testAdapter) Directory(Directory) http.Handler { return http.NotFoundHandler() }
 func (testAdapter) Ready(Directory) http.Handler     { return http.NotFoundHandler() }
 
+// at is a position in a store without eras.
+func at(revision uint64) source.Position { return source.Position{Revision: revision} }
+
 // fixedStore holds items that never change.
 type fixedStore []source.Item
 
-func (s fixedStore) List(context.Context, string, source.Freshness) ([]source.Item, uint64, error) {
-	return s, 1, nil
+func (s fixedStore) List(context.Context, string, source.Freshness) ([]source.Item, source.Position, error) {
+	return s, at(1), nil
 }
 
-func (s fixedStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]source.Event, uint64, error) {
+func (s fixedStore) Watch(ctx context.Context, _ string, after source.Position, _ time.Duration) ([]source.Event, source.Position, error) {
 	<-ctx.Done()
 	return nil, after, ctx.Err()
 }
@@ -129,7 +132,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return source.Item{Key: key, Value: raw, Revision: 1}
+	return source.Item{Key: key, Value: raw, Position: at(1)}
 }
 
 // start runs a gateway; backends answer with the number of runs so far, from 1.
@@ -452,14 +455,14 @@
 	w := start(t, 1, ok)
 	g := w.gateway
 	items := map[string]source.Item{
-		"catalog":     {Key: "catalog", Value: []byte("<html>"), Revision: 2},
-		"backends/b9": {Key: "backends/b9", Value: []byte("nonsense"), Revision: 2},
+		"catalog":     {Key: "catalog", Value: []byte("<html>"), Position: at(2)},
+		"backends/b9": {Key: "backends/b9", Value: []byte("nonsense"), Position: at(2)},
 	}
-	g.takeCatalog(source.Update{Items: items, Revision: 2})
+	g.takeCatalog(source.Update{Items: items, Position: at(2)})
 	is.Equal(g.catalog.Version(), uint64(1))
 	older := item(t, "catalog", catalog.Content{Version: 1})
 	older.Revision = 3
-	g.takeCatalog(source.Update{Items: map[string]source.Item{"catalog": older}, Revision: 3})
+	g.takeCatalog(source.Update{Items: map[string]source.Item{"catalog": older}, Position: at(3)})
 	is.True(g.catalog.Current().Match("h", "/many/x") != nil)
 }
 
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -11,6 +11,7 @@
 // gauges are read when the metrics are fetched.
 type gauges struct {
 	catalogVersion   func() float64
+	storeEra         func() float64
 	backendsRevision func() float64
 	peers            func() float64
 	suspects         func() float64
@@ -31,6 +32,7 @@
 func newInstruments(g gauges) *instruments {
 	set := metrics.NewSet()
 	set.NewGauge("baywall_catalog_version", g.catalogVersion)
+	set.NewGauge("baywall_store_era", g.storeEra)
 	set.NewGauge("baywall_backends_revision", g.backendsRevision)
 	set.NewGauge("baywall_peers", g.peers)
 	set.NewGauge("baywall_suspect_requests", g.suspects)
--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -238,7 +238,7 @@
 	if stands && q.state.stands(now) {
 		q.g.inst.stood(q.service)
 		q.log.Warn().Str("service", q.service).Str("found", found.String()).Int("slots", choice.Load.Slots).
-			Uint64("backends", q.g.revision.Load()).Msg("service serves nobody")
+			Uint64("backends", q.g.knows().at.Revision).Msg("service serves nobody")
 	}
 	return choice, found
 }
--- a/entry/gateway/patience_test.go
+++ b/entry/gateway/patience_test.go
@@ -59,12 +59,12 @@
 	after time.Duration
 }
 
-func (s lateStore) List(ctx context.Context, prefix string, f source.Freshness) ([]source.Item, uint64, error) {
+func (s lateStore) List(ctx context.Context, prefix string, f source.Freshness) ([]source.Item, source.Position, error) {
 	select {
 	case <-time.After(s.after):
 		return s.fixedStore.List(ctx, prefix, f)
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, source.Position{}, ctx.Err()
 	}
 }
 
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -26,11 +26,6 @@
 // change. Heartbeats tell who does.
 
 const (
-	// nudgeAfter and pullAfter are how often in a row, at intervals of
-	// expireInterval, a gateway finds that others know of a newer change before
-	// it asks the store again, and before it asks one of them.
-	nudgeAfter = 2
-	pullAfter  = 3
 	// pullTimeout bounds the exchange with another gateway.
 	pullTimeout = 2 * time.Second
 	// watchersPerZone is how many gateways of an availability zone follow the
@@ -59,16 +54,14 @@
 
 // peering exchanges states of the store with other gateways.
 type peering struct {
-	gateway *Gateway
-	local   *link.Local
-	pool    *link.Pool
-	mu      sync.Mutex
-	pulling chan struct{} // holds one token while a pull is under way
-	behind  int           // looks in a row that found a newer change
-	resting atomic.Bool   // others follow the store for this one
-	leads   atomic.Bool   // this one is to follow it
-	packed  packer
-	pulled  time.Time // when the latest pull began, under mu
+	gateway  *Gateway
+	local    *link.Local
+	pool     *link.Pool
+	mu       sync.Mutex
+	exchange *exchange   // under mu
+	resting  atomic.Bool // others follow the store for this one
+	leads    atomic.Bool // this one is to follow it
+	packed   packer
 	// asked counts the gateways asked for suspects since askedSince, under mu.
 	asked      int
 	askedSince time.Time
@@ -79,12 +72,12 @@
 func newPeering(g *Gateway) *peering {
 	host, _, _ := net.SplitHostPort(g.settings.Listen.Peers) // validated
 	p := &peering{
-		gateway: g, pulling: make(chan struct{}, 1), began: clock.Now(),
+		gateway: g, exchange: newExchange(g.settings.Follow.Within), began: clock.Now(),
 		meeting: shortestMeeting + rand.N(longestMeeting-shortestMeeting),
 	}
 	p.local = &link.Local{
 		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Role: vm.RoleEntry, Zone: zone.ID(g.settings.Zone), BindIP: host,
-		Clock: &timeline.Clock{}, Log: g.log, Revisions: func() (config, vms uint64) { return g.catalog.Version(), g.changed.Load() },
+		Clock: &timeline.Clock{}, Log: g.log, Revisions: func() (config, vms uint64) { return g.catalog.Version(), g.knows().changed.Revision },
 	}
 	p.leads.Store(true)
 	p.pool = link.NewPool(p.local, nil, nil, nil)
@@ -166,56 +159,41 @@
 	}
 }
 
-// look compares what others know with what this gateway knows.
+// look compares what others know with what this gateway knows, and acts on it.
 func (p *peering) look(ctx context.Context) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	peer := p.gateway.node.Newest()
-	newest := peer.BackendsRevision
-	if newest <= p.gateway.changed.Load() {
-		p.behind = 0
-		return
-	}
-	p.behind++
-	if p.behind == nudgeAfter {
-		p.gateway.follower.Nudge(newest)
+	g := p.gateway
+	own := standing{
+		changed: g.knows().changed, catalog: g.catalog.Version(), retained: g.follower.Retained(),
+		listed: g.listed.Load(), resting: p.resting.Load(),
 	}
-	if p.behind < pullAfter && p.gateway.listed.Load() && !p.resting.Load() {
-		return
-	}
-	now := clock.Now()
-	if now.Sub(p.pulled) < p.pullGap() {
-		return
+	p.mu.Lock()
+	step := p.exchange.look(own, g.node.Live(), clock.Now())
+	p.mu.Unlock()
+	if step.nudge != (source.Position{}) {
+		g.follower.Nudge(step.nudge)
 	}
-	select {
-	case p.pulling <- struct{}{}:
-		p.pulled = now
-		p.gateway.run.Go(func() {
-			defer func() { <-p.pulling }()
-			p.pull(ctx, peer, newest)
-		})
-	default: // one at a time
+	if step.pull != nil {
+		g.run.Go(func() { p.pull(ctx, *step.pull) })
 	}
 }
 
-// pullPart is the part of the time within which a change has to be in force that passes
-// between two pulls at least: changes in quick succession then come together.
-const pullPart = 0.1
-
-func (p *peering) pullGap() time.Duration {
-	return time.Duration(pullPart * float64(p.gateway.settings.Follow.Within))
-}
-
 // pull takes the state that another gateway knows.
-func (p *peering) pull(ctx context.Context, from cluster.Peer, newest uint64) {
+func (p *peering) pull(ctx context.Context, from cluster.Peer) {
 	state, err := p.fetch(ctx, from)
+	p.mu.Lock()
+	p.exchange.ended(from.VM)
+	p.mu.Unlock()
 	log := p.gateway.log.Info()
 	if err != nil {
 		log = p.gateway.log.Warn().Err(err)
 	}
-	log.Str("peer", string(from.VM)).Uint64("newest", newest).Uint64("known", p.gateway.changed.Load()).
-		Uint64("revision", state.Revision).Msg("state asked from another gateway")
-	if err == nil && state.Changed > 0 {
+	own := p.gateway.knows()
+	log.Str("peer", string(from.VM)).Uint64("era", state.Era).Uint64("revision", state.Revision).
+		Uint64("known_era", own.changed.Era).Uint64("known", own.changed.Revision).
+		Uint64("version", from.CatalogVersion).Uint64("in_force", p.gateway.catalog.Version()).
+		Int("kept", len(state.Kept)).Msg("state asked from another gateway")
+	if err == nil && state.Changed != (source.Position{}) {
+		state.From = string(from.VM)
 		p.gateway.follower.Offer(state)
 	}
 }
@@ -227,13 +205,14 @@
 	if err != nil {
 		return source.State{}, err
 	}
-	pull := &wire.SourcePull{After: p.gateway.revision.Load()}
+	at := p.gateway.knows().at
+	pull := &wire.SourcePull{Era: at.Era, After: at.Revision}
 	reply, err := conn.Call(ctx, &wire.Call{Body: &wire.Call_Source{Source: pull}})
 	if err != nil {
 		p.pool.Retain(func(id vm.ID) bool { return id != from.VM }) // the link may have gone silent
 		return source.State{}, err
 	}
-	return stateFromWire(reply.GetSource())
+	return stateFromWire(reply.GetSource(), clock.Now())
 }
 
 // ServeStream answers another gateway.
@@ -241,8 +220,9 @@
 	reply := &wire.Reply{}
 	switch {
 	case call.GetSource() != nil:
-		state := p.gateway.follower.Since(call.GetSource().GetAfter())
-		reply.Body = &wire.Reply_Source{Source: p.packed.reply(state)}
+		pull := call.GetSource()
+		state := p.gateway.follower.Since(source.Position{Era: pull.GetEra(), Revision: pull.GetAfter()})
+		reply.Body = &wire.Reply_Source{Source: p.packed.reply(state, clock.Now())}
 	case call.GetSuspects() != nil:
 		reply.Body = &wire.Reply_Suspects{Suspects: &wire.Suspects{Suspects: p.gateway.suspects.All(clock.Now())}}
 	default:
--- a/entry/gateway/peers_test.go
+++ b/entry/gateway/peers_test.go
@@ -14,25 +14,25 @@
 // awayStore refuses every call, as a store does that turns a VM away.
 type awayStore struct{}
 
-func (awayStore) List(context.Context, string, source.Freshness) ([]source.Item, uint64, error) {
-	return nil, 0, source.ErrUnavailable
+func (awayStore) List(context.Context, string, source.Freshness) ([]source.Item, source.Position, error) {
+	return nil, source.Position{}, source.ErrUnavailable
 }
 
-func (awayStore) Watch(context.Context, string, uint64, time.Duration) ([]source.Event, uint64, error) {
-	return nil, 0, source.ErrUnavailable
+func (awayStore) Watch(context.Context, string, source.Position, time.Duration) ([]source.Event, source.Position, error) {
+	return nil, source.Position{}, source.ErrUnavailable
 }
 
 // silentStore answers nothing, as a store does that is cut off.
 type silentStore struct{}
 
-func (silentStore) List(ctx context.Context, _ string, _ source.Freshness) ([]source.Item, uint64, error) {
+func (silentStore) List(ctx context.Context, _ string, _ source.Freshness) ([]source.Item, source.Position, error) {
 	<-ctx.Done()
-	return nil, 0, source.ErrUnavailable
+	return nil, source.Position{}, source.ErrUnavailable
 }
 
-func (silentStore) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]source.Event, uint64, error) {
+func (silentStore) Watch(ctx context.Context, _ string, _ source.Position, _ time.Duration) ([]source.Event, source.Position, error) {
 	<-ctx.Done()
-	return nil, 0, source.ErrUnavailable
+	return nil, source.Position{}, source.ErrUnavailable
 }
 
 func TestAGatewayThatTheStoreTurnsAwayAsksAnother(t *testing.T) {
@@ -63,8 +63,8 @@
 func (w *world) publish(t *testing.T, version uint64) {
 	t.Helper()
 	published := item(t, "catalog", catalog.Content{Version: version, Routes: routes()})
-	published.Revision = version
+	published.Position = at(version)
 	w.gateway.follower.Offer(source.State{
-		Items: map[string]source.Item{"catalog": published}, Revision: version, Changed: version,
+		Items: map[string]source.Item{"catalog": published}, Position: at(version), Changed: at(version),
 	})
 }
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -53,6 +53,9 @@
 	// Within is the time within which a published change has to be in force; the
 	// longer, the fewer calls to the store. From 500ms to 1m, default 2s.
 	Within time.Duration `yaml:"within"`
+	// Lease is for how long the store lists an entry whose writer has ended. From 0s to
+	// 1h, default 4s: three heartbeats of 1.2 s and a margin.
+	Lease time.Duration `yaml:"lease"`
 }
 
 // MachineSettings tell what the VM may use.
@@ -96,6 +99,7 @@
 
 const (
 	defaultWithin      = 2 * time.Second
+	defaultLease       = 4 * time.Second
 	defaultTTL         = 2 * time.Second
 	defaultMost        = 64
 	defaultRetryRatio  = 0.2
@@ -107,6 +111,7 @@
 // Provision fills in the defaults.
 func (s *Settings) Provision() {
 	s.Follow.Within = settings.Or(s.Follow.Within, defaultWithin)
+	s.Follow.Lease = settings.Or(s.Follow.Lease, defaultLease)
 	s.Machine.Cores = settings.Or(s.Machine.Cores, 1)
 	s.Entries.TTL = settings.Or(s.Entries.TTL, defaultTTL)
 	s.Entries.Most = settings.Or(s.Entries.Most, defaultMost)
@@ -135,6 +140,7 @@
 	}
 	c.Address("store", s.Store)
 	c.Duration("follow.within", s.Follow.Within, 500*time.Millisecond, time.Minute)
+	c.Duration("follow.lease", s.Follow.Lease, 0, time.Hour)
 	c.Float("machine.cpu_share", s.Machine.CPUShare, 0, 1)
 	c.Float("machine.cores", s.Machine.Cores, 0, 1024)
 	c.Duration("entries.ttl", s.Entries.TTL, time.Second, time.Hour)
--- a/entry/gateway/state.go
+++ b/entry/gateway/state.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -30,12 +31,15 @@
 }
 
 type packedValue struct {
-	revision uint64
-	value    []byte
+	at    source.Position
+	value []byte
 }
 
-func (p *packer) reply(s source.State) *wire.SourceReply {
-	out := &wire.SourceReply{Revision: s.Revision, Changed: s.Changed, After: s.After}
+func (p *packer) reply(s source.State, now time.Time) *wire.SourceReply {
+	out := &wire.SourceReply{
+		Era: s.Era, Revision: s.Revision, ChangedEra: s.Changed.Era, Changed: s.Changed.Revision,
+		After: s.After.Revision, Base: s.Base.Revision,
+	}
 	for _, item := range s.Items {
 		out.Items = append(out.Items, p.item(item))
 	}
@@ -44,11 +48,19 @@
 		item.Removed = e.Removed
 		out.Items = append(out.Items, item)
 	}
+	for _, k := range s.Kept {
+		out.Kept = append(out.Kept, p.item(k))
+	}
+	for _, g := range s.Gone {
+		item := p.item(g.Item)
+		item.AgeMs = uint32(now.Sub(g.At).Milliseconds())
+		out.Gone = append(out.Gone, item)
+	}
 	return out
 }
 
 func (p *packer) item(i source.Item) *wire.SourceItem {
-	out := &wire.SourceItem{Key: i.Key, Value: i.Value, Revision: i.Revision}
+	out := &wire.SourceItem{Key: i.Key, Value: i.Value, Era: i.Era, Revision: i.Revision}
 	if len(i.Value) >= packFrom {
 		out.Value, out.Packed = p.pack(i), true
 	}
@@ -60,7 +72,7 @@
 func (p *packer) pack(i source.Item) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if k, ok := p.kept[i.Key]; ok && k.revision == i.Revision {
+	if k, ok := p.kept[i.Key]; ok && k.at == i.Position {
 		return k.value
 	}
 	var out bytes.Buffer
@@ -73,31 +85,53 @@
 	if p.kept == nil {
 		p.kept = make(map[string]packedValue)
 	}
-	p.kept[i.Key] = packedValue{i.Revision, out.Bytes()}
+	p.kept[i.Key] = packedValue{i.Position, out.Bytes()}
 	return out.Bytes()
 }
 
-func stateFromWire(w *wire.SourceReply) (source.State, error) {
-	out := source.State{Revision: w.GetRevision(), Changed: w.GetChanged(), After: w.GetAfter()}
-	if out.After == 0 {
+func stateFromWire(w *wire.SourceReply, now time.Time) (source.State, error) {
+	at := func(revision uint64) source.Position { return source.Position{Era: w.GetEra(), Revision: revision} }
+	out := source.State{
+		Position: at(w.GetRevision()), Changed: source.Position{Era: w.GetChangedEra(), Revision: w.GetChanged()},
+		Base: at(w.GetBase()),
+	}
+	if w.GetAfter() == 0 {
 		out.Items = make(map[string]source.Item, len(w.GetItems()))
+	} else {
+		out.After = at(w.GetAfter())
 	}
 	for _, i := range w.GetItems() {
 		item, err := itemFromWire(i)
 		if err != nil {
 			return source.State{}, err
 		}
-		if out.After == 0 {
+		if out.Items != nil {
 			out.Items[item.Key] = item
 			continue
 		}
 		out.Events = append(out.Events, source.Event{Item: item, Removed: i.GetRemoved()})
 	}
+	for _, i := range w.GetKept() {
+		item, err := itemFromWire(i)
+		if err != nil {
+			return source.State{}, err
+		}
+		out.Kept = append(out.Kept, item)
+	}
+	for _, i := range w.GetGone() {
+		item, err := itemFromWire(i)
+		if err != nil {
+			return source.State{}, err
+		}
+		out.Gone = append(out.Gone, source.Removal{Item: item, At: now.Add(-time.Duration(i.GetAgeMs()) * time.Millisecond)})
+	}
 	return out, nil
 }
 
 func itemFromWire(w *wire.SourceItem) (source.Item, error) {
-	out := source.Item{Key: w.GetKey(), Value: w.GetValue(), Revision: w.GetRevision()}
+	out := source.Item{
+		Key: w.GetKey(), Value: w.GetValue(), Position: source.Position{Era: w.GetEra(), Revision: w.GetRevision()},
+	}
 	if !w.GetPacked() {
 		return out, nil
 	}
--- a/entry/gateway/state_test.go
+++ b/entry/gateway/state_test.go
@@ -26,21 +26,21 @@
 
 func TestStatesComeBackAsTheyWereSent(t *testing.T) {
 	is := is.New(t)
-	large := source.Item{Key: "config", Value: manyRoutes(1400), Revision: 9}
-	small := source.Item{Key: "server", Value: []byte("{}"), Revision: 8}
+	large := source.Item{Key: "config", Value: manyRoutes(1400), Position: at(9)}
+	small := source.Item{Key: "server", Value: []byte("{}"), Position: at(8)}
 	var p packer
-	whole := source.State{Items: map[string]source.Item{"config": large, "server": small}, Revision: 9, Changed: 9}
-	w := p.reply(whole)
+	whole := source.State{Items: map[string]source.Item{"config": large, "server": small}, Position: at(9), Changed: at(9)}
+	w := p.reply(whole, time.Now())
 	t.Logf("%d B of routes in %d B", len(large.Value), proto.Size(w))
 	is.True(proto.Size(w) < len(large.Value)/8)
-	got, err := stateFromWire(w)
+	got, err := stateFromWire(w, time.Now())
 	is.NoErr(err)
 	is.Equal(got, whole)
 
 	events := source.State{
-		Events: []source.Event{{Item: large}, {Item: source.Item{Key: "gone", Revision: 7}, Removed: true}}, After: 3, Revision: 9, Changed: 9,
+		Events: []source.Event{{Item: large}, {Item: source.Item{Key: "gone", Position: at(7)}, Removed: true}}, After: at(3), Position: at(9), Changed: at(9),
 	}
-	got, err = stateFromWire(p.reply(events))
+	got, err = stateFromWire(p.reply(events, time.Now()), time.Now())
 	is.NoErr(err)
 	is.Equal(got, events)
 }
@@ -48,8 +48,8 @@
 func TestACompressedValueIsOfItsRevision(t *testing.T) {
 	is := is.New(t)
 	var p packer
-	first := source.Item{Key: "config", Value: manyRoutes(100), Revision: 1}
-	second := source.Item{Key: "config", Value: manyRoutes(101), Revision: 2}
+	first := source.Item{Key: "config", Value: manyRoutes(100), Position: at(1)}
+	second := source.Item{Key: "config", Value: manyRoutes(101), Position: at(2)}
 	for _, i := range []source.Item{first, first, second, first} {
 		got, err := itemFromWire(p.item(i))
 		is.NoErr(err)
@@ -59,7 +59,7 @@
 
 func TestABrokenValueIsRefused(t *testing.T) {
 	is := is.New(t)
-	_, err := stateFromWire(&wire.SourceReply{Items: []*wire.SourceItem{{Key: "a", Value: []byte("no flate"), Packed: true}}})
+	_, err := stateFromWire(&wire.SourceReply{Items: []*wire.SourceItem{{Key: "a", Value: []byte("no flate"), Packed: true}}}, time.Now())
 	is.True(err != nil)
 }
 
@@ -69,14 +69,14 @@
 	is := is.New(t)
 	w := &world{}
 	good := item(t, "backends/a", balance.Info{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 4})
-	bad := source.Item{Key: "backends/b", Value: []byte{0, 0xff}, Revision: 3}
+	bad := source.Item{Key: "backends/b", Value: []byte{0, 0xff}, Position: at(3)}
 	w.run(t, fixedStore{item(t, "catalog", catalog.Content{Version: 1, Routes: routes()}), good, bad})
 	is.Equal(w.gateway.registry.Load("s", time.Now()).Servers, 1)
 	is.Equal(w.gateway.inst.entriesRefused.Get(), uint64(1))
-	update := source.Update{Items: map[string]source.Item{good.Key: good, bad.Key: bad}, Revision: 4}
+	update := source.Update{Items: map[string]source.Item{good.Key: good, bad.Key: bad}, Position: at(4)}
 	w.gateway.takeBackends(update)
 	is.Equal(w.gateway.inst.entriesRefused.Get(), uint64(1))
-	bad.Revision = 5
+	bad.Position = at(5)
 	update.Items[bad.Key] = bad
 	w.gateway.takeBackends(update)
 	is.Equal(w.gateway.inst.entriesRefused.Get(), uint64(2))
