--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -47,22 +47,22 @@
 
 // Self is what this member says about itself.
 type Self struct {
-	VM               vm.ID
-	Incarnation      vm.Incarnation
-	Zone             string
-	Address          string // where heartbeats and links are taken, IP:port
-	Front            string // where callers connect, IP:port
-	Ready            bool
-	CatalogVersion   uint64
-	StoreChanged     source.Position // newest change of the store that it knows
-	Load             map[uint32]Load // by backend server key
+	VM             vm.ID
+	Incarnation    vm.Incarnation
+	Zone           string
+	Address        string // where heartbeats and links are taken, IP:port
+	Front          string // where callers connect, IP:port
+	Ready          bool
+	CatalogVersion uint64
+	StoreChanged   source.Position // newest change of the store that it knows
+	Load           map[uint32]Load // by backend server key
 	// Found are backend servers, by key, that lately turned out to take requests again.
 	Found []uint32
 	// StoreHeard is when the store last answered this member; zero = never.
 	StoreHeard time.Time
 	// Retained is the digest of what it knows better than the store, 0 = nothing.
 	Retained uint64
-	Rank       *RankLabel // nil unless it is the agent of a rank
+	Rank     *RankLabel // nil unless it is the agent of a rank
 	// Suspects returns what is told of requests that may end backend servers; nil =
 	// nothing.
 	Suspects func(now time.Time) []*wire.Suspect
@@ -103,18 +103,18 @@
 
 // Peer is what another member last said about itself.
 type Peer struct {
-	VM               vm.ID
-	Incarnation      vm.Incarnation
-	Zone             string
-	Address          string
-	Front            string
-	Ready            bool
-	CatalogVersion   uint64
-	StoreChanged     source.Position // newest change of the store that it knows
-	StoreHeard       time.Time       // when the store last answered it, or one that it hears; zero = not known
-	Retained         uint64          // digest of what it knows better than the store, 0 = nothing
-	Rank             *RankLabel
-	Heard            time.Time
+	VM             vm.ID
+	Incarnation    vm.Incarnation
+	Zone           string
+	Address        string
+	Front          string
+	Ready          bool
+	CatalogVersion uint64
+	StoreChanged   source.Position // newest change of the store that it knows
+	StoreHeard     time.Time       // when the store last answered it, or one that it hears; zero = not known
+	Retained       uint64          // digest of what it knows better than the store, 0 = nothing
+	Rank           *RankLabel
+	Heard          time.Time
 	Activity
 
 	sequence uint64
@@ -283,7 +283,7 @@
 		Address: hb.GetAddress(), Front: hb.GetFront(), Ready: hb.GetReady(),
 		CatalogVersion: hb.GetCatalogVersion(), Retained: hb.GetRetained(),
 		StoreChanged: source.Position{Era: hb.GetBackendsEra(), Revision: hb.GetBackendsRevision()},
-		Rank: rankFromWire(hb.GetRank()), Heard: now, sequence: hb.GetSequence(), load: make(map[uint32]Load, len(hb.GetInFlight())),
+		Rank:         rankFromWire(hb.GetRank()), Heard: now, sequence: hb.GetSequence(), load: make(map[uint32]Load, len(hb.GetInFlight())),
 		Activity: Activity{Active: hb.GetActive(), Millicores: hb.GetMillicores(), Arrivals: hb.GetArrivals()},
 	}
 	if age := hb.GetStoreAgeMs(); age > 0 {
