Decide again at the moment of sending

Cause: a request was decided when it came in, and sent, queued and tried again by that decision for as long as its deadline allows. A key taken away, a route that moved or a server that began to leave meanwhile did not count (test: a second attempt after a key was taken away ran on the next server).

Now the configuration in force is looked at while the request waits and before each attempt, and the server's state and the configuration once more when the connection stands, just before writing. What is no longer allowed is refused at once; one that may have run is told nothing that could be false. A process that has just started takes no requests, for 1.5 s at most, while others know a later configuration or something better than the store. Log lines of a request tell era, revision, age and source of the state by which it was decided.

--- a/entry/catalog/catalog.go
+++ b/entry/catalog/catalog.go
@@ -79,6 +79,11 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
+// Targeted reports whether requests of the route go to the service.
+func (r *Route) Targeted(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
 // Service is a set of interchangeable backend servers.
 type Service struct {
 	Name       string
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -164,7 +164,9 @@
 
 // describe adds what decided the request.
 func (q *request) describe(e *zerolog.Event) *zerolog.Event {
-	e = e.Str("request", q.id).Uint64("catalog", q.version).Dur("elapsed", clock.Since(q.began)).Int("attempts", q.sequence.Attempts())
+	e = e.Str("request", q.id).Uint64("catalog", q.version).Uint64("era", q.decided.at.Era).Uint64("revision", q.decided.at.Revision).
+		Str("state_from", q.decided.source()).Dur("state_age", clock.Since(q.decided.taken)).
+		Dur("elapsed", clock.Since(q.began)).Int("attempts", q.sequence.Attempts())
 	if q.route != nil {
 		e = e.Str("route", q.route.Name).Str("service", q.service).Str("team", q.team).
 			Dur("limit", q.limit).Bool("interrupted", q.interrupted).Dur("waited", q.waited)
--- a/entry/gateway/directory.go
+++ b/entry/gateway/directory.go
@@ -4,12 +4,32 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"time"
+
+	"baywall.example/core/clock"
+	"baywall.example/core/cluster"
 )
 
 // Ready reports whether this gateway takes requests: it knows a configuration
 // and the backend servers, and is not leaving.
 func (g *Gateway) Ready() bool {
-	return !g.leaving.Load() && g.catalog.Current() != nil && g.listed.Load()
+	return !g.leaving.Load() && g.catalog.Current() != nil && g.listed.Load() && !g.catchingUp()
+}
+
+// catchUpTime is for how long a process that has started takes no requests while others know
+// a later configuration, or something better than the store: what they have in force must not
+// go back because the store did. They are asked within 0.3 s.
+const catchUpTime = 1500 * time.Millisecond
+
+// catchingUp reports whether this gateway has just started and knows less than others.
+func (g *Gateway) catchingUp() bool {
+	if clock.Since(g.peering.began) >= catchUpTime {
+		return false
+	}
+	version, retained := g.catalog.Version(), g.follower.Retained()
+	return slices.ContainsFunc(g.node.Live(), func(p cluster.Peer) bool {
+		return p.CatalogVersion > version || p.Retained != 0 && p.Retained != retained
+	})
 }
 
 const (
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -32,9 +32,10 @@
 	verdictLeft                        // the caller left
 	verdictDeadline                    // the time was up; it may have run
 	verdictMoved                       // it was given up to go on elsewhere
+	verdictOutdated                    // it was not sent, as the decision to send it was outdated
 )
 
-var verdictNames = [...]string{"", "answered", "not-sent", "rejected", "failed", "lost", "cut", "caller-left", "deadline", "moved"}
+var verdictNames = [...]string{"", "answered", "not-sent", "rejected", "failed", "lost", "cut", "caller-left", "deadline", "moved", "outdated"}
 
 func (v verdict) String() string { return verdictNames[v] }
 
@@ -85,6 +86,10 @@
 		if a.verdict == verdictMoved {
 			continue
 		}
+		if a.verdict == verdictOutdated {
+			q.sequence.Void()
+			continue
+		}
 		decision := q.next(a)
 		if decision.Action != retry.ActionRetry {
 			q.finish(decision, a, stream)
@@ -101,6 +106,10 @@
 		q.left(stream)
 		return
 	}
+	if q.denied != nil {
+		q.deny(stream)
+		return
+	}
 	refusal := contract.Refusal{Reason: contract.ReasonNoBackend}
 	switch {
 	case q.quarantined != nil:
@@ -177,6 +186,9 @@
 		}
 	}
 	answer, err := c.Server.Pool.Do(ctx, q.upstreamRequest(c, stream))
+	if errors.Is(err, errOutdated) {
+		return q.judge(ctx, c, attempt{verdict: verdictOutdated, err: err})
+	}
 	if err != nil {
 		return q.judge(ctx, c, attempt{verdict: lostOrNotSent(err), err: err, reason: contract.ReasonEngineDial})
 	}
@@ -229,7 +241,7 @@
 		switch {
 		case q.ctx.Err() != nil:
 			a.verdict = verdictLeft
-		case a.verdict != verdictNotSent && a.verdict != verdictCut:
+		case a.verdict != verdictNotSent && a.verdict != verdictOutdated && a.verdict != verdictCut:
 			a.verdict = verdictDeadline
 		}
 		return a
@@ -237,6 +249,8 @@
 	switch a.verdict {
 	case verdictAnswered:
 		q.g.registry.Succeeded(c.Server)
+	case verdictOutdated:
+		q.g.registry.Released(c.Server)
 	case verdictRejected:
 		if a.reason == contract.ReasonReplacedAgent {
 			q.g.registry.Replaced(c.Server)
@@ -264,6 +278,7 @@
 	return &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
 		IDHeader: q.g.headers.RequestID, Fresh: !q.route.Idempotent(),
+		Check: func() error { return q.mayGoTo(c.Server) },
 	}
 }
 
--- a/entry/gateway/entries.go
+++ b/entry/gateway/entries.go
@@ -18,6 +18,14 @@
 	taken       time.Time // when
 }
 
+// source names where it was taken from.
+func (k known) source() string {
+	if k.from == "" {
+		return "store"
+	}
+	return k.from
+}
+
 // knows returns what was last taken over; its zero value if nothing was.
 func (g *Gateway) knows() known {
 	if k := g.known.Load(); k != nil {
--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -205,6 +205,9 @@
 		}
 	}()
 	for {
+		if q.renew(); q.denied != nil {
+			return balance.Choice{}, balance.Unavailable
+		}
 		now := clock.Now()
 		choice, found, permission := q.lookIfAdmitted(queued, now)
 		if found == balance.Available || permission == quarantine.Refused {
@@ -259,10 +262,14 @@
 		patience = startedResumePatience
 	}
 	for until := q.began.Add(patience); ; {
-		if s := q.g.catalog.Current(); s != nil && q.g.listed.Load() {
+		behind := q.g.catchingUp()
+		if s := q.g.catalog.Current(); s != nil && q.g.listed.Load() && !behind {
 			return s
 		}
 		if clock.Now().After(until) || !wait.Sleep(q.ctx, min(waitPoll, startPatience/4)) {
+			if behind {
+				return nil
+			}
 			return q.g.catalog.Current()
 		}
 	}
--- /dev/null
+++ b/entry/gateway/renew_test.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baywall.example/core/source"
+	"baywall.example/entry/balance"
+	"baywall.example/entry/catalog"
+)
+
+// offer puts a configuration in force and waits until it is.
+func (w *world) offer(t *testing.T, content catalog.Content) {
+	t.Helper()
+	k := w.gateway.knows().at
+	next := item(t, "catalog", content)
+	next.Position = at(k.Revision + 1)
+	w.gateway.follower.Offer(source.State{Events: []source.Event{{Item: next}}, After: k, Position: next.Position, Changed: next.Position})
+	for until := time.Now().Add(2 * time.Second); w.gateway.catalog.Version() < content.Version && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// What was decided when a request came in was used for all its attempts: one that a backend
+// server turned away after its key had been taken away was sent to the next server, and one
+// whose route had moved to the old service.
+func TestASecondAttemptIsDecidedByTheConfigurationInForce(t *testing.T) {
+	keyless := []catalog.Team{{Name: "team", Keys: []string{"other"}}}
+	keyed := []catalog.Team{{Name: "team", Keys: []string{"key"}}}
+	renamed := []catalog.Team{{Name: "renamed", Keys: []string{"key"}}}
+	for _, c := range []struct {
+		name   string
+		next   catalog.Content
+		status int
+		team   string
+		runs   int32
+	}{
+		{"the key is taken away", catalog.Content{Version: 2, Routes: routes(), Teams: keyless}, http.StatusUnauthorized, "", 1},
+		{"the route is dropped", catalog.Content{Version: 2, Routes: routes()[:1], Teams: keyed}, http.StatusNotFound, "", 1},
+		{"the key is another team's", catalog.Content{Version: 2, Routes: routes(), Teams: renamed}, http.StatusOK, "renamed", 2},
+		{"nothing that matters", catalog.Content{Version: 2, Routes: routes(), Teams: keyed}, http.StatusOK, "team", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var w *world
+			w = start(t, 2, func(n int, rw http.ResponseWriter, r *http.Request) {
+				if n > 1 {
+					_, _ = io.WriteString(rw, r.Header.Get("T-Team"))
+					return
+				}
+				w.offer(t, c.next)
+				rw.Header().Set("T-Not-Run", "1")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+			})
+			resp, body, err := w.get(t, context.Background(), "/many/x", nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, c.status)
+			is.Equal(w.runs.Load(), c.runs)
+			if c.status == http.StatusOK {
+				is.Equal(body, c.team)
+			}
+		})
+	}
+}
+
+// A request whose first attempt may have run is not told that it did not run.
+func TestADenialAfterAnAttemptThatMayHaveRunPromisesNothing(t *testing.T) {
+	is := is.New(t)
+	var w *world
+	w = start(t, 2, func(_ int, rw http.ResponseWriter, _ *http.Request) {
+		w.offer(t, catalog.Content{Version: 2, Routes: routes(), Teams: []catalog.Team{{Name: "team", Keys: []string{"other"}}}})
+		reset(rw)
+	})
+	resp, _, err := w.get(t, context.Background(), "/many/x", nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+	is.Equal(resp.Header.Get(headerOutcome), "unknown")
+	is.Equal(w.runs.Load(), int32(1))
+}
+
+// Between the choice of a backend server and the sending lies a connection, which may take
+// as long as a dial may. The server that began to leave meanwhile gets nothing.
+func TestNothingIsSentToAServerThatBeganToLeaveAfterItWasChosen(t *testing.T) {
+	is := is.New(t)
+	w := start(t, 1, ok)
+	choice, _ := w.gateway.registry.Pick(balance.Demand{Service: "s"}, time.Now())
+	defer choice.Release()
+	server := choice.Server
+	q := &request{g: w.gateway, snapshot: w.gateway.catalog.Current()}
+	is.NoErr(q.mayGoTo(server))
+	k := w.gateway.knows().at
+	gone := source.Event{Item: source.Item{Key: "backends/" + server.ID, Position: at(k.Revision + 1)}, Removed: true}
+	w.gateway.follower.Offer(source.State{Events: []source.Event{gone}, After: k, Position: gone.Position, Changed: gone.Position})
+	for until := time.Now().Add(2 * time.Second); q.mayGoTo(server) == nil && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(q.mayGoTo(server), errOutdated)
+}
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -38,8 +37,13 @@
 	began   time.Time
 	id      string
 	route   *catalog.Route
-	version uint64
-	team    string
+	// snapshot is the configuration by which it was decided, decided what was known of the
+	// store then.
+	snapshot *catalog.Snapshot
+	decided  known
+	denied   *denial // nil unless the configuration in force does not allow it any more
+	version  uint64
+	team     string
 	service string
 	body    []byte
 	header  http.Header // for backend servers
@@ -80,8 +84,8 @@
 	}
 	q := &request{g: g, w: w, r: r, ctx: r.Context(), began: clock.Now(), id: r.Header.Get(g.headers.RequestID)}
 	q.log = g.log
-	if refusal, status := q.match(); refusal != nil {
-		q.refuse(status, *refusal)
+	if d := q.match(); d != nil {
+		q.refuse(d.status, d.refusal)
 		return
 	}
 	if !q.readBody() {
@@ -91,27 +95,13 @@
 	q.dispatch()
 }
 
-// match finds the route, the team and the service. A refusal comes with its
-// status.
-func (q *request) match() (*contract.Refusal, int) {
+// match finds the route, the team and the service, or what denies the request.
+func (q *request) match() *denial {
 	snapshot := q.awaitCatalog()
 	if snapshot == nil {
-		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonStarting}, http.StatusServiceUnavailable
+		return denied(contract.ReasonStarting, http.StatusServiceUnavailable)
 	}
-	q.version = snapshot.Version
-	q.route = snapshot.Match(hostOf(q.r.Host), q.r.URL.EscapedPath())
-	if q.route == nil {
-		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonUnknownService}, http.StatusNotFound
-	}
-	if snapshot.Keyed() && !q.route.Public {
-		team := snapshot.Team(q.r.Header.Get(q.g.headers.APIKey))
-		if team == nil {
-			return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonUnknownTeam}, http.StatusUnauthorized
-		}
-		q.team = team.Name
-	}
-	q.service = q.route.Pick(rand.Float64())
-	return nil, 0
+	return q.decide(snapshot)
 }
 
 // hostOf returns the host without a port.
@@ -178,8 +168,14 @@
 	for _, own := range []string{h.APIKey, h.Team, h.ExpectServer, h.Priority, h.ExpectVersion, h.Deadline} {
 		q.header.Del(own)
 	}
+	q.setTeam()
+}
+
+// setTeam tells backend servers the team.
+func (q *request) setTeam() {
+	q.header.Del(q.g.headers.Team)
 	if q.team != "" {
-		q.header.Set(h.Team, q.team)
+		q.header.Set(q.g.headers.Team, q.team)
 	}
 }
 
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -104,6 +104,9 @@
 	return uint32(s.attempts)
 }
 
+// Void takes back the latest Begin: its attempt was not made.
+func (s *Sequence) Void() { s.attempts-- }
+
 // Next decides what follows the event. The refusal is the agent's, where it
 // sent one; otherwise its zero value.
 func (s *Sequence) Next(ev Event, r contract.Refusal, now time.Time) Decision {
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -39,6 +39,9 @@
 	// Fresh demands a new connection: a kept one may be closing, and then
 	// nobody can tell whether the request ran.
 	Fresh bool
+	// Check, if not nil, is asked when there is a connection, just before the request is
+	// written; with an error it is not.
+	Check func() error
 }
 
 // Answer is a backend server's answer. Close it.
@@ -64,7 +67,7 @@
 
 // Do sends the request and returns the head of the answer. The context bounds
 // the whole exchange, the body included: its end closes the connection. The
-// error is ErrNotSent or ErrLost.
+// error is ErrNotSent, ErrLost, or that of the request's Check.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
 	c, reused, err := p.connect(ctx, r.Fresh)
 	if err != nil {
@@ -72,6 +75,12 @@
 	}
 	a := &Answer{pool: p, conn: c, Reused: reused, Opened: c.opened}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			p.giveBack(a)
+			return nil, err
+		}
+	}
 	if err := a.exchange(r); err != nil {
 		a.Close()
 		return nil, err
@@ -79,6 +88,18 @@
 	return a, nil
 }
 
+// giveBack keeps the connection of an exchange that has not begun.
+func (p *Pool) giveBack(a *Answer) {
+	if !a.stop() {
+		_ = a.conn.Close() // its time is up
+		return
+	}
+	if !a.Reused {
+		a.conn.until = clock.Now().Add(defaultIdle)
+	}
+	p.put(a.conn)
+}
+
 func (p *Pool) connect(ctx context.Context, fresh bool) (c *conn, reused bool, err error) {
 	if !fresh {
 		if c := p.take(clock.Now()); c != nil {
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -246,3 +246,23 @@
 	cancel()
 	is.Equal(p.Liveness(over), Silent)
 }
+
+// A request whose check fails is not written, and its connection serves the next one.
+func TestARequestThatFailsItsCheckIsNotSent(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, func(_ int, r *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+idHeader+": "+r.Header.Get(idHeader)+"\r\n\r\n")
+		return true
+	})
+	p := NewPool(s.listener.Addr().String(), time.Second)
+	no := errors.New("no")
+	r := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{idHeader: {"1"}}, IDHeader: idHeader, Check: func() error { return no }}
+	_, err := p.Do(context.Background(), r)
+	is.Equal(err, no)
+	r.Check = func() error { return nil }
+	answer, err := p.Do(context.Background(), r)
+	is.NoErr(err)
+	is.True(answer.Reused)
+	answer.Close()
+	is.Equal(s.count.Load(), int32(1))
+}
