Take the decisions about following the store out of input and output

Waits, pauses (core/source/pacing.go), who follows (duty) and who asks whom (exchange) are functions of what is known and the time, so that a simulation can drive them. Behaviour as before.

--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,22 +11,9 @@
 	"github.com/rs/zerolog"
 
 	"baywall.example/core/clock"
-	"baywall.example/core/settings"
 )
 
 const (
-	// shortestWait is how long one watch waits for events where nobody else
-	// follows the store: a watch may go deaf without an error, and a change has
-	// to be in force two seconds after it was published.
-	shortestWait = 1200 * time.Millisecond
-	// waitPart stretches the wait where others follow too, by this part of the time
-	// within which a change has to be in force for each of them: each hears of a change
-	// from the first whose watch ends, so the calls of all together stay the same.
-	waitPart = 0.15
-	// defaultWithin is that time where none is set.
-	defaultWithin = 2 * time.Second
-	// longestWait keeps watches within the store's own limit of 30 s.
-	longestWait = 10 * time.Second
 	// watchSlack is how much longer than the wait an answer may take.
 	watchSlack = 2 * time.Second
 	// listTimeout bounds a list; the store answers in milliseconds, in some
@@ -184,7 +170,7 @@
 
 func (f *Follower) watch(ctx context.Context) error {
 	began := clock.Now()
-	period := f.wait()
+	period := Wait(f.others(), f.Within)
 	if release := f.view.release(began); !release.IsZero() {
 		period = max(callGap, min(period, release.Sub(began)))
 	}
@@ -242,26 +228,13 @@
 	}
 }
 
-// wait returns how long the next watch waits. Each event wakes all followers at
-// once, so the waits that follow are spread over the whole usual wait: whenever
-// watches go deaf, some follower asks again soon and tells the others.
-func (f *Follower) wait() time.Duration {
-	wait := f.usualWait()
-	return wait/4 + rand.N(wait)
-}
-
-func (f *Follower) usualWait() time.Duration {
+func (f *Follower) others() int {
 	if f.Others == nil {
-		return shortestWait
+		return 0
 	}
-	within := settings.Or(f.Within, defaultWithin)
-	return min(longestWait, max(shortestWait, time.Duration(waitPart*float64(f.Others()+1)*float64(within))))
+	return f.Others()
 }
 
-// Staleness returns how old the store's latest answer to a follower may be while the
-// store answers and the follower follows it.
-func (f *Follower) Staleness() time.Duration { return 2 * f.usualWait() }
-
 func (f *Follower) arm(cancel context.CancelFunc, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -272,7 +245,7 @@
 // if few are heard now: they no longer make up for it. It is safe for concurrent
 // use.
 func (f *Follower) Recheck() {
-	usual := f.usualWait()
+	usual := UsualWait(f.others(), f.Within)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cancel != nil && f.armed > 2*usual {
@@ -377,7 +350,7 @@
 	}
 	f.failures++
 	if f.view.known() && !f.leads() {
-		return firstPatience + rand.N(longestPatience-firstPatience)
+		return patience()
 	}
 	return backoff(f.failures)
 }
--- a/core/source/follower_test.go
+++ b/core/source/follower_test.go
@@ -160,9 +160,8 @@
 		{0, 4 * time.Second, shortestWait},
 		{4, 4 * time.Second, 3 * time.Second},
 	} {
-		f := &Follower{Within: c.within, Others: func() int { return c.others }}
 		for range 100 {
-			w := f.wait()
+			w := Wait(c.others, c.within)
 			is.True(w >= c.most/4 && w <= c.most*5/4)
 		}
 	}
@@ -173,15 +172,14 @@
 func TestFollowersWokenTogetherDoNotStayTogether(t *testing.T) {
 	is := is.New(t)
 	const followers = 30
-	f := &Follower{Others: func() int { return followers - 1 }}
 	const rounds = 10_000
 	late := 0
 	for range rounds {
 		first := longestWait
 		for range followers {
-			first = min(first, f.wait())
+			first = min(first, Wait(followers-1, 0))
 		}
-		if first > f.usualWait()/2 {
+		if first > UsualWait(followers-1, 0)/2 {
 			late++
 		}
 	}
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,7 +10,6 @@
 	"baywall.example/core/clock"
 	"baywall.example/core/cluster"
 	"baywall.example/core/link"
-	"baywall.example/core/rendezvous"
 	"baywall.example/core/source"
 	"baywall.example/core/timeline"
 	"baywall.example/core/vm"
@@ -28,20 +25,6 @@
 const (
 	// pullTimeout bounds the exchange with another gateway.
 	pullTimeout = 2 * time.Second
-	// watchersPerZone is how many gateways of an availability zone follow the
-	// store, as each call has its price and the store's rate is shared; the others
-	// take what these hear.
-	watchersPerZone = 1
-	// smallFleet is up to how many gateways all of them follow the store: it can
-	// bear their calls, and no change takes a second way.
-	smallFleet = 12
-	// shortestMeeting and longestMeeting bound the random time for which a gateway that
-	// has just started waits to meet one that knows the state of the store already: when
-	// a fleet of 150 starts, some of them list the backend servers in place of all.
-	shortestMeeting, longestMeeting = 80 * time.Millisecond, 280 * time.Millisecond
-	// askedAfter is when a gateway that has not got the state from another one asks the
-	// store itself.
-	askedAfter = 1500 * time.Millisecond
 	// restLook is how often a gateway that does not follow the store itself looks
 	// whether others know more.
 	restLook = 100 * time.Millisecond
@@ -49,9 +32,6 @@
 	linkIdle = 10 * time.Second
 )
 
-// watcherKey is what the order of those who follow the store is drawn for.
-const watcherKey = "store-watch"
-
 // peering exchanges states of the store with other gateways.
 type peering struct {
 	gateway  *Gateway
@@ -65,15 +45,14 @@
 	// asked counts the gateways asked for suspects since askedSince, under mu.
 	asked      int
 	askedSince time.Time
-	began      time.Time
-	meeting    time.Duration // for which others are looked for at first
+	duty       duty
 }
 
 func newPeering(g *Gateway) *peering {
 	host, _, _ := net.SplitHostPort(g.settings.Listen.Peers) // validated
 	p := &peering{
-		gateway: g, exchange: newExchange(g.settings.Follow.Within), began: clock.Now(),
-		meeting: shortestMeeting + rand.N(longestMeeting-shortestMeeting),
+		gateway: g, exchange: newExchange(g.settings.Follow.Within),
+		duty: newDuty(g.settings.VM, g.settings.Zone, g.settings.Follow.Within, len(g.settings.Seeds) > 0, clock.Now()),
 	}
 	p.local = &link.Local{
 		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Role: vm.RoleEntry, Zone: zone.ID(g.settings.Zone), BindIP: host,
@@ -86,69 +65,18 @@
 
 // rests reports whether the gateway leaves the store to others.
 func (p *peering) rests() bool {
-	now := clock.Now()
-	age := now.Sub(p.began)
-	listed := p.gateway.listed.Load()
-	if !listed && age < p.meeting && len(p.gateway.settings.Seeds) > 0 {
-		return true
-	}
-	live := p.gateway.node.Live()
-	var zone watchable
-	zone.add(p.gateway.settings.VM, p.gateway.activity.is())
-	fresh := false
-	for _, peer := range live {
-		fresh = fresh || now.Sub(peer.StoreHeard) < p.gateway.follower.Staleness()
-		if peer.Zone == p.gateway.settings.Zone {
-			zone.add(string(peer.VM), peer.Active)
-		}
-	}
-	leads := len(live)+1 <= smallFleet || slices.Contains(zone.watchers(), p.gateway.settings.VM)
+	g := p.gateway
+	live := g.node.Live()
+	leads, rest := p.duty.decide(live, g.activity.is(), g.listed.Load(), clock.Now())
 	p.leads.Store(leads)
-	rest := fresh && !leads
-	if !listed && age > askedAfter {
-		rest = false
-	}
 	if p.resting.Swap(rest) != rest {
-		p.gateway.log.Info().Bool("resting", rest).Int("gateways", len(live)+1).Bool("fresh", fresh).Msg("following of the store changed")
+		g.log.Info().Bool("resting", rest).Bool("leads", leads).Int("gateways", len(live)+1).Msg("following of the store changed")
 	}
 	return rest
 }
 
-// watchable are the ids of an availability zone's gateways.
-type watchable struct{ active, standby []string }
-
-func (w *watchable) add(id string, active bool) {
-	if active {
-		w.active = append(w.active, id)
-		return
-	}
-	w.standby = append(w.standby, id)
-}
-
-// watchers returns those that follow the store: active ones first, as the others hear
-// these most often.
-func (w *watchable) watchers() []string {
-	name := func(id string) string { return id }
-	order := slices.Concat(rendezvous.Order(w.active, watcherKey, name), rendezvous.Order(w.standby, watcherKey, name))
-	return order[:min(len(order), watchersPerZone)]
-}
-
 // followers returns how many other gateways follow the store.
-func (g *Gateway) followers() int {
-	live := g.node.Live()
-	if len(live) < smallFleet {
-		return len(live)
-	}
-	zones := map[string]int{g.settings.Zone: 1}
-	for _, p := range live {
-		zones[p.Zone]++
-	}
-	sum := 0
-	for _, n := range zones {
-		sum += min(n, watchersPerZone)
-	}
-	return sum - 1
-}
+func (g *Gateway) followers() int { return followersAmong(g.settings.Zone, g.node.Live()) - 1 }
 
 // run looks often while others follow the store for this gateway.
 func (p *peering) run(ctx context.Context) {
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -29,14 +29,14 @@
 
 // request is one caller's request on its way through the gateway.
 type request struct {
-	g       *Gateway
-	w       http.ResponseWriter
-	r       *http.Request
-	ctx     context.Context
-	log     zerolog.Logger
-	began   time.Time
-	id      string
-	route   *catalog.Route
+	g     *Gateway
+	w     http.ResponseWriter
+	r     *http.Request
+	ctx   context.Context
+	log   zerolog.Logger
+	began time.Time
+	id    string
+	route *catalog.Route
 	// snapshot is the configuration by which it was decided, decided what was known of the
 	// store then.
 	snapshot *catalog.Snapshot
@@ -44,9 +44,9 @@
 	denied   *denial // nil unless the configuration in force does not allow it any more
 	version  uint64
 	team     string
-	service string
-	body    []byte
-	header  http.Header // for backend servers
+	service  string
+	body     []byte
+	header   http.Header // for backend servers
 
 	deadline time.Time     // the caller's or the route's timeout, whichever is first
 	limit    time.Duration // that the caller allows
