Let few follow the store with short watches, and rest on an answer that is young

Cause: who rested did so while any other had heard the store within twice the usual wait, 2.7 s of a bound of 3 s. With the store silent for all that the others rested on, the sum of all waits was 2.8 s at 24 gateways and 3.7 s at 149.

A follower now has one duty: lead (waits of 0.1 to 0.35 of the bound; two in a small fleet, one a zone else), follow, stand in, or rest. Who rests does so on an answer younger than 0.55 of the bound; heartbeats pass the latest answer to anybody on, so that it arrives young, and tell whom the store does not answer: that one leads last. A watch's answer is given up 1 s after its wait instead of 2 s.

Ruled out: shorter waits for all that follow (11 calls/s at 8 gateways instead of 7), leaders only (a fleet of 8 would take each change by a second way).

--- a/core/cluster/heartbeat.go
+++ b/core/cluster/heartbeat.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -12,7 +13,7 @@
 	hb := &wire.Heartbeat{
 		Vm: string(self.VM), Incarnation: uint64(self.Incarnation), Sequence: t.sequence, Zone: self.Zone,
 		Address: self.Address, Front: self.Front, Ready: self.Ready,
-		CatalogVersion: self.CatalogVersion, Retained: self.Retained,
+		CatalogVersion: self.CatalogVersion, Retained: self.Retained, StoreFailing: self.StoreFailing,
 		BackendsEra: self.StoreChanged.Era, BackendsRevision: self.StoreChanged.Revision,
 		Rank: self.Rank.wire(), Paces: t.paces.told(now), Lost: t.toldLost(now),
 		Found: self.Found[:min(len(self.Found), mostFound)], Active: self.Active, Millicores: self.Millicores, Arrivals: self.Arrivals,
@@ -24,7 +25,7 @@
 		hb.Suspects = self.Suspects(now)
 	}
 	if !self.StoreHeard.IsZero() {
-		hb.StoreAgeMs = uint32(now.Sub(self.StoreHeard).Milliseconds()) + 1
+		hb.StoreAgeMs = 1 + uint32(math.Ceil(now.Sub(self.StoreHeard).Seconds()*1000)) // never too young: it is passed on
 	}
 	for server, l := range self.Load {
 		if l.Requests > 0 {
--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -58,8 +58,11 @@
 	Load           map[uint32]Load // by backend server key
 	// Found are backend servers, by key, that lately turned out to take requests again.
 	Found []uint32
-	// StoreHeard is when the store last answered this member; zero = never.
+	// StoreHeard is when the store last answered this member; zero = never. Others are told
+	// the latest answer to this one or any that it hears.
 	StoreHeard time.Time
+	// StoreFailing tells that the store does not answer this member.
+	StoreFailing bool
 	// Retained is the digest of what it knows better than the store, 0 = nothing.
 	Retained uint64
 	Rank     *RankLabel // nil unless it is the agent of a rank
@@ -112,6 +115,7 @@
 	CatalogVersion uint64
 	StoreChanged   source.Position // newest change of the store that it knows
 	StoreHeard     time.Time       // when the store last answered it, or one that it hears; zero = not known
+	StoreFailing   bool            // the store does not answer it
 	Retained       uint64          // digest of what it knows better than the store, 0 = nothing
 	Rank           *RankLabel
 	Heard          time.Time
@@ -189,6 +193,7 @@
 func (t *Table) Tick(self Self, rnd *rand.Rand, now time.Time) ([]Datagram, []Change) {
 	t.own = self
 	t.countActives()
+	self.StoreHeard = t.storeHeard(self.StoreHeard)
 	changes := t.expire(now)
 	var due, standbys []string
 	for address, p := range t.peers {
@@ -236,6 +241,7 @@
 // All returns a heartbeat to every peer, whether due or not.
 func (t *Table) All(self Self, rnd *rand.Rand, now time.Time) []Datagram {
 	t.told = now
+	self.StoreHeard = t.storeHeard(self.StoreHeard)
 	var active, standbys []string
 	for address, p := range t.peers {
 		if p.Active {
@@ -281,7 +287,7 @@
 	next := &Peer{
 		VM: vm.ID(hb.GetVm()), Incarnation: vm.Incarnation(hb.GetIncarnation()), Zone: hb.GetZone(),
 		Address: hb.GetAddress(), Front: hb.GetFront(), Ready: hb.GetReady(),
-		CatalogVersion: hb.GetCatalogVersion(), Retained: hb.GetRetained(),
+		CatalogVersion: hb.GetCatalogVersion(), Retained: hb.GetRetained(), StoreFailing: hb.GetStoreFailing(),
 		StoreChanged: source.Position{Era: hb.GetBackendsEra(), Revision: hb.GetBackendsRevision()},
 		Rank:         rankFromWire(hb.GetRank()), Heard: now, sequence: hb.GetSequence(), load: make(map[uint32]Load, len(hb.GetInFlight())),
 		Activity: Activity{Active: hb.GetActive(), Millicores: hb.GetMillicores(), Arrivals: hb.GetArrivals()},
@@ -382,6 +388,17 @@
 // Expect replaces the addresses at which members may be that are not looked for.
 func (t *Table) Expect(addresses []string) { t.expects = addresses }
 
+// storeHeard returns when the store last answered this member or any live peer, as far as
+// that is known.
+func (t *Table) storeHeard(own time.Time) time.Time {
+	for address := range t.alive {
+		if p := t.peers[address]; p.StoreHeard.After(own) {
+			own = p.StoreHeard
+		}
+	}
+	return own
+}
+
 // settled reports whether nobody was met lately and nothing was announced.
 func (t *Table) settled(now time.Time) bool {
 	return now.Sub(t.met) >= meetingTime && now.Sub(t.told) >= repeatTime
--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// watchSlack is how much longer than the wait an answer may take.
-	watchSlack = 2 * time.Second
+	// watchSlack is how much longer than the wait an answer may take: a store that is slow
+	// answers in some 350 ms.
+	watchSlack = time.Second
 	// listTimeout bounds a list; the store answers in milliseconds, in some
 	// seconds when it is slow.
 	listTimeout = 4 * time.Second
@@ -63,12 +64,9 @@
 	Deliver func(Update)
 	// Within is the time within which a change has to be in force. Default 2s.
 	Within time.Duration
-	// Rest, if not nil, tells that others follow for this one and offer what they
-	// hear: it leaves the store alone. It is asked before each call.
-	Rest func() bool
-	// Leads, if not nil, tells that this one is among those who follow for others. The
-	// rest try a store that does not answer seldom: each call has its price.
-	Leads func() bool
+	// Duty, if not nil, tells the follower's part; else it leads. It is asked before each
+	// call. One that rests takes what others offer.
+	Duty func() Duty
 	// Others returns how many others follow the same store and are heard, nil
 	// means none.
 	Others func() int
@@ -101,6 +99,7 @@
 	recent     []Event                   // under mu; the newest last
 	recentFrom Position                  // under mu; they are all after it
 	heard      atomic.Pointer[time.Time] // when the store last answered
+	lost       atomic.Bool               // it did not answer the latest call
 }
 
 // Run follows until the context ends.
@@ -123,7 +122,7 @@
 
 // idle returns for how long the store is left alone, 0 = it is called.
 func (f *Follower) idle(now time.Time) time.Duration {
-	if f.Rest != nil && f.Rest() {
+	if f.duty() == DutyRest {
 		return restPause
 	}
 	return f.notBefore.Sub(now)
@@ -147,7 +146,7 @@
 		f.regained, f.absence = now, max(f.absence, outageAbsence)
 		f.Log.Warn().Err(err).Str("prefix", f.Prefix).Uint64("era", f.view.at.Era).Uint64("revision", f.view.at.Revision).
 			Int("in_a_row", f.odd).Msg("watch history lost, listing again")
-		return relistPause(f.odd, f.leads())
+		return relistPause(f.odd, f.duty())
 	case errors.Is(err, errEmpty):
 		f.odd++
 		if f.odd == 1 {
@@ -159,7 +158,12 @@
 	}
 }
 
-func (f *Follower) leads() bool { return f.Leads == nil || f.Leads() }
+func (f *Follower) duty() Duty {
+	if f.Duty == nil {
+		return DutyLead
+	}
+	return f.Duty()
+}
 
 func (f *Follower) next(ctx context.Context) error {
 	if !f.view.known() || f.relist {
@@ -170,7 +174,7 @@
 
 func (f *Follower) watch(ctx context.Context) error {
 	began := clock.Now()
-	period := Wait(f.others(), f.Within)
+	period := Wait(f.duty(), f.others(), f.Within)
 	if release := f.view.release(began); !release.IsZero() {
 		period = max(callGap, min(period, release.Sub(began)))
 	}
@@ -241,15 +245,15 @@
 	f.cancel, f.armed = cancel, wait
 }
 
-// Recheck cuts a waiting watch short that began when many others followed too,
-// if few are heard now: they no longer make up for it. It is safe for concurrent
-// use.
+// Recheck cuts a waiting watch short that began when many others followed too, or when
+// another one led, if that has changed: they no longer make up for it. It is safe for
+// concurrent use.
 func (f *Follower) Recheck() {
-	usual := UsualWait(f.others(), f.Within)
+	longest := longestWatch(f.duty(), f.others(), f.Within)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cancel != nil && f.armed > 2*usual {
-		f.Log.Info().Str("prefix", f.Prefix).Dur("wait", f.armed).Dur("usual", usual).Msg("fewer others follow, watching again")
+	if f.cancel != nil && f.armed > 2*longest {
+		f.Log.Info().Str("prefix", f.Prefix).Dur("wait", f.armed).Dur("longest", longest).Msg("others follow less, watching again")
 		f.armed = 0
 		f.cancel()
 	}
@@ -332,8 +336,13 @@
 	f.Deliver(u)
 }
 
+// Failing reports whether the store does not answer this follower. It is safe for concurrent
+// use.
+func (f *Follower) Failing() bool { return f.lost.Load() }
+
 func (f *Follower) succeeded(now time.Time) {
 	f.heard.Store(&now)
+	f.lost.Store(false)
 	if f.failing.IsZero() {
 		return
 	}
@@ -349,7 +358,8 @@
 		f.Log.Warn().Err(err).Str("prefix", f.Prefix).Uint64("era", f.view.at.Era).Uint64("revision", f.view.at.Revision).Msg("store lost")
 	}
 	f.failures++
-	if f.view.known() && !f.leads() {
+	f.lost.Store(true)
+	if f.view.known() && f.duty() == DutyStandIn {
 		return patience()
 	}
 	return backoff(f.failures)
--- a/entry/gateway/duty.go
+++ b/entry/gateway/duty.go
@@ -16,8 +16,9 @@
 	// take what these hear.
 	watchersPerZone = 1
 	// smallFleet is up to how many gateways all of them follow the store: it can
-	// bear their calls, and no change takes a second way.
-	smallFleet = 12
+	// bear their calls, and no change takes a second way. smallLeaders of them follow it for
+	// the others, too.
+	smallFleet, smallLeaders = 12, 2
 	// shortestMeeting and longestMeeting bound the random time for which a gateway that
 	// has just started waits to meet one that knows the state of the store already: when
 	// a fleet of 150 starts, some of them list the backend servers in place of all.
@@ -47,28 +48,34 @@
 	}
 }
 
-// decide returns whether the gateway is one of those that follow the store for others, and
-// whether it leaves the store alone.
-func (d *duty) decide(live []cluster.Peer, active, listed bool, now time.Time) (leads, rest bool) {
+// decide returns the gateway's part. Heartbeats tell who hears the store.
+func (d *duty) decide(live []cluster.Peer, own standing, now time.Time) source.Duty {
 	age := now.Sub(d.began)
-	var own watchable
-	own.add(d.vm, active)
-	staleness := source.Staleness(followersAmong(d.zone, live)-1, d.within)
+	small := len(live)+1 <= smallFleet
+	var order watchable
+	order.add(d.vm, own.active, own.failing)
 	fresh := false
 	for _, p := range live {
-		fresh = fresh || now.Sub(p.StoreHeard) < staleness
-		if p.Zone == d.zone {
-			own.add(string(p.VM), p.Active)
+		fresh = fresh || now.Sub(p.StoreHeard) < source.Staleness(d.within)
+		if small || p.Zone == d.zone {
+			order.add(string(p.VM), p.Active, p.StoreFailing)
 		}
 	}
-	leads = len(live)+1 <= smallFleet || slices.Contains(own.watchers(), d.vm)
+	most := watchersPerZone
+	if small {
+		most = smallLeaders
+	}
 	switch {
-	case !listed && d.meets && age < d.meeting:
-		return leads, true
-	case !listed && age > askedAfter:
-		return leads, false
+	case !own.listed && d.meets && age < d.meeting:
+		return source.DutyRest
+	case slices.Contains(order.first(most), d.vm):
+		return source.DutyLead
+	case small:
+		return source.DutyFollow
+	case fresh && (own.listed || age <= askedAfter):
+		return source.DutyRest
 	default:
-		return leads, fresh && !leads
+		return source.DutyStandIn
 	}
 }
 
@@ -89,21 +96,26 @@
 	return sum
 }
 
-// watchable are the ids of an availability zone's gateways.
-type watchable struct{ active, standby []string }
+// watchable are the ids of gateways that may follow the store for others.
+type watchable struct{ active, standby, failing []string }
 
-func (w *watchable) add(id string, active bool) {
-	if active {
+func (w *watchable) add(id string, active, failing bool) {
+	switch {
+	case failing:
+		w.failing = append(w.failing, id)
+	case active:
 		w.active = append(w.active, id)
-		return
+	default:
+		w.standby = append(w.standby, id)
 	}
-	w.standby = append(w.standby, id)
 }
 
-// watchers returns those that follow the store: active ones first, as the others hear
-// these most often.
-func (w *watchable) watchers() []string {
-	name := func(id string) string { return id }
-	order := slices.Concat(rendezvous.Order(w.active, watcherKey, name), rendezvous.Order(w.standby, watcherKey, name))
-	return order[:min(len(order), watchersPerZone)]
+// first returns those that follow the store: active ones first, as the others hear these
+// most often, and those that the store does not answer last.
+func (w *watchable) first(most int) []string {
+	var order []string
+	for _, ids := range [][]string{w.active, w.standby, w.failing} {
+		order = append(order, rendezvous.Order(ids, watcherKey, func(id string) string { return id })...)
+	}
+	return order[:min(len(order), most)]
 }
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -34,6 +34,8 @@
 	retained uint64          // digest of what it knows better than the store
 	listed   bool            // it knows a state at all
 	resting  bool            // it does not follow the store itself
+	active   bool            // callers are told of it
+	failing  bool            // the store does not answer it
 }
 
 // better is what a gateway knows better than the store.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -95,8 +95,7 @@
 	node.OnMet(g.peering.met)
 	g.follower = &source.Follower{
 		Store: a.Store(s.Store, log), Log: log, Deliver: g.take, Within: s.Follow.Within, Rules: g.rules(),
-		Others: g.followers, Rest: func() bool { return g.peering.rests() },
-		Leads: func() bool { return g.peering.leads.Load() },
+		Others: g.followers, Duty: func() source.Duty { return g.peering.decideDuty() },
 	}
 	g.inst = newInstruments(gauges{
 		catalogVersion:   func() float64 { return float64(g.catalog.Version()) },
@@ -114,7 +113,7 @@
 		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Zone: g.settings.Zone,
 		Address: g.settings.Listen.Peers, Front: g.settings.Listen.Front, Ready: g.Ready(),
 		CatalogVersion: g.catalog.Version(), StoreChanged: g.knows().changed, Retained: g.follower.Retained(),
-		Load: g.registry.OwnLoad(clock.Now()), StoreHeard: g.follower.Heard(),
+		Load: g.registry.OwnLoad(clock.Now()), StoreHeard: g.follower.Heard(), StoreFailing: g.follower.Failing(),
 		Found: g.registry.Found(clock.Now()), Suspects: g.suspects.Told,
 		Activity: cluster.Activity{
 			Active: g.activity.is() && !g.leaving.Load(), Millicores: g.settings.Machine.millicores(), Arrivals: g.activity.rate(),
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -38,9 +38,9 @@
 	local    *link.Local
 	pool     *link.Pool
 	mu       sync.Mutex
-	exchange *exchange   // under mu
-	resting  atomic.Bool // others follow the store for this one
-	leads    atomic.Bool // this one is to follow it
+	exchange *exchange    // under mu
+	resting  atomic.Bool  // others follow the store for this one
+	latest   atomic.Int32 // duty
 	packed   packer
 	// asked counts the gateways asked for suspects since askedSince, under mu.
 	asked      int
@@ -58,21 +58,28 @@
 		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Role: vm.RoleEntry, Zone: zone.ID(g.settings.Zone), BindIP: host,
 		Clock: &timeline.Clock{}, Log: g.log, Revisions: func() (config, vms uint64) { return g.catalog.Version(), g.knows().changed.Revision },
 	}
-	p.leads.Store(true)
 	p.pool = link.NewPool(p.local, nil, nil, nil)
 	return p
 }
 
-// rests reports whether the gateway leaves the store to others.
-func (p *peering) rests() bool {
+// standing returns what this gateway knows.
+func (g *Gateway) standing() standing {
+	return standing{
+		changed: g.knows().changed, catalog: g.catalog.Version(), retained: g.follower.Retained(), listed: g.listed.Load(),
+		resting: g.peering.resting.Load(), active: g.activity.is(), failing: g.follower.Failing(),
+	}
+}
+
+// decideDuty returns the gateway's part in following the store.
+func (p *peering) decideDuty() source.Duty {
 	g := p.gateway
 	live := g.node.Live()
-	leads, rest := p.duty.decide(live, g.activity.is(), g.listed.Load(), clock.Now())
-	p.leads.Store(leads)
-	if p.resting.Swap(rest) != rest {
-		g.log.Info().Bool("resting", rest).Bool("leads", leads).Int("gateways", len(live)+1).Msg("following of the store changed")
+	next := p.duty.decide(live, g.standing(), clock.Now())
+	p.resting.Store(next == source.DutyRest)
+	if before := source.Duty(p.latest.Swap(int32(next))); before != next {
+		g.log.Info().Stringer("duty", next).Stringer("before", before).Int("gateways", len(live)+1).Msg("following of the store changed")
 	}
-	return rest
+	return next
 }
 
 // followers returns how many other gateways follow the store.
@@ -90,12 +97,9 @@
 // look compares what others know with what this gateway knows, and acts on it.
 func (p *peering) look(ctx context.Context) {
 	g := p.gateway
-	own := standing{
-		changed: g.knows().changed, catalog: g.catalog.Version(), retained: g.follower.Retained(),
-		listed: g.listed.Load(), resting: p.resting.Load(),
-	}
+	own, live := g.standing(), g.node.Live()
 	p.mu.Lock()
-	step := p.exchange.look(own, g.node.Live(), clock.Now())
+	step := p.exchange.look(own, live, clock.Now())
 	p.mu.Unlock()
 	if step.nudge != (source.Position{}) {
 		g.follower.Nudge(step.nudge)
