--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -123,6 +123,7 @@
 // idle returns for how long the store is left alone, 0 = it is called.
 func (f *Follower) idle(now time.Time) time.Duration {
 	if f.duty() == DutyRest {
+		f.view.hear(now, false) // others hear it lately, or this one would not rest
 		return restPause
 	}
 	return f.notBefore.Sub(now)
@@ -132,7 +133,6 @@
 func (f *Follower) pauseAfter(err error, now time.Time) time.Duration {
 	switch {
 	case err == nil:
-		f.odd = 0
 		if f.inRow {
 			f.inRow = false
 			return eventPause // more are to be expected
@@ -175,7 +175,7 @@
 func (f *Follower) watch(ctx context.Context) error {
 	began := clock.Now()
 	period := Wait(f.duty(), f.others(), f.Within)
-	if release := f.view.release(began); !release.IsZero() {
+	if release := f.view.release(); !release.IsZero() {
 		period = max(callGap, min(period, release.Sub(began)))
 	}
 	ctx, cancel := context.WithTimeout(ctx, period+watchSlack)
@@ -199,6 +199,7 @@
 		if now.Sub(began) < period/earlyPart {
 			return errEmpty
 		}
+		f.odd = 0
 		return nil
 	}
 	return f.takeEvents(events, at, now)
@@ -209,13 +210,14 @@
 const earlyPart = 2
 
 func (f *Follower) takeEvents(events []Event, at Position, now time.Time) error {
-	if !f.view.apply(events, at, now) {
+	news := f.view.apply(events, at, now)
+	if len(news) == 0 {
 		return errEmpty
 	}
-	f.from = ""
+	f.from, f.odd = "", 0
 	f.inRow = !f.lastEvent.IsZero() && now.Sub(f.lastEvent) < inARow
 	f.lastEvent = now
-	f.keep(events)
+	f.keep(news)
 	f.deliver()
 	return nil
 }
@@ -310,7 +312,7 @@
 			Msg("entry kept from before the store's return")
 	}
 	f.Log.Warn().Str("prefix", f.Prefix).Uint64("era", f.view.at.Era).Uint64("revision", f.view.at.Revision).
-		Int("items", len(f.view.listed)).Int("kept", len(f.view.kept)).Strs("hidden", bounded(f.view.hidden(now))).
+		Int("items", len(f.view.listed)).Int("kept", len(f.view.kept)).Strs("hidden", bounded(f.view.hidden())).
 		Msg("store is back from an older copy")
 }
 
@@ -319,7 +321,7 @@
 	f.mu.Lock()
 	retained := f.retained
 	f.mu.Unlock()
-	if retained == 0 || f.view.digest(now) == retained {
+	if retained == 0 || f.view.digest() == retained {
 		return
 	}
 	f.view.forget(now)
@@ -329,7 +331,7 @@
 
 func (f *Follower) deliver() {
 	now := clock.Now()
-	u := Update{Items: f.view.items(now), Position: f.view.at, Changed: f.view.changed, From: f.from}
+	u := Update{Items: f.view.items(), Position: f.view.at, Changed: f.view.changed, From: f.from}
 	if !f.regained.IsZero() && now.Sub(f.regained) < recoveryTime {
 		u.Absence = f.absence
 	}
@@ -343,6 +345,7 @@
 func (f *Follower) succeeded(now time.Time) {
 	f.heard.Store(&now)
 	f.lost.Store(false)
+	f.view.hear(now, !f.failing.IsZero())
 	if f.failing.IsZero() {
 		return
 	}
--- a/core/source/follower_test.go
+++ b/core/source/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -407,3 +408,88 @@
 		t.Fatal("it took no event")
 	}
 }
+
+// odd is a store that answers each call at once, in one odd way.
+type odd struct {
+	list  func(n int) ([]Item, Position, error)
+	watch func(n int, after Position) ([]Event, Position, error)
+	calls atomic.Int32
+}
+
+func (o *odd) List(context.Context, string, Freshness) ([]Item, Position, error) {
+	return o.list(int(o.calls.Add(1)))
+}
+
+func (o *odd) Watch(_ context.Context, _ string, after Position, _ time.Duration) ([]Event, Position, error) {
+	return o.watch(int(o.calls.Add(1)), after)
+}
+
+// mostPerSecond is how often a follower may call a store that answers oddly: of 149, few do
+// while others hear it.
+const mostPerSecond = 10
+
+// A store that came back at a lower revision was asked for its list 10,000 times a second,
+// since an older list was passed over without a pause. No answer, however odd, is followed by
+// a call without one.
+func TestNoAnswerIsFollowedByACallWithoutAPause(t *testing.T) {
+	listed := func(int) ([]Item, Position, error) { return []Item{item("a", 5)}, at(5), nil }
+	for name, store := range map[string]*odd{
+		"older lists": {
+			list:  func(n int) ([]Item, Position, error) { return nil, at(uint64(max(3, 100-n))), nil },
+			watch: func(int, Position) ([]Event, Position, error) { return nil, Position{}, ErrHistoryLost },
+		},
+		"history lost each time": {
+			list: listed, watch: func(int, Position) ([]Event, Position, error) { return nil, Position{}, ErrHistoryLost },
+		},
+		"watches that do not wait": {
+			list: listed, watch: func(_ int, after Position) ([]Event, Position, error) { return nil, after, nil },
+		},
+		"the same event again": {
+			list: listed, watch: func(_ int, after Position) ([]Event, Position, error) {
+				return []Event{{Item: item("a", 5)}}, after, nil
+			},
+		},
+		"a new era each time": {
+			list:  func(n int) ([]Item, Position, error) { return nil, Position{uint64(n), 1}, nil },
+			watch: func(n int, _ Position) ([]Event, Position, error) { return nil, Position{uint64(n), 1}, nil },
+		},
+		"an older era": {
+			list: func(n int) ([]Item, Position, error) { return nil, Position{9, 1}, nil },
+			watch: func(int, Position) ([]Event, Position, error) {
+				return []Event{{Item: item("b", 7)}}, Position{8, 7}, nil
+			},
+		},
+		"an era that is missing": {
+			list:  func(n int) ([]Item, Position, error) { return nil, Position{9, 1}, nil },
+			watch: func(int, Position) ([]Event, Position, error) { return []Event{{Item: item("b", 7)}}, at(7), nil },
+		},
+		"refusals": {
+			list:  func(int) ([]Item, Position, error) { return nil, Position{}, ErrUnavailable },
+			watch: func(int, Position) ([]Event, Position, error) { return nil, Position{}, ErrUnavailable },
+		},
+		"events without an end": {
+			list: listed, watch: func(_ int, after Position) ([]Event, Position, error) {
+				return []Event{{Item: item("b", after.Revision+1)}}, at(after.Revision + 1), nil
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				seen := 0
+				f := &Follower{Store: store, Log: zerolog.Nop(), Deliver: func(u Update) { seen = len(u.Items) }}
+				go f.Run(ctx)
+				time.Sleep(10 * time.Second)
+				if n := store.calls.Load(); n < 10 || n > 10*mostPerSecond {
+					t.Errorf("%d calls in 10 s", n)
+				}
+				if _, older := f.view.listed["b"]; older && seen != 2 {
+					t.Error("an event of an older era was taken")
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/core/source/offers.go
+++ b/core/source/offers.go
@@ -67,14 +67,13 @@
 
 // keep keeps events for others. Without any, the state came as a whole.
 func (f *Follower) keep(events []Event) {
-	now := clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.latest = State{
 		Items: f.view.listed, Position: f.view.at, Changed: f.view.changed, Base: f.view.base,
 		Kept: slices.Collect(maps.Values(f.view.kept)), Gone: slices.Collect(maps.Values(f.view.gone)),
 	}
-	f.retained = f.view.digest(now)
+	f.retained = f.view.digest()
 	if events == nil {
 		f.recent, f.recentFrom = nil, f.view.at
 		return
@@ -160,7 +159,7 @@
 	if offer.Era < f.view.at.Era {
 		kept = append(slices.Collect(maps.Values(offer.Items)), kept...)
 	}
-	absorbed := f.view.absorb(kept, offer.Gone, now)
+	absorbed := f.view.absorb(kept, offer.Gone, offer.Base, now)
 	if took == 0 && !absorbed {
 		return
 	}
@@ -171,14 +170,11 @@
 	f.deliver()
 	f.Log.Info().Str("prefix", f.Prefix).Str("from", offer.From).Uint64("era", f.view.at.Era).Uint64("revision", f.view.at.Revision).
 		Uint64("known_era", known.Era).Uint64("known", known.Revision).Int("taken", took).Bool("events", offer.Items == nil).
-		Int("kept", len(f.view.kept)).Strs("hidden", bounded(f.view.hidden(now))).Msg("state taken from another follower")
+		Int("kept", len(f.view.kept)).Strs("hidden", bounded(f.view.hidden())).Msg("state taken from another follower")
 }
 
 func (f *Follower) adoptItems(offer *State, now time.Time) {
 	returned := f.view.known() && offer.Era > f.view.at.Era
-	if !returned && f.view.known() && offer.Base.After(Position{}) && f.view.base.After(offer.Base) {
-		f.view.base = offer.Base
-	}
 	f.view.replace(offer.Items, offer.Position, offer.Changed, offer.Base, now)
 	f.relist = false
 	if returned {
@@ -188,15 +184,15 @@
 
 // adoptEvents takes over the events that are news and returns their number.
 func (f *Follower) adoptEvents(offer *State, now time.Time) int {
-	var news []Event
+	var later []Event
 	for _, e := range offer.Events {
 		if e.Position.After(f.view.at) {
-			news = append(news, e)
+			later = append(later, e)
 		}
 	}
-	f.view.apply(news, offer.Position, now)
-	f.relist = false // the events of between are known: a watch can go on from here
-	f.keep(news)
+	news := f.view.apply(later, offer.Position, now)
+	f.relist = false                   // the events of between are known: a watch can go on from here
+	f.keep(append([]Event{}, news...)) // not nil: the state did not come as a whole
 	return len(news)
 }
 
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -26,7 +26,7 @@
 // Event is a change of one entry.
 type Event struct {
 	Item
-	Removed bool // Value is empty then
+	Removed bool // Value is then the last one that is known, if any
 }
 
 // Freshness tells how old a list may be.
--- a/entry/gateway/entries.go
+++ b/entry/gateway/entries.go
@@ -48,10 +48,20 @@
 	return source.Rules{
 		Outdated: g.outdated,
 		Lasting:  func(key string) bool { return key == g.adapter.CatalogKey() },
+		Leaving:  g.leavingEntry,
 		Lease:    g.settings.Follow.Lease,
 	}
 }
 
+// leavingEntry reports whether an entry is of a backend server that leaves.
+func (g *Gateway) leavingEntry(i source.Item) bool {
+	if !strings.HasPrefix(i.Key, g.adapter.BackendsPrefix()) {
+		return false
+	}
+	info, err := g.adapter.DecodeBackend(i.Key, i.Value)
+	return err == nil && info.Draining
+}
+
 func (g *Gateway) outdated(known, listed source.Item) bool {
 	switch {
 	case known.Key == g.adapter.CatalogKey():
--- a/entry/gateway/state.go
+++ b/entry/gateway/state.go
@@ -53,6 +53,7 @@
 	}
 	for _, g := range s.Gone {
 		item := p.item(g.Item)
+		item.Removed = !g.Missing
 		item.AgeMs = uint32(now.Sub(g.At).Milliseconds())
 		out.Gone = append(out.Gone, item)
 	}
@@ -123,7 +124,8 @@
 		if err != nil {
 			return source.State{}, err
 		}
-		out.Gone = append(out.Gone, source.Removal{Item: item, At: now.Add(-time.Duration(i.GetAgeMs()) * time.Millisecond)})
+		age := time.Duration(i.GetAgeMs()) * time.Millisecond
+		out.Gone = append(out.Gone, source.Removal{Item: item, At: now.Add(-age), Missing: !i.GetRemoved()})
 	}
 	return out, nil
 }
