A store that returns from an older copy in the soak

The stand-in's operators and runners write again what the store lacks after a return, and their removals; the soak has such returns, watches at every gateway that the configuration in force is in force in time and never goes back, and can be focused on some faults.

--- a/standin/soak/cmd/soak/config.go
+++ b/standin/soak/cmd/soak/config.go
@@ -18,14 +18,14 @@
 // config is the published configuration. Each version adds a route of its own and
 // drops the one of two versions ago.
 type config struct {
-	store *standin.Store
+	author *standin.Author
 
 	mu      sync.Mutex
 	version uint64
 	at      time.Time // when the present version was published
 }
 
-func newConfig(store *standin.Store) *config { return &config{store: store} }
+func newConfig(author *standin.Author) *config { return &config{author: author} }
 
 // versionPath is the path of the route that a version adds.
 func versionPath(version uint64) string { return fmt.Sprintf("/v%d/", version) }
@@ -51,7 +51,7 @@
 		routes = append(routes, route(versionPath(c.version-1), standin.KindSafe, plainService, 2))
 	}
 	services := []standin.Service{{Name: plainService}, {Name: modelService, Slots: slots, Shape: &shape}}
-	c.store.Put(standin.ConfigKey, standin.EncodeConfig(c.version, routes, services, map[string]string{"team": teamKey}))
+	c.author.Put(standin.ConfigKey, standin.EncodeConfig(c.version, routes, services, map[string]string{"team": teamKey}))
 	c.at = time.Now()
 }
 
--- a/standin/soak/cmd/soak/faults.go
+++ b/standin/soak/cmd/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -75,19 +76,39 @@
 	{"store away", false, (*faults).storeAway},
 	{"store history dropped", false, (*faults).compactStore},
 	{"lethal request", false, (*faults).sendLethal},
+	{"store back from an older copy", false, (*faults).returnStore},
+}
+
+// focused returns the kinds whose names contain one of the words.
+func focused(words string) []fault {
+	var out []fault
+	for _, k := range kinds {
+		if slices.ContainsFunc(strings.Split(words, ","), func(w string) bool { return strings.Contains(k.name, w) }) {
+			out = append(out, k)
+		}
+	}
+	return out
 }
 
 // play plans and injects faults for a while, of the first kinds as far as a number is
-// given, 0 = of all.
-func (f *faults) play(ctx context.Context, length time.Duration, among int) {
+// given, 0 = of all; with a focus half of them are of that.
+func (f *faults) play(ctx context.Context, o options) {
+	among := o.kinds
 	if among == 0 {
 		among = len(kinds)
 	}
+	var focus []fault
+	if o.focus != "" {
+		focus = focused(o.focus)
+	}
 	f.stopping = make(map[string][]time.Time)
 	f.paused = make(map[string][]span)
 	rnd := f.world.rnd
-	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; {
+	for end := time.Now().Add(o.length); time.Now().Before(end) && ctx.Err() == nil; {
 		kind := kinds[rnd.IntN(among)]
+		if len(focus) > 0 && rnd.IntN(2) == 0 {
+			kind = focus[rnd.IntN(len(focus))]
+		}
 		d := draw{
 			which:    rnd.IntN(1 << 20),
 			duration: leastFault + time.Duration(rnd.Int64N(int64(longestFault-leastFault))),
@@ -185,14 +206,14 @@
 	}
 	r := b.current()
 	if d.variant == 0 {
-		w.store.Delete(standin.ServerPrefix + r.ID)
+		w.author.Delete(standin.ServerPrefix + r.ID)
 	} else {
 		w.list(i, r, true)
 	}
-	f.awaitStore(ctx)
+	f.awaitWritten(ctx, standin.ServerPrefix+r.ID)
 	r.Drain()
 	wait.Sleep(ctx, drainNotice)
-	w.store.Delete(standin.ServerPrefix + r.ID)
+	w.author.Delete(standin.ServerPrefix + r.ID)
 	if b.current() != r {
 		return // it crashed meanwhile
 	}
@@ -202,14 +223,15 @@
 	}
 }
 
-// awaitStore waits until the store serves: by the users' rules a backend server counts as
-// leaving from when the store has told so, and what it does not tell binds nobody.
-func (f *faults) awaitStore(ctx context.Context) {
-	for !f.world.store.Serves() && wait.Sleep(ctx, storePoll) {
+// awaitWritten waits until the store holds what was written: by the users' rules a backend
+// server counts as leaving from when the store has told so, and what it does not tell binds
+// nobody.
+func (f *faults) awaitWritten(ctx context.Context, key string) {
+	for !f.world.author.Holds(key) && wait.Sleep(ctx, storePoll) {
 	}
 }
 
-// storePoll is how often it is looked whether the store serves.
+// storePoll is how often it is looked whether the store holds an entry.
 const storePoll = 10 * time.Millisecond
 
 func (f *faults) killGateway(_ context.Context, d draw) {
@@ -282,7 +304,7 @@
 		fmt.Println("  backend server not started:", err)
 	}
 	wait.Sleep(ctx, d.duration/2) // the old entry's lease
-	w.store.Delete(standin.ServerPrefix + r.ID)
+	w.author.Delete(standin.ServerPrefix + r.ID)
 }
 
 func (f *faults) resetCallers(_ context.Context, d draw) { f.gateway(d).callers.reset() }
@@ -320,4 +342,20 @@
 	f.world.store.SetMode(standin.StoreServes)
 }
 
+// mostLost bounds the changes that a copy of the store lacks.
+const mostLost = 12
+
+// returnStore has the store away for a moment and back from a copy that lacks its latest
+// changes; what was written since is written again.
+func (f *faults) returnStore(ctx context.Context, d draw) {
+	mode := standin.StoreBusy
+	if d.variant == 0 {
+		mode = standin.StoreSilent
+	}
+	f.world.store.SetMode(mode)
+	wait.Sleep(ctx, d.duration/3)
+	f.world.store.Return(1 + d.which%mostLost)
+	f.world.store.SetMode(standin.StoreServes)
+}
+
 func (f *faults) compactStore(context.Context, draw) { f.world.store.Compact() }
--- a/standin/soak/cmd/soak/main.go
+++ b/standin/soak/cmd/soak/main.go
@@ -30,6 +30,7 @@
 	seeds   int
 	length  time.Duration
 	kinds   int
+	focus   string
 	size    size
 	keep    string
 	verbose bool
@@ -46,6 +47,7 @@
 	flag.Uint64Var(&o.seed, "seed", uint64(time.Now().UnixNano()), "first seed; it decides every fault")
 	flag.IntVar(&o.seeds, "seeds", 1, "number of seeds, one world each")
 	flag.IntVar(&o.kinds, "kinds", 0, "how many kinds of faults there are, in the order of the list; 0 for all")
+	flag.StringVar(&o.focus, "focus", "", "half of the faults are those whose names contain one of these words, separated by commas")
 	flag.DurationVar(&o.length, "for", defaultLength, "how long the faults of one seed last")
 	flag.IntVar(&o.size.gateways, "gateways", 4, "entry VMs")
 	flag.IntVar(&o.size.plain, "plain", 3, "backend servers of the plain service")
@@ -105,13 +107,16 @@
 	load.begin(loadCtx, o.size.rate)
 	f := &faults{world: w, load: load, verbose: o.verbose, injected: make(map[string]int)}
 	w.faults = f
-	f.play(ctx, o.length, o.kinds)
+	watched := newInForce(w, f)
+	go watched.run(loadCtx)
+	f.play(ctx, o)
 	f.heal(ctx)
 	calm := time.Now()
 	wait.Sleep(ctx, recovery)
 	stopLoad()
 	load.wait()
 	r.check(w, load, f, calm)
+	r.checkInForce(watched)
 	if len(r.broken) > 0 {
 		r.logs = w.keepLogs(o.keep)
 	}
--- a/standin/soak/cmd/soak/report.go
+++ b/standin/soak/cmd/soak/report.go
@@ -121,6 +121,18 @@
 	}
 }
 
+// checkInForce takes over what was seen of the configurations in force.
+func (r *report) checkInForce(i *inForce) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.asked == 0 {
+		r.breakf("no gateway was asked which configuration is in force")
+	}
+	for _, b := range i.broken {
+		r.breakf("%s", b)
+	}
+}
+
 func (r *report) checkProcesses(w *world) {
 	for _, g := range w.gateways {
 		for _, exit := range g.ownExits() {
--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -13,14 +13,18 @@
 	length time.Duration
 	size   size
 	kinds  int // that there were
+	focus  string
 }{
 	// A gateway that had been paused for 3 s sent its first requests to backend servers that
 	// had left meanwhile.
-	{"first requests after a pause", 70236, 10 * time.Second, size{gateways: 4, plain: 3, groups: 2, ranks: 3, rate: 60}, 17},
+	{"first requests after a pause", 70236, 10 * time.Second, size{gateways: 4, plain: 3, groups: 2, ranks: 3, rate: 60}, 17, ""},
 	// A backend server's entry was removed 0.5 s after the store had gone away for 1.6 s, and
 	// the server got requests until 1.5 s after its return, when gateways take an entry that
 	// is missing for gone. By the rules its leaving counts from the store's return.
-	{"entry removed while the store is away", 281024, 8 * time.Second, size{gateways: 4, plain: 3, groups: 2, ranks: 3, rate: 60}, 18},
+	{"entry removed while the store is away", 281024, 8 * time.Second, size{gateways: 4, plain: 3, groups: 2, ranks: 3, rate: 60}, 18, ""},
+	// The store came back from an older copy, and gave revisions out again: five requests
+	// reached a backend server that had left, through all gateways.
+	{"a server that left after a return of the store", 2, 10 * time.Second, size{gateways: 4, plain: 3, groups: 2, ranks: 3, rate: 60}, 19, "older copy,configuration,replaced"},
 }
 
 // lethalSeed has a request that ends three backend servers.
@@ -52,7 +56,7 @@
 	runOne(t, 4, o)
 	for _, f := range failedSeeds {
 		t.Run(f.name, func(t *testing.T) {
-			o.length, o.size, o.kinds = f.length, f.size, f.kinds
+			o.length, o.size, o.kinds, o.focus = f.length, f.size, f.kinds, f.focus
 			runOne(t, f.seed, o)
 		})
 	}
--- a/standin/soak/cmd/soak/world.go
+++ b/standin/soak/cmd/soak/world.go
@@ -124,6 +124,7 @@
 	dir      string
 	rnd      *rand.Rand
 	store    *standin.Store
+	author   *standin.Author
 	stores   *http.Server
 	ledger   *standin.Ledger
 	gateways []*gateway
@@ -148,7 +149,8 @@
 		dir: dir, seed: seed, rnd: rand.New(rand.NewPCG(seed, 1)), store: standin.NewStore(), ledger: standin.NewLedger(),
 		net: byte(100 + os.Getpid()%100),
 	}
-	w.config = newConfig(w.store)
+	w.author = standin.NewAuthor(w.store)
+	w.config = newConfig(w.author)
 	for i := range s.gateways {
 		w.gateways = append(w.gateways, w.newGateway(b, i))
 	}
@@ -206,6 +208,7 @@
 	}
 	w.stores = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = w.stores.Serve(ln) }() // ends with close
+	go w.author.Run(ctx)
 	for _, g := range w.groups {
 		go g.Run(ctx)
 	}
@@ -262,7 +265,7 @@
 
 func (w *world) list(i int, r *standin.Runner, draining bool) {
 	b := w.backends[i]
-	w.store.Put(standin.ServerPrefix+r.ID, standin.EncodeServer(b.service, w.published(i), b.zone, slots, draining))
+	w.author.Put(standin.ServerPrefix+r.ID, standin.EncodeServer(b.service, w.published(i), b.zone, slots, draining))
 }
 
 func (w *world) startProcesses(store string) error {
