Take the store's lease from the heartbeat of backend servers; less work a look

follow.heartbeat (default 1.2 s) is what the platform tells; the lease is three of them and 0.4 s. Recheck asks for its duty only while a watch waits, and the age of the store's latest answer is looked for only when a heartbeat is sent.

--- a/core/cluster/heartbeat.go
+++ b/core/cluster/heartbeat.go
@@ -24,8 +24,8 @@
 	if self.Suspects != nil {
 		hb.Suspects = self.Suspects(now)
 	}
-	if !self.StoreHeard.IsZero() {
-		hb.StoreAgeMs = 1 + uint32(math.Ceil(now.Sub(self.StoreHeard).Seconds()*1000)) // never too young: it is passed on
+	if heard := t.storeHeard(self.StoreHeard); !heard.IsZero() {
+		hb.StoreAgeMs = 1 + uint32(math.Ceil(now.Sub(heard).Seconds()*1000)) // never too young: it is passed on
 	}
 	for server, l := range self.Load {
 		if l.Requests > 0 {
--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -193,7 +193,6 @@
 func (t *Table) Tick(self Self, rnd *rand.Rand, now time.Time) ([]Datagram, []Change) {
 	t.own = self
 	t.countActives()
-	self.StoreHeard = t.storeHeard(self.StoreHeard)
 	changes := t.expire(now)
 	var due, standbys []string
 	for address, p := range t.peers {
@@ -241,7 +240,6 @@
 // All returns a heartbeat to every peer, whether due or not.
 func (t *Table) All(self Self, rnd *rand.Rand, now time.Time) []Datagram {
 	t.told = now
-	self.StoreHeard = t.storeHeard(self.StoreHeard)
 	var active, standbys []string
 	for address, p := range t.peers {
 		if p.Active {
--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -251,6 +251,12 @@
 // another one led, if that has changed: they no longer make up for it. It is safe for
 // concurrent use.
 func (f *Follower) Recheck() {
+	f.mu.Lock()
+	waits := f.cancel != nil && f.armed > 0
+	f.mu.Unlock()
+	if !waits {
+		return
+	}
 	longest := longestWatch(f.duty(), f.others(), f.Within)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/gateway/entries.go
+++ b/entry/gateway/entries.go
@@ -49,7 +49,7 @@
 		Outdated: g.outdated,
 		Lasting:  func(key string) bool { return key == g.adapter.CatalogKey() },
 		Leaving:  g.leavingEntry,
-		Lease:    g.settings.Follow.Lease,
+		Lease:    g.settings.Follow.lease(),
 	}
 }
 
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -53,11 +53,17 @@
 	// Within is the time within which a published change has to be in force; the
 	// longer, the fewer calls to the store. From 500ms to 1m, default 2s.
 	Within time.Duration `yaml:"within"`
-	// Lease is for how long the store lists an entry whose writer has ended. From 0s to
-	// 1h, default 4s: three heartbeats of 1.2 s and a margin.
-	Lease time.Duration `yaml:"lease"`
+	// Heartbeat is how often backend servers renew their entries in the store, which removes
+	// one after three missed heartbeats. From 10ms to 10m, default 1.2s.
+	Heartbeat time.Duration `yaml:"heartbeat"`
 }
 
+// leaseMargin is how much later than after three heartbeats an entry may be removed.
+const leaseMargin = 400 * time.Millisecond
+
+// lease returns for how long the store lists an entry whose writer has ended.
+func (f FollowSettings) lease() time.Duration { return 3*f.Heartbeat + leaseMargin }
+
 // MachineSettings tell what the VM may use.
 type MachineSettings struct {
 	// CPUShare is the part of the time for which a core runs the process. From 0 to 1,
@@ -99,7 +105,7 @@
 
 const (
 	defaultWithin      = 2 * time.Second
-	defaultLease       = 4 * time.Second
+	defaultHeartbeat   = 1200 * time.Millisecond
 	defaultTTL         = 2 * time.Second
 	defaultMost        = 64
 	defaultRetryRatio  = 0.2
@@ -111,7 +117,7 @@
 // Provision fills in the defaults.
 func (s *Settings) Provision() {
 	s.Follow.Within = settings.Or(s.Follow.Within, defaultWithin)
-	s.Follow.Lease = settings.Or(s.Follow.Lease, defaultLease)
+	s.Follow.Heartbeat = settings.Or(s.Follow.Heartbeat, defaultHeartbeat)
 	s.Machine.Cores = settings.Or(s.Machine.Cores, 1)
 	s.Entries.TTL = settings.Or(s.Entries.TTL, defaultTTL)
 	s.Entries.Most = settings.Or(s.Entries.Most, defaultMost)
@@ -140,7 +146,7 @@
 	}
 	c.Address("store", s.Store)
 	c.Duration("follow.within", s.Follow.Within, 500*time.Millisecond, time.Minute)
-	c.Duration("follow.lease", s.Follow.Lease, 0, time.Hour)
+	c.Duration("follow.heartbeat", s.Follow.Heartbeat, 10*time.Millisecond, 10*time.Minute)
 	c.Float("machine.cpu_share", s.Machine.CPUShare, 0, 1)
 	c.Float("machine.cores", s.Machine.Cores, 0, 1024)
 	c.Duration("entries.ttl", s.Entries.TTL, time.Second, time.Hour)
