Ask a store that failed with short calls

While the store does not answer, a call now waits 0.1 s and half a second more.

Requests of the new look at configurations in force count as sent after a pause like those of callers.

--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -17,6 +17,11 @@
 	// watchSlack is how much longer than the wait an answer may take: a store that is slow
 	// answers in some 350 ms.
 	watchSlack = time.Second
+	// failingWait and failingSlack are the same while the store does not answer: a call that
+	// arrives while it is silent gets no answer, and it may be back a moment later. A whole
+	// wait held what was written after the return up for 1.7 s.
+	failingWait  = 100 * time.Millisecond
+	failingSlack = 500 * time.Millisecond
 	// listTimeout bounds a list; the store answers in milliseconds, in some
 	// seconds when it is slow.
 	listTimeout = 4 * time.Second
@@ -178,7 +183,11 @@
 	if release := f.view.release(); !release.IsZero() {
 		period = max(callGap, min(period, release.Sub(began)))
 	}
-	ctx, cancel := context.WithTimeout(ctx, period+watchSlack)
+	slack := watchSlack
+	if !f.failing.IsZero() {
+		period, slack = min(period, failingWait), failingSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, period+slack)
 	defer cancel()
 	f.arm(cancel, period)
 	events, at, err := f.Store.Watch(ctx, f.Prefix, f.view.at, period)
--- a/entry/gateway/spread_test.go
+++ b/entry/gateway/spread_test.go
@@ -499,6 +499,17 @@
 		f.locked(func() { f.store.back(3) })
 		return f.change(ctx, false)
 	}},
+	{"store silent for all, and back", func(ctx context.Context, f *simFleet, rnd *rand.Rand) time.Time {
+		for _, g := range f.gateways {
+			set(f, &g.reach, isSilent)
+		}
+		wait.Sleep(ctx, 500*time.Millisecond)
+		drawn(ctx, rnd, 3*time.Second)
+		for _, g := range f.gateways {
+			set(f, &g.reach, reaches)
+		}
+		return f.change(ctx, false)
+	}},
 	{"waiting watches deaf, store silent for a share", deafness(false, false, func(f *simFleet, rnd *rand.Rand) {
 		for _, g := range f.share(0.35, false, rnd) {
 			set(f, &g.reach, isSilent)
--- a/standin/soak/cmd/soak/inforce.go
+++ b/standin/soak/cmd/soak/inforce.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -31,11 +32,11 @@
 	seen   map[string]uint64 // latest version seen in force, by gateway
 	since  time.Time         // since when the store holds the version
 	holds  uint64
-	asked  int
+	looks  map[string]standin.Attempt // by id
 }
 
 func newInForce(w *world, f *faults) *inForce {
-	return &inForce{world: w, faults: f, seen: make(map[string]uint64), client: http.Client{Timeout: time.Second}}
+	return &inForce{world: w, faults: f, seen: make(map[string]uint64), looks: make(map[string]standin.Attempt), client: http.Client{Timeout: time.Second}}
 }
 
 // run looks until the context ends.
@@ -61,13 +62,21 @@
 	}
 }
 
+// all returns the requests that were sent to look.
+func (i *inForce) all() map[string]standin.Attempt {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return maps.Clone(i.looks)
+}
+
 func (i *inForce) check(ctx context.Context, g *gateway, version uint64) {
 	sent := time.Now()
-	status := i.ask(ctx, g, version)
+	id := fmt.Sprintf("f-%s-%d", g.vm, sent.UnixNano())
+	status := i.ask(ctx, g, id, version)
 	present, _ := i.world.config.current()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.asked++
+	i.looks[id] = standin.Attempt{ID: id, Gateway: g.front, Sent: sent}
 	switch {
 	case status == 0 || status == http.StatusServiceUnavailable || present != version:
 	case status != http.StatusNotFound:
@@ -82,14 +91,14 @@
 }
 
 // ask returns the status of a request on the version's own route, 0 = none.
-func (i *inForce) ask(ctx context.Context, g *gateway, version uint64) int {
+func (i *inForce) ask(ctx context.Context, g *gateway, id string, version uint64) int {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+g.front+versionPath(version)+"look", nil)
 	if err != nil {
 		return 0
 	}
 	req.Host = host
 	req.Header.Set("X-Key", teamKey)
-	req.Header.Set("X-Attempt-Id", fmt.Sprintf("f-%s-%d", g.vm, time.Now().UnixNano()))
+	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Deadline-Ms", "900")
 	resp, err := i.client.Do(req)
 	if err != nil {
