--- a/core/source/offers.go
+++ b/core/source/offers.go
@@ -69,7 +69,8 @@
 	return f.retained
 }
 
-// keep keeps events for others. Without any, the state came as a whole.
+// keep notes the present state for others, with the events that led to it; nil if it came as
+// a whole.
 func (f *Follower) keep(events []Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -101,7 +102,7 @@
 }
 
 // Offer hands over what another follower of the same store knows, for when this
-// one does not reach the store, and from whom it is. It is safe for concurrent use.
+// one does not reach the store. It is safe for concurrent use.
 func (f *Follower) Offer(s State) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/source/view.go
+++ b/core/source/view.go
@@ -305,8 +305,7 @@
 	return v.since.Add(v.rules.Lease)
 }
 
-// digest tells two processes that keep different entries from each other: 0 = none is
-// kept.
+// digest tells two processes that keep or hide different entries from each other: 0 = none.
 func (v *view) digest() uint64 {
 	sum := uint64(0)
 	add := func(kind, key string, value []byte) {
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -40,12 +40,12 @@
 	mu       sync.Mutex
 	exchange *exchange    // under mu
 	resting  atomic.Bool  // others follow the store for this one
-	latest   atomic.Int32 // duty
+	duty     duty
+	latest   atomic.Int32 // source.Duty as decided last
 	packed   packer
 	// asked counts the gateways asked for suspects since askedSince, under mu.
 	asked      int
 	askedSince time.Time
-	duty       duty
 }
 
 func newPeering(g *Gateway) *peering {
