--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -38,8 +38,8 @@
 	local    *link.Local
 	pool     *link.Pool
 	mu       sync.Mutex
-	exchange *exchange    // under mu
-	resting  atomic.Bool  // others follow the store for this one
+	exchange *exchange   // under mu
+	resting  atomic.Bool // others follow the store for this one
 	duty     duty
 	latest   atomic.Int32 // source.Duty as decided last
 	packed   packer
