--- a/entry/balance/registry_test.go
+++ b/entry/balance/registry_test.go
@@ -11,18 +11,18 @@
 	"baywall.example/core/source"
 )
 
-// peerLoad is a fixed load of other gateways.
-type peerLoad map[uint32]int
-
-// slowRanks are the paces of ranks by engine key, with no load of peers.
-type slowRanks map[uint32]float64
-
 // at is a position of the list.
 func at(revision uint64) source.Position { return source.Position{Revision: revision} }
 
 // absence is for how long a server that is missing after an outage may be on its way back.
 const absence = 1500 * time.Millisecond
 
+// peerLoad is a fixed load of other gateways.
+type peerLoad map[uint32]int
+
+// slowRanks are the paces of ranks by engine key, with no load of peers.
+type slowRanks map[uint32]float64
+
 func (slowRanks) Load([]uint32, []cluster.Load) {}
 func (slowRanks) Members() int                  { return 1 }
 func (slowRanks) Staleness() time.Duration      { return 0 }
