Do not retry on a route that has become non-idempotent

Found by reading: a request that may have run went on by the new configuration, under which it must not run twice (test: two runs before, one after).

--- a/entry/gateway/renew.go
+++ b/entry/gateway/renew.go
@@ -68,6 +68,10 @@
 	if q.denied != nil {
 		return
 	}
+	if q.sequence.MayHaveRun() && !q.route.Idempotent() {
+		q.denied = denied(contract.ReasonLinkLost, http.StatusBadGateway) // it must not run twice any more
+		return
+	}
 	if q.service != service {
 		q.state = q.g.stateOf(q.service)
 		q.budget.share = q.g.share(q.service)
--- a/entry/gateway/renew_test.go
+++ b/entry/gateway/renew_test.go
@@ -83,6 +83,26 @@
 	is.Equal(w.runs.Load(), int32(1))
 }
 
+// A request that may have run is not sent again once its route says that it must not run
+// twice.
+func TestARouteThatIsNoLongerIdempotentIsNotRetried(t *testing.T) {
+	is := is.New(t)
+	changed := routes()
+	for i := range changed {
+		changed[i].Kind = catalog.KindNonIdempotent
+	}
+	var w *world
+	w = start(t, 2, func(_ int, rw http.ResponseWriter, _ *http.Request) {
+		w.offer(t, catalog.Content{Version: 2, Routes: changed, Teams: []catalog.Team{{Name: "team", Keys: []string{"key"}}}})
+		reset(rw)
+	})
+	resp, _, err := w.get(t, context.Background(), "/many/x", nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+	is.Equal(resp.Header.Get(headerOutcome), "unknown")
+	is.Equal(w.runs.Load(), int32(1))
+}
+
 // Between the choice of a backend server and the sending lies a connection, which may take
 // as long as a dial may. The server that began to leave meanwhile gets nothing.
 func TestNothingIsSentToAServerThatBeganToLeaveAfterItWasChosen(t *testing.T) {
