Keep the limits that backend servers name, over all gateways together

Callers saw nothing: a backend server in need that named a limit of 1 request a second got 12 to 14 in 4 s, of 11 that it allows, from gateways that had passed its naming on.

Cause: the limit had no part in any choice.

Why this holds: a gateway asks the first active one in rendezvous order for the server for a permit, at the moment of sending, and that one has a token bucket with the server's rate. What is known of limits spreads with heartbeats, the answer to the request sent last counts, also that a limit ended. A gateway that comes to grant waits until permits of the one before are used; one that fell silent keeps its part of the rate. Where all servers of a service are at their limits, the rest is refused at once as not run.

--- a/core/cluster/activity.go
+++ b/core/cluster/activity.go
@@ -95,6 +95,19 @@
 	}
 }
 
+// Reached returns the part of the active members that this one reaches, itself included, of
+// all that may be active: those that fell silent without a word may be cut off and go on.
+func (t *Table) Reached() float64 {
+	silent := 0
+	for address, p := range t.peers {
+		if p.Active && !t.alive[address] && !t.unrelated(p) {
+			silent++
+		}
+	}
+	reached := t.Members()
+	return float64(reached) / float64(reached+silent)
+}
+
 // toldLost returns the addresses of peers that this member lost lately.
 func (t *Table) toldLost(now time.Time) []string {
 	var out []string
--- a/core/cluster/heartbeat.go
+++ b/core/cluster/heartbeat.go
@@ -24,6 +24,9 @@
 	if self.Suspects != nil {
 		hb.Suspects = self.Suspects(now)
 	}
+	if self.Limits != nil {
+		hb.Limits = self.Limits(now)
+	}
 	if heard := t.storeHeard(self.StoreHeard); !heard.IsZero() {
 		hb.StoreAgeMs = 1 + uint32(math.Ceil(now.Sub(heard).Seconds()*1000)) // never too young: it is passed on
 	}
--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -42,6 +42,9 @@
 	// were met or regained; nil = they are ignored.
 	onSuspects func(from vm.ID, suspects []*wire.Suspect)
 	onMet      func(Peer)
+	// onLimits is called with what members tell of the limits that backend servers name, nil =
+	// they are ignored.
+	onLimits func(from vm.ID, limits []*wire.ServerLimit)
 
 	mu    sync.Mutex
 	table *Table
@@ -140,6 +143,9 @@
 		if len(hb.GetSuspects()) > 0 && n.onSuspects != nil {
 			n.onSuspects(vm.ID(hb.GetVm()), hb.GetSuspects())
 		}
+		if len(hb.GetLimits()) > 0 && n.onLimits != nil {
+			n.onLimits(vm.ID(hb.GetVm()), hb.GetLimits())
+		}
 		n.mu.Lock()
 		changes := n.table.Receive(&hb, clock.Now())
 		n.mu.Unlock()
@@ -165,6 +171,10 @@
 // before Run.
 func (n *Node) OnSuspects(f func(from vm.ID, suspects []*wire.Suspect)) { n.onSuspects = f }
 
+// OnLimits sets what is called with what a member tells of the limits that backend servers
+// name. It is to be set before Run.
+func (n *Node) OnLimits(f func(from vm.ID, limits []*wire.ServerLimit)) { n.onLimits = f }
+
 // OnMet sets what is called with each member that was met or regained; it must not block.
 // It is to be set before Run.
 func (n *Node) OnMet(f func(Peer)) { n.onMet = f }
@@ -220,6 +230,14 @@
 	return nil
 }
 
+// Reached returns the part of the active members that this one reaches, itself included, of
+// all that may be active.
+func (n *Node) Reached() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Reached()
+}
+
 // Members returns the number of live active members, this one included.
 func (n *Node) Members() int {
 	n.mu.Lock()
--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -69,6 +69,8 @@
 	// Suspects returns what is told of requests that may end backend servers; nil =
 	// nothing.
 	Suspects func(now time.Time) []*wire.Suspect
+	// Limits returns what is told of the limits that backend servers name; nil = nothing.
+	Limits func(now time.Time) []*wire.ServerLimit
 	Activity
 }
 
--- a/core/contract/contract.go
+++ b/core/contract/contract.go
@@ -78,6 +78,7 @@
 	ReasonStarting        Reason = "starting"
 	ReasonRetryBudget     Reason = "retry-budget"
 	ReasonQuarantined     Reason = "quarantined"
+	ReasonRateLimit       Reason = "rate-limit"
 )
 
 // Refusal is the truthful end of a request that gets no answer.
--- /dev/null
+++ b/core/ratelimit/fleet_test.go
@@ -0,0 +1,514 @@
+package ratelimit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"baywall.example/core/clock"
+	"baywall.example/core/cluster"
+	"baywall.example/core/rendezvous"
+	"baywall.example/core/vm"
+	"baywall.example/core/wait"
+	"baywall.example/core/wire"
+)
+
+// A fleet of gateways before servers that name limits, in simulated time. Heartbeats, tables,
+// gates and grantors are the product's own.
+
+const (
+	// hop is the time of a message between two VMs.
+	hop = 2 * time.Millisecond
+	// connectTime is the time until a connection stands.
+	connectTime = 3 * time.Millisecond
+	// answerTime is the time in which a server answers.
+	answerTime = 30 * time.Millisecond
+	// beatTick is how often due heartbeats are looked for.
+	beatTick = 20 * time.Millisecond
+	// smallFleet is the largest fleet in which all gateways are active.
+	smallFleet = 30
+)
+
+// way decides whether a gateway may send to a limited server.
+type way int
+
+const (
+	byPermit  way = iota // the product's
+	oneSender            // the first in rendezvous order sends for all, the others do not
+	evenParts            // each has an even part of the limit, and a request at a time at least
+)
+
+func (w way) String() string { return [...]string{"permits", "one sender", "even parts"}[w] }
+
+// simServer is a backend server.
+type simServer struct {
+	key   Key
+	limit float64   // it names now, 0 = none
+	named time.Time // it did so first, since it named none
+	got   []arrival
+}
+
+// arrival is a request at a server.
+type arrival struct {
+	at      time.Time
+	excused bool // its gateway was disturbed within the time before
+}
+
+// simGateway is one gateway.
+type simGateway struct {
+	fleet   *simFleet
+	name    string
+	address string
+	zone    int
+	active  bool
+
+	// under the fleet's lock
+	table     *cluster.Table
+	limits    *Table
+	gate      *Gate
+	parts     map[Key]*rate.Limiter
+	began     vm.Incarnation
+	down      bool
+	frozen    bool
+	disturbed time.Time // until when it was, at the latest
+	queued    []*wire.Heartbeat
+	lossy     float64
+	side      int // gateways on two sides of a cut do not reach each other
+}
+
+// simFleet is the fleet.
+type simFleet struct {
+	mu        sync.Mutex
+	ctx       context.Context
+	rnd       *rand.Rand
+	way       way
+	gateways  []*simGateway
+	at        map[string]*simGateway
+	servers   []*simServer
+	sent      int
+	refused   int
+	contact   time.Duration
+	from      time.Duration // after a limit was named, requests are counted
+	perSecond float64
+}
+
+func newFleet(ctx context.Context, n int, w way, limits []float64, perSecond float64, seed uint64) *simFleet {
+	f := &simFleet{
+		ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 7)), way: w, at: make(map[string]*simGateway),
+		contact: 3 * time.Second, from: 500 * time.Millisecond, perSecond: perSecond,
+	}
+	for i, limit := range limits {
+		f.servers = append(f.servers, &simServer{key: Key(rendezvous.Hash(fmt.Sprintf("s%d-%d", i, seed))), limit: limit})
+	}
+	for i := range n {
+		f.add(n <= smallFleet || i%10 == 0)
+	}
+	go f.press()
+	return f
+}
+
+// add adds a gateway and starts it.
+func (f *simFleet) add(active bool) *simGateway {
+	i := len(f.gateways)
+	g := &simGateway{fleet: f, name: fmt.Sprintf("vm%d", i), address: address(i), zone: i % 3, active: active}
+	f.mu.Lock()
+	f.gateways = append(f.gateways, g)
+	f.at[g.address] = g
+	f.mu.Unlock()
+	g.start()
+	go g.run()
+	return g
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/200, i%200) }
+
+// start starts the gateway's process.
+func (g *simGateway) start() {
+	f := g.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g.down = false
+	g.began++
+	g.table = cluster.NewTable(g.address, []string{address(0), address(1), address(2)}, cluster.DefaultPerPeer)
+	g.limits = NewTable(func(Key) string { return "" }, zerolog.Nop())
+	g.gate = NewGate(g.limits, g)
+	g.parts = make(map[Key]*rate.Limiter)
+	g.queued = nil
+}
+
+// get reads what the fleet's lock guards.
+func get[T any](f *simFleet, v *T) T {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return *v
+}
+
+// draw returns a number below n.
+func (f *simFleet) draw(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rnd.IntN(n)
+}
+
+func (g *simGateway) stopped() bool {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	return g.down || g.frozen
+}
+
+// thaw waits as long as the gateway is frozen.
+func (g *simGateway) thaw() {
+	for get(g.fleet, &g.frozen) && wait.Sleep(g.fleet.ctx, 5*time.Millisecond) {
+	}
+}
+
+func (g *simGateway) run() {
+	wait.Sleep(g.fleet.ctx, time.Duration(g.fleet.draw(int(beatTick))))
+	for n := 0; wait.Sleep(g.fleet.ctx, beatTick); n++ {
+		if g.stopped() {
+			continue
+		}
+		g.beat()
+		if n%10 == 0 {
+			gate := get(g.fleet, &g.gate)
+			gate.Expire(clock.Now())
+		}
+	}
+}
+
+func (g *simGateway) beat() {
+	f := g.fleet
+	limits := get(f, &g.limits)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, hb := range g.queued {
+		g.hear(hb)
+	}
+	g.queued = nil
+	self := cluster.Self{
+		VM: vm.ID(g.name), Incarnation: g.began, Zone: fmt.Sprint(g.zone), Address: g.address, Front: "f", Ready: true,
+		Limits: limits.Told, Activity: cluster.Activity{Active: g.active},
+	}
+	out, _ := g.table.Tick(self, f.rnd, clock.Now())
+	for _, d := range out {
+		to := f.at[d.Address]
+		if to == nil || to.down || to.side != g.side || f.rnd.Float64() < max(g.lossy, to.lossy) {
+			continue
+		}
+		time.AfterFunc(hop, func() { to.receive(d.Heartbeat) })
+	}
+}
+
+func (g *simGateway) receive(hb *wire.Heartbeat) {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	switch {
+	case g.down:
+	case g.frozen:
+		g.queued = append(g.queued, hb) // in the socket's buffer
+	default:
+		g.hear(hb)
+	}
+}
+
+// hear takes a heartbeat, under the fleet's lock.
+func (g *simGateway) hear(hb *wire.Heartbeat) {
+	g.limits.Hear(vm.ID(hb.GetVm()), hb.GetLimits(), clock.Now())
+	g.table.Receive(hb, clock.Now())
+}
+
+// Grantor implements Network as a gateway does.
+func (g *simGateway) Grantor(server Key) (id vm.ID, own, known bool) {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	first := g.first(server)
+	return vm.ID(first), first == g.name, first != ""
+}
+
+// first returns the first active gateway for a server, under the fleet's lock.
+func (g *simGateway) first(server Key) string {
+	best, weight := "", uint64(0)
+	consider := func(name string) {
+		if w := rendezvous.Weight(rendezvous.Hash(name), uint64(server)); best == "" || w > weight {
+			best, weight = name, w
+		}
+	}
+	if g.active {
+		consider(g.name)
+	}
+	for _, p := range g.table.Live() {
+		if p.Active {
+			consider(string(p.VM))
+		}
+	}
+	return best
+}
+
+// Part implements Network.
+func (g *simGateway) Part() float64 {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	return g.table.Reached()
+}
+
+var errSilent = errors.New("no answer")
+
+// Ask implements Network.
+func (g *simGateway) Ask(ctx context.Context, grantor vm.ID, s Statement) (Grant, error) {
+	f := g.fleet
+	asked := s.AskToWire(clock.Now())
+	if !wait.Sleep(ctx, hop) {
+		return Grant{}, errSilent
+	}
+	var to *simGateway
+	f.mu.Lock()
+	for _, o := range f.gateways {
+		if o.name == string(grantor) {
+			to = o
+		}
+	}
+	reached := to != nil && !to.down && to.side == g.side
+	f.mu.Unlock()
+	if !reached {
+		<-ctx.Done()
+		return Grant{}, errSilent
+	}
+	to.thaw() // what was asked waits in its socket
+	statement, _ := StatementFromWire(asked.GetLimit(), clock.Now())
+	gate := get(f, &to.gate)
+	grant := GrantFromWire(gate.Grant(statement).ToWire())
+	if !wait.Sleep(ctx, hop) {
+		return Grant{}, errSilent
+	}
+	return grant, nil
+}
+
+// press sends requests to the gateways.
+func (f *simFleet) press() {
+	for {
+		f.mu.Lock()
+		pause := time.Duration(f.rnd.ExpFloat64() / f.perSecond * float64(time.Second))
+		g := f.gateways[f.rnd.IntN(len(f.gateways))]
+		for try := 0; (!g.active && f.rnd.IntN(50) > 0 || g.down) && try < 1000; try++ {
+			g = f.gateways[f.rnd.IntN(len(f.gateways))]
+		}
+		f.mu.Unlock()
+		go g.request()
+		if !wait.Sleep(f.ctx, pause) {
+			return
+		}
+	}
+}
+
+// request sends one request to a server that may take it.
+func (g *simGateway) request() {
+	g.thaw()
+	f := g.fleet
+	for range 4 {
+		server := g.pick()
+		if server == nil || !wait.Sleep(f.ctx, connectTime) {
+			break
+		}
+		g.thaw()
+		if !g.maySend(server) {
+			continue
+		}
+		if get(f, &g.down) {
+			return
+		}
+		g.send(server)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused++
+}
+
+// pick draws one of the servers that are open.
+func (g *simGateway) pick() *simServer {
+	gate := get(g.fleet, &g.gate)
+	var open []*simServer
+	for _, s := range g.fleet.servers {
+		at, _, limited := gate.Opens(s.key)
+		if !limited || !clock.Now().Before(at) {
+			open = append(open, s)
+		}
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	return open[g.fleet.rnd.IntN(len(open))]
+}
+
+func (g *simGateway) maySend(s *simServer) bool {
+	f := g.fleet
+	if f.way == byPermit {
+		gate := get(f, &g.gate)
+		return gate.Take(f.ctx, s.key) == nil
+	}
+	limits := get(f, &g.limits)
+	known, limited := limits.Get(s.key)
+	if !limited {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	perSecond := known.rate()
+	switch {
+	case f.way == evenParts:
+		perSecond /= float64(g.table.Members())
+	case g.first(s.key) != g.name:
+		return false
+	}
+	bucket := g.parts[s.key]
+	if bucket == nil {
+		bucket = rate.NewLimiter(rate.Limit(perSecond), 1)
+		g.parts[s.key] = bucket
+	}
+	bucket.SetLimitAt(clock.Now(), rate.Limit(perSecond))
+	return bucket.AllowN(clock.Now(), 1)
+}
+
+// send sends a request and takes what its answer says.
+func (g *simGateway) send(s *simServer) {
+	f := g.fleet
+	sent := clock.Now()
+	limits, began := get(f, &g.limits), get(f, &g.began)
+	wait.Sleep(f.ctx, hop)
+	f.mu.Lock()
+	f.sent++
+	now := clock.Now()
+	if s.limit > 0 && s.named.IsZero() {
+		s.named = now
+	}
+	s.got = append(s.got, arrival{at: now, excused: now.Sub(g.disturbed) < f.contact || g.frozen})
+	said := Said{Kind: SaidNone}
+	if s.limit > 0 {
+		said = Said{Kind: SaidLimit, Limit: s.limit}
+	}
+	f.mu.Unlock()
+	wait.Sleep(f.ctx, answerTime+hop)
+	g.thaw()
+	if get(f, &g.began) == began {
+		limits.Heard(s.key, said, sent, clock.Now())
+	}
+}
+
+// disturb notes that a gateway is disturbed from now on for a time.
+func (g *simGateway) disturb(d time.Duration) {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	g.disturbed = clock.Now().Add(d)
+}
+
+// freeze stops a gateway for a time.
+func (g *simGateway) freeze(d time.Duration) {
+	g.disturb(d)
+	g.fleet.mu.Lock()
+	g.frozen = true
+	g.fleet.mu.Unlock()
+	wait.Sleep(g.fleet.ctx, d)
+	g.fleet.mu.Lock()
+	g.frozen = false
+	g.fleet.mu.Unlock()
+}
+
+// restart ends a gateway and starts it again after a time.
+func (g *simGateway) restart(d time.Duration) {
+	g.disturb(d)
+	g.fleet.mu.Lock()
+	g.down = true
+	g.fleet.mu.Unlock()
+	if wait.Sleep(g.fleet.ctx, d) {
+		g.start()
+	}
+}
+
+// cut cuts gateways off from the others for a time: all reach the servers.
+func (f *simFleet) cut(d time.Duration, side []*simGateway, excused bool) {
+	set := func(to int) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, g := range side {
+			g.side = to
+		}
+	}
+	if excused {
+		for _, g := range side {
+			g.disturb(d)
+		}
+	}
+	set(1)
+	wait.Sleep(f.ctx, d)
+	set(0)
+}
+
+// grantor returns the gateway that grants for a server, as most see it.
+func (f *simFleet) grantor(s *simServer) *simGateway {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best *simGateway
+	weight := uint64(0)
+	for _, g := range f.gateways {
+		if w := rendezvous.Weight(rendezvous.Hash(g.name), uint64(s.key)); g.active && !g.down && (best == nil || w > weight) {
+			best, weight = g, w
+		}
+	}
+	return best
+}
+
+// window is the time over which requests are counted.
+const window = 4 * time.Second
+
+// allowed is how many requests a server with a limit may get in a window.
+func allowed(limit float64) float64 { return 1.5*limit*window.Seconds() + 5 }
+
+// worst returns the most requests that a server got in a window from gateways that were not
+// disturbed, since its limit was known for long enough; and from all.
+func (f *simFleet) worst(s *simServer) (counted, all int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, last := range s.got {
+		if s.named.IsZero() || last.at.Sub(s.named) < f.contact {
+			continue
+		}
+		n, m := 0, 0
+		for j := i; j >= 0 && last.at.Sub(s.got[j].at) < window && s.got[j].at.Sub(s.named) >= f.from; j-- {
+			m++
+			if !s.got[j].excused {
+				n++
+			}
+		}
+		counted, all = max(counted, n), max(all, m)
+	}
+	return counted, all
+}
+
+// between returns how many requests a server got in a time.
+func (f *simFleet) between(s *simServer, from, to time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, a := range s.got {
+		if !a.at.Before(from) && a.at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// names changes the limit that a server names.
+func (f *simFleet) names(s *simServer, limit float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.limit = limit
+	s.named = time.Time{}
+}
--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -31,6 +31,9 @@
 	// Late tells that the request cannot be on time any more: it takes no place that
 	// punctual ones will need.
 	Late bool
+	// Unlimited leaves out servers that name a limit, Again does where there are others: a
+	// permit is rather for a first attempt.
+	Unlimited, Again bool
 	// Proven leaves out servers that turned their latest request away.
 	Proven bool
 }
@@ -43,12 +46,13 @@
 	Available   Availability = iota + 1
 	AllBusy                  // usable servers are there, but the wait at each is too long
 	Standing                 // usable servers are there, but most of which is known stand still
+	Limited                  // usable servers are there, but all are at the limit that they name
 	Unavailable              // no server may take the request now
 )
 
 // String returns the availability's name.
 func (a Availability) String() string {
-	return [...]string{"", "available", "busy", "standing", "unavailable"}[a]
+	return [...]string{"", "available", "busy", "standing", "at-limit", "unavailable"}[a]
 }
 
 // otherZoneCost is what a server in another availability zone is worth in load: a
@@ -82,6 +86,11 @@
 				continue
 			}
 		}
+		opens, _, limited := r.opens(server)
+		if limited && !d.mayTakeLimited(opens, now) {
+			load.AtLimit++
+			continue
+		}
 		if s.tooBusy(i, d, now) {
 			busy = true
 			continue
@@ -94,7 +103,10 @@
 		if d.Avoid != nil && d.Avoid(server) {
 			score += avoidedCost
 		}
-		s.candidates = append(s.candidates, candidate{index: i, slots: slots, score: score})
+		s.candidates = append(s.candidates, candidate{index: i, slots: slots, score: score, limited: limited})
+	}
+	if d.Again {
+		s.candidates = preferUnlimited(s.candidates)
 	}
 	s.arrivals.note(now)
 	switch {
@@ -107,6 +119,8 @@
 		return s.choose(spread(s.candidates, unheard, rand.Float64()), d, load), Available
 	case busy:
 		return Choice{Load: load}, AllBusy
+	case load.AtLimit > 0:
+		return Choice{Load: load}, Limited
 	case s.fullOnly(d, now):
 		return Choice{Load: load}, AllBusy
 	default:
--- a/entry/balance/probation.go
+++ b/entry/balance/probation.go
@@ -259,6 +259,14 @@
 	}
 }
 
+// NotProbed notes that a server could not be asked now.
+func (r *Registry) NotProbed(server *Server) {
+	s := r.shard(server.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server.probation.asking = false
+}
+
 // Accepted notes that the server took a request in.
 func (r *Registry) Accepted(server *Server) {
 	s := r.shard(server.Service)
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -14,9 +14,10 @@
 // Registry holds the backend servers of all services. It is safe for
 // concurrent use.
 type Registry struct {
-	log   zerolog.Logger
-	peers PeerLoad
-	zone  string // of this gateway
+	log    zerolog.Logger
+	peers  PeerLoad
+	limits Limits // nil = servers name none
+	zone   string // of this gateway
 
 	mu     sync.RWMutex
 	shards map[string]*shard
@@ -227,6 +228,7 @@
 // Load is the state of a service's servers as one gateway sees it.
 type Load struct {
 	Servers  int // that may take requests
+	AtLimit  int // of which this many are left out since they are at the limit that they name
 	Slots    int // of these together
 	InFlight int // requests of all gateways to these
 	Own      int // of which this gateway's
--- a/entry/balance/server.go
+++ b/entry/balance/server.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"baywall.example/core/cluster"
+	"baywall.example/core/ratelimit"
 	"baywall.example/core/source"
 	"baywall.example/entry/upstream"
 )
@@ -45,6 +46,7 @@
 	Pace Pace
 
 	engine   uint32 // key of its pace
+	limit    ratelimit.Key
 	inFlight atomic.Int32
 
 	// under the shard's lock
@@ -69,11 +71,16 @@
 	return xxhash.Sum64String(s.ID + "/" + strconv.FormatUint(s.Started, 10))
 }
 
+// Limit returns the key of the limit that the backend server may name.
+func (s *Server) Limit() ratelimit.Key { return s.limit }
+
 func newServer(info Info) *Server {
-	return &Server{
+	s := &Server{
 		Info: info, Key: uint32(xxhash.Sum64String(info.ID)), draining: info.Draining,
 		Pool: upstream.NewPool(info.Address, dialTimeout), engine: cluster.EngineKey(info.Address),
 	}
+	s.limit = ratelimit.Key(s.Incarnation())
+	return s
 }
 
 // usable reports whether the server may get a request, under the shard's lock.
--- a/entry/balance/spread.go
+++ b/entry/balance/spread.go
@@ -10,6 +10,8 @@
 	index int     // in the shard's usable servers
 	slots float64 // at least 1
 	score float64 // load over slots, with what streams on it are late
+	// limited tells that the server names a limit.
+	limited bool
 }
 
 // spread draws one of the candidates and returns its index. The requests that
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -173,6 +173,12 @@
 	} else {
 		e = e.Str("host", q.r.Host).Str("path", q.r.URL.Path)
 	}
+	if q.atLimit > 0 {
+		e = e.Int("servers_at_limit", q.atLimit)
+	}
+	if l := q.serverLimit; l != nil {
+		e = e.Float64("server_limit", l.Limit).Str("limit_from", l.Source).Dur("limit_age", clock.Since(l.At))
+	}
 	if q.server != "" {
 		e = e.Str("server", q.server).Int("server_load", q.serverLoad).Dur("server_pace", q.serverPace).
 			Uint64("backends", q.sent.at.Revision).Str("backends_from", q.sent.source()).Dur("backends_age", clock.Since(q.sent.taken))
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -11,6 +11,7 @@
 
 	"baywall.example/core/clock"
 	"baywall.example/core/contract"
+	"baywall.example/core/ratelimit"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
 	"baywall.example/entry/quarantine"
@@ -33,9 +34,10 @@
 	verdictDeadline                    // the time was up; it may have run
 	verdictMoved                       // it was given up to go on elsewhere
 	verdictOutdated                    // it was not sent, as the decision to send it was outdated
+	verdictAtLimit                     // it was not sent, as the server is at the limit that it names
 )
 
-var verdictNames = [...]string{"", "answered", "not-sent", "rejected", "failed", "lost", "cut", "caller-left", "deadline", "moved", "outdated"}
+var verdictNames = [...]string{"", "answered", "not-sent", "rejected", "failed", "lost", "cut", "caller-left", "deadline", "moved", "outdated", "at-limit"}
 
 func (v verdict) String() string { return verdictNames[v] }
 
@@ -86,7 +88,7 @@
 		if a.verdict == verdictMoved {
 			continue
 		}
-		if a.verdict == verdictOutdated {
+		if a.verdict == verdictOutdated || a.verdict == verdictAtLimit {
 			q.sequence.Void()
 			continue
 		}
@@ -114,6 +116,8 @@
 	switch {
 	case q.quarantined != nil:
 		refusal.Reason = contract.ReasonQuarantined
+	case found == balance.Limited:
+		refusal.Reason = contract.ReasonRateLimit
 	case found == balance.AllBusy:
 		refusal.Reason = contract.ReasonOverload
 	}
@@ -174,6 +178,7 @@
 func (q *request) try(ctx context.Context, c balance.Choice, stream *streamState) attempt {
 	defer c.Release()
 	q.server, q.serverLoad, q.serverPace, q.sent = c.Server.ID, c.InFlight, c.Pace, q.g.knows()
+	q.serverLimit = q.g.limits.limitOf(c.Server)
 	began := clock.Now()
 	q.suspect.Send(quarantine.ServerKey(c.Server.Incarnation()), began)
 	if q.route.Kind == catalog.KindStream {
@@ -185,14 +190,19 @@
 			q.noteFirst(c, began)
 		}
 	}
-	answer, err := c.Server.Pool.Do(ctx, q.upstreamRequest(c, stream))
-	if errors.Is(err, errOutdated) {
+	sent := began
+	answer, err := c.Server.Pool.Do(ctx, q.upstreamRequest(ctx, c, stream, &sent))
+	switch {
+	case errors.Is(err, errOutdated):
 		return q.judge(ctx, c, attempt{verdict: verdictOutdated, err: err})
+	case errors.Is(err, ratelimit.ErrClosed):
+		return q.judge(ctx, c, attempt{verdict: verdictAtLimit, err: err})
 	}
 	if err != nil {
 		return q.judge(ctx, c, attempt{verdict: lostOrNotSent(err), err: err, reason: contract.ReasonEngineDial})
 	}
 	defer answer.Close()
+	q.g.limits.answered(c.Server, answer, sent)
 	if a, done := q.rejection(answer); done {
 		return q.judge(ctx, c, a)
 	}
@@ -241,7 +251,7 @@
 		switch {
 		case q.ctx.Err() != nil:
 			a.verdict = verdictLeft
-		case a.verdict != verdictNotSent && a.verdict != verdictOutdated && a.verdict != verdictCut:
+		case a.verdict != verdictNotSent && a.verdict != verdictOutdated && a.verdict != verdictAtLimit && a.verdict != verdictCut:
 			a.verdict = verdictDeadline
 		}
 		return a
@@ -249,7 +259,7 @@
 	switch a.verdict {
 	case verdictAnswered:
 		q.g.registry.Succeeded(c.Server)
-	case verdictOutdated:
+	case verdictOutdated, verdictAtLimit:
 		q.g.registry.Released(c.Server)
 	case verdictRejected:
 		if a.reason == contract.ReasonReplacedAgent {
@@ -267,7 +277,8 @@
 	return a
 }
 
-func (q *request) upstreamRequest(c balance.Choice, stream *streamState) *upstream.Request {
+// upstreamRequest returns what is sent. The time at which it is goes to sent.
+func (q *request) upstreamRequest(ctx context.Context, c balance.Choice, stream *streamState, sent *time.Time) *upstream.Request {
 	h := q.header.Clone()
 	left := max(0, clock.Until(q.deadline))
 	h.Set(q.g.headers.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
@@ -278,7 +289,11 @@
 	return &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
 		IDHeader: q.g.headers.RequestID, Fresh: !q.route.Idempotent(),
-		Check: func() error { return q.mayGoTo(c.Server) },
+		Check: func() error {
+			err := q.mayGoNow(ctx, c.Server)
+			*sent = clock.Now()
+			return err
+		},
 	}
 }
 
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -60,6 +60,7 @@
 	activity    activity
 	engines     sync.Map // address -> Engine, of ranks that were held
 	suspects    *quarantine.Table
+	limits      *limits
 
 	follower *source.Follower
 	peering  *peering
@@ -91,6 +92,9 @@
 	node.OnHold(g.holdStep)
 	node.OnSuspects(func(from vm.ID, suspects []*wire.Suspect) { g.suspects.Hear(from, suspects, clock.Now()) })
 	g.registry = balance.NewRegistry(node, s.Zone, log)
+	g.limits = newLimits(g)
+	g.registry.LimitBy(g.limits)
+	node.OnLimits(g.limits.hear)
 	g.peering = newPeering(g)
 	node.OnMet(g.peering.met)
 	g.follower = &source.Follower{
@@ -103,6 +107,8 @@
 		backendsRevision: func() float64 { return float64(g.knows().at.Revision) },
 		peers:            func() float64 { return float64(len(node.Live())) },
 		suspects:         func() float64 { return float64(g.suspects.Size()) },
+		limited:          func() float64 { return float64(g.limits.Limited()) },
+		permits:          g.limits.Counts,
 		logDropped:       func() float64 { return float64(lines.Dropped()) },
 	})
 	return g, nil
@@ -114,7 +120,7 @@
 		Address: g.settings.Listen.Peers, Front: g.settings.Listen.Front, Ready: g.Ready(),
 		CatalogVersion: g.catalog.Version(), StoreChanged: g.knows().changed, Retained: g.follower.Retained(),
 		Load: g.registry.OwnLoad(clock.Now()), StoreHeard: g.follower.Heard(), StoreFailing: g.follower.Failing(),
-		Found: g.registry.Found(clock.Now()), Suspects: g.suspects.Told,
+		Found: g.registry.Found(clock.Now()), Suspects: g.suspects.Told, Limits: g.limits.table.Told,
 		Activity: cluster.Activity{
 			Active: g.activity.is() && !g.leaving.Load(), Millicores: g.settings.Machine.millicores(), Arrivals: g.activity.rate(),
 		},
@@ -204,6 +210,7 @@
 			now := clock.Now()
 			g.registry.Expire(g.knows().at, now)
 			g.suspects.Expire(now)
+			g.limits.expire(now)
 			g.decideActivity(now)
 			g.peering.look(ctx)
 			g.peering.pool.Trim(now.Add(-linkIdle))
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 
 	"baywall.example/core/cluster"
 	"baywall.example/core/process"
+	"baywall.example/core/ratelimit"
 	"baywall.example/core/source"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
@@ -59,6 +60,19 @@
 	return status == http.StatusOK
 }
 
+// ReadLimit reads a limit in whole requests a second.
+func (testAdapter) ReadLimit(h http.Header) (ratelimit.Said, error) {
+	text := h.Get("T-Limit")
+	if text == "" {
+		return ratelimit.Said{Kind: ratelimit.SaidNone}, nil
+	}
+	limit, err := strconv.Atoi(text)
+	if err != nil {
+		return ratelimit.Said{}, err
+	}
+	return ratelimit.Said{Kind: ratelimit.SaidLimit, Limit: float64(limit)}, nil
+}
+
 func (a testAdapter) Engine(string) Engine { return a.engine }
 
 func (testAdapter) Directory(Directory) http.Handler { return http.NotFoundHandler() }
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"baywall.example/core/ratelimit"
 )
 
 // gauges are read when the metrics are fetched.
@@ -15,6 +17,8 @@
 	backendsRevision func() float64
 	peers            func() float64
 	suspects         func() float64
+	limited          func() float64
+	permits          func() ratelimit.Counts
 	logDropped       func() float64
 }
 
@@ -24,6 +28,7 @@
 	requests       *metrics.Counter
 	aborted        *metrics.Counter
 	entriesRefused *metrics.Counter
+	limitsRefused  *metrics.Counter
 	left           *metrics.Counter
 	resumed        *metrics.Counter
 	retries        *metrics.Counter
@@ -36,12 +41,17 @@
 	set.NewGauge("baywall_backends_revision", g.backendsRevision)
 	set.NewGauge("baywall_peers", g.peers)
 	set.NewGauge("baywall_suspect_requests", g.suspects)
+	set.NewGauge("baywall_limited_servers", g.limited)
+	set.NewGauge("baywall_permits_used", func() float64 { return float64(g.permits().Got) })
+	set.NewGauge("baywall_permits_lacking", func() float64 { return float64(g.permits().Lacked) })
+	set.NewGauge("baywall_permits_unanswered", func() float64 { return float64(g.permits().Unanswered) })
 	set.NewGauge("baywall_log_lines_dropped", g.logDropped)
 	return &instruments{
 		set:            set,
 		requests:       set.NewCounter("baywall_requests_total"),
 		aborted:        set.NewCounter("baywall_answers_aborted_total"),
 		entriesRefused: set.NewCounter("baywall_entries_refused_total"),
+		limitsRefused:  set.NewCounter("baywall_limits_refused_total"),
 		left:           set.NewCounter("baywall_callers_left_total"),
 		resumed:        set.NewCounter("baywall_streams_resumed_total"),
 		retries:        set.NewCounter("baywall_retries_total"),
--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -54,9 +54,11 @@
 	mu      sync.Mutex
 	stand   admission.Stand
 	pacer   admission.Pacer
-	waiting int           // late requests that wait for a place
-	ahead   int           // interrupted ones among these, which go first
-	first   time.Duration // usual time from the sending of a request to its first answer
+	line    admission.Line  // requests that wait for a permit
+	permits admission.Pacer // of callers refused for want of one
+	waiting int             // late requests that wait for a place
+	ahead   int             // interrupted ones among these, which go first
+	first   time.Duration   // usual time from the sending of a request to its first answer
 }
 
 func (g *Gateway) stateOf(service string) *serviceState {
@@ -156,7 +158,7 @@
 func (q *request) demand(now time.Time) balance.Demand {
 	r := q.wants(now)
 	d := balance.Demand{
-		Service: q.service, Exclude: q.excluded, Proven: q.rejected, Late: r.Urgency() != admission.Punctual, Occupies: q.route.Objective,
+		Service: q.service, Exclude: q.excluded, Proven: q.rejected, Again: q.sequence.Attempts() > 0, Late: r.Urgency() != admission.Punctual, Occupies: q.route.Objective,
 	}
 	if q.route.Kind == catalog.KindStream {
 		d.GapTarget = q.route.GapTarget
@@ -200,6 +202,7 @@
 	queued := false // among the late requests that wait
 	interrupted := q.interrupted
 	defer func() {
+		q.leaveLine(q.state)
 		if queued {
 			q.state.queue(-1, interrupted)
 		}
@@ -215,9 +218,15 @@
 		}
 		wants := q.wants(now)
 		stays := queued || permission == quarantine.Wait || q.mayWait(wants, now)
+		if found == balance.Limited {
+			stays = q.mayWaitForPermit(wants, now)
+		}
 		if !stays || wants.Urgency() == admission.Hopeless {
 			return choice, found
 		}
+		if found == balance.Limited {
+			q.joinLine(now)
+		}
 		if !queued && wants.Urgency() == admission.Late {
 			queued = true
 			q.state.queue(1, interrupted)
@@ -234,9 +243,13 @@
 	if queued && !q.state.mayTry(q.interrupted) {
 		return balance.Choice{}, balance.AllBusy
 	}
+	if !q.isAhead(now) {
+		return balance.Choice{}, balance.Limited
+	}
 	d := q.demand(now)
 	d.Avoid = q.avoids(now)
 	choice, found := q.g.registry.Pick(d, now)
+	q.atLimit = choice.Load.AtLimit
 	stands := found == balance.Standing || found == balance.Unavailable && len(q.excluded) == 0 && !q.rejected
 	if stands && q.state.stands(now) {
 		q.g.inst.stood(q.service)
@@ -300,6 +313,10 @@
 		if q.state != nil {
 			return q.comeBack(now)
 		}
+	case contract.ReasonRateLimit:
+		if q.state != nil {
+			return q.comeBackForPermit(now)
+		}
 	case contract.ReasonQuarantined:
 		if q.quarantined != nil {
 			return q.quarantined.Left
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -133,20 +133,28 @@
 func (p *peering) fetch(ctx context.Context, from cluster.Peer) (source.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	conn, err := p.pool.Get(ctx, vm.VM{ID: from.VM, Link: from.Address, Role: vm.RoleEntry})
-	if err != nil {
-		return source.State{}, err
-	}
 	at := p.gateway.knows().at
 	pull := &wire.SourcePull{Era: at.Era, After: at.Revision, Removals: from.Retained != p.gateway.follower.Retained()}
-	reply, err := conn.Call(ctx, &wire.Call{Body: &wire.Call_Source{Source: pull}})
+	reply, err := p.call(ctx, from, &wire.Call{Body: &wire.Call_Source{Source: pull}})
 	if err != nil {
-		p.pool.Retain(func(id vm.ID) bool { return id != from.VM }) // the link may have gone silent
 		return source.State{}, err
 	}
 	return stateFromWire(reply.GetSource(), clock.Now())
 }
 
+// call asks another gateway.
+func (p *peering) call(ctx context.Context, to cluster.Peer, call *wire.Call) (*wire.Reply, error) {
+	conn, err := p.pool.Get(ctx, vm.VM{ID: to.VM, Link: to.Address, Role: vm.RoleEntry})
+	if err != nil {
+		return nil, err
+	}
+	reply, err := conn.Call(ctx, call)
+	if err != nil {
+		p.pool.Retain(func(id vm.ID) bool { return id != to.VM }) // the link may have gone silent
+	}
+	return reply, err
+}
+
 // ServeStream answers another gateway.
 func (p *peering) ServeStream(_ context.Context, from *link.Link, s *link.Stream, call *wire.Call) {
 	reply := &wire.Reply{}
@@ -157,6 +165,8 @@
 		reply.Body = &wire.Reply_Source{Source: p.packed.reply(state, clock.Now())}
 	case call.GetSuspects() != nil:
 		reply.Body = &wire.Reply_Suspects{Suspects: &wire.Suspects{Suspects: p.gateway.suspects.All(clock.Now())}}
+	case call.GetPermit() != nil:
+		reply.Body = &wire.Reply_Permit{Permit: p.gateway.limits.serve(call.GetPermit())}
 	default:
 		p.gateway.log.Warn().Str("peer", string(from.Remote)).Msg("unexpected call")
 		return
--- a/entry/gateway/probe.go
+++ b/entry/gateway/probe.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
 	"baywall.example/core/clock"
+	"baywall.example/core/ratelimit"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
 	"baywall.example/entry/upstream"
@@ -36,38 +38,51 @@
 				continue // it gets few requests, and each probe costs its server
 			}
 			for _, server := range g.registry.DueProbes(now) {
-				g.run.Go(func() { g.registry.Probed(server, g.takesRequests(ctx, server)) })
+				g.run.Go(func() { g.probeOne(ctx, server) })
 			}
 		}
 	}
 }
 
-// takesRequests asks one server.
-func (g *Gateway) takesRequests(ctx context.Context, server *balance.Server) bool {
+// probeOne asks one server. One that is at the limit that it names is not asked now.
+func (g *Gateway) probeOne(ctx context.Context, server *balance.Server) {
+	good, err := g.takesRequests(ctx, server)
+	if errors.Is(err, ratelimit.ErrClosed) {
+		g.registry.NotProbed(server)
+		return
+	}
+	g.registry.Probed(server, good)
+}
+
+// takesRequests asks one server. The error is of what could not be asked.
+func (g *Gateway) takesRequests(ctx context.Context, server *balance.Server) (bool, error) {
 	service := g.serviceOf(server)
 	if service == nil {
-		return false
+		return false, nil
 	}
 	target := g.adapter.ProbeTarget(service)
 	if target == "" {
-		return false
+		return false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	sent := clock.Now()
 	answer, err := server.Pool.Do(ctx, &upstream.Request{
 		Method: http.MethodGet, Target: target, Host: server.Address,
 		Header: http.Header{g.headers.ExpectServer: {server.ID}}, IDHeader: g.headers.RequestID,
+		Check: func() error { return g.limits.Take(ctx, server.Limit()) },
 	})
 	if err != nil {
-		return false // not reached: that is the answer
+		return false, err
 	}
 	defer answer.Close()
+	g.limits.answered(server, answer, sent)
 	if answer.Status == http.StatusMisdirectedRequest {
 		g.registry.Replaced(server)
-		return false
+		return false, nil
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxProbeBody))
-	return err == nil && g.adapter.TakesRequests(service, answer.Status, body)
+	return err == nil && g.adapter.TakesRequests(service, answer.Status, body), err
 }
 
 // serviceOf returns the published service of a server, or nil.
--- a/entry/gateway/protocol.go
+++ b/entry/gateway/protocol.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"baywall.example/core/ratelimit"
 	"baywall.example/core/source"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
@@ -46,6 +47,9 @@
 	ProbeTarget(s *catalog.Service) string
 	// TakesRequests reads the answer to a probe.
 	TakesRequests(s *catalog.Service, status int, body []byte) bool
+	// ReadLimit reads from an answer's header how many requests a second its backend server
+	// takes from all gateways together. With an error it says nothing.
+	ReadLimit(h http.Header) (ratelimit.Said, error)
 	// Engine returns the engine of the backend server at an IP:port.
 	Engine(address string) Engine
 	// Directory serves callers who ask where to connect, and Ready those who
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -7,7 +7,6 @@
 
 	"baywall.example/core/clock"
 	"baywall.example/core/cluster"
-	"baywall.example/core/vm"
 	"baywall.example/core/wire"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/quarantine"
@@ -135,10 +134,6 @@
 }
 
 func (p *peering) fetchSuspects(ctx context.Context, from cluster.Peer) ([]*wire.Suspect, error) {
-	conn, err := p.pool.Get(ctx, vm.VM{ID: from.VM, Link: from.Address, Role: vm.RoleEntry})
-	if err != nil {
-		return nil, err
-	}
-	reply, err := conn.Call(ctx, &wire.Call{Body: &wire.Call_Suspects{Suspects: &wire.SuspectsPull{}}})
+	reply, err := p.call(ctx, from, &wire.Call{Body: &wire.Call_Suspects{Suspects: &wire.SuspectsPull{}}})
 	return reply.GetSuspects().GetSuspects(), err
 }
--- a/entry/gateway/renew.go
+++ b/entry/gateway/renew.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -38,7 +39,7 @@
 	if route == nil {
 		return denied(contract.ReasonUnknownService, http.StatusNotFound)
 	}
-	team := ""
+	team, priority := "", route.Priority
 	if s.Keyed() && !route.Public {
 		t := s.Team(q.r.Header.Get(q.g.headers.APIKey))
 		if t == nil {
@@ -46,8 +47,11 @@
 			return denied(contract.ReasonUnknownTeam, http.StatusUnauthorized)
 		}
 		team = t.Name
+		if t.Priority != nil {
+			priority = *t.Priority
+		}
 	}
-	q.route, q.team = route, team
+	q.route, q.team, q.priority = route, team, priority
 	if q.service == "" || !route.Targeted(q.service) {
 		q.service = route.Pick(rand.Float64())
 	}
@@ -73,6 +77,7 @@
 		return
 	}
 	if q.service != service {
+		q.leaveLine(q.state)
 		q.state = q.g.stateOf(q.service)
 		q.budget.share = q.g.share(q.service)
 		q.excluded = make(map[string]bool)
@@ -89,6 +94,19 @@
 	return nil
 }
 
+// mayGoNow is asked at the moment of sending, when there is a connection: it takes the permit
+// for a server that names a limit. Every request passes here, since gateways that each heed
+// a limit alone send several times what it allows.
+func (q *request) mayGoNow(ctx context.Context, server *balance.Server) error {
+	if err := q.mayGoTo(server); err != nil {
+		return err
+	}
+	if err := q.g.limits.Take(ctx, server.Limit()); err != nil {
+		return err
+	}
+	return q.mayGoTo(server) // it may have been asked for elsewhere
+}
+
 // deny ends a request that the configuration in force does not allow.
 func (q *request) deny(stream *streamState) {
 	d := q.denied
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -12,6 +12,7 @@
 
 	"baywall.example/core/clock"
 	"baywall.example/core/contract"
+	"baywall.example/core/ratelimit"
 	"baywall.example/entry/admission"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
@@ -44,6 +45,7 @@
 	denied   *denial // nil unless the configuration in force does not allow it any more
 	version  uint64
 	team     string
+	priority int // rank, 0 is the most urgent
 	service  string
 	body     []byte
 	header   http.Header // for backend servers
@@ -65,10 +67,15 @@
 	suspect     quarantine.Attempt      // the present one
 	quarantined *quarantine.Judgement   // nil unless it is refused for that
 
-	server      string        // of the latest attempt
-	sent        known         // what was known of the store then
-	serverLoad  int           // requests of all gateways to it when it was picked
-	serverPace  time.Duration // pause between events there then, 0 = not known
+	line     *admission.Place // among those that wait for a permit, nil = it does not
+	atLimit  int              // servers left out for the limits that they name, at the latest look
+	permitBy time.Time        // until when it waits for a permit
+
+	server      string           // of the latest attempt
+	serverLimit *ratelimit.Known // that it named when it was sent to, nil = none
+	sent        known            // what was known of the store then
+	serverLoad  int              // requests of all gateways to it when it was picked
+	serverPace  time.Duration    // pause between events there then, 0 = not known
 	firstAnswer time.Duration
 	lastEvent   time.Time // sent to the caller
 	longestGap  time.Duration
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -144,6 +144,7 @@
 	now := clock.Now()
 	d := q.demand(now)
 	d.HoldAt, d.MostWait, d.Late = 0, freeSlot, false // it leaves a place of the same group
+	d.Unlimited = true                                // it is served where it is
 	d.Avoid = q.avoids(now)
 	choice, found := q.g.registry.Pick(d, now)
 	if found != balance.Available {
