Keep the limits of backend servers at agents, too

On the product's own interface all requests to a backend server go through its agent, which keeps a limit that its server names with the same bucket as gateways do, and refuses the rest as not run. Entry VMs leave the server out until then, and refuse at once where all are at their limits.

Ruled out: to count a refusal for a limit as overload.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -46,6 +46,10 @@
 // HeaderPriority carries the team's priority to the backend server.
 const HeaderPriority = "X-Priority"
 
+// HeaderRateLimit names in an answer how many requests a second the backend server takes, a
+// decimal number, for as long as its answers say so.
+const HeaderRateLimit = "X-Rate-Limit"
+
 const (
 	dialTimeout  = time.Second
 	orderTimeout = 2 * time.Second
--- a/agent/server/attempts.go
+++ b/agent/server/attempts.go
@@ -101,7 +101,7 @@
 func (a *Server) run(ctx context.Context, s *link.Stream, at *record.Attempt, w *wire.Attempt) {
 	until := time.UnixMilli(w.GetDeadlineUnixMs()).Add(2 * a.settings.Record.ClockSkew)
 	if w.GetTicket() != nil && a.draining.Load() {
-		a.withdraw(s, at, w, until, contract.ReasonDraining)
+		a.withdraw(s, at, w, until, drainRefusal(contract.ReasonDraining))
 		return
 	}
 	left := time.Until(time.UnixMilli(w.GetDeadlineUnixMs()))
@@ -116,7 +116,12 @@
 	})
 	if streamCtx.Err() != nil {
 		cancel()
-		a.withdraw(s, at, w, until, contract.ReasonLinkLost)
+		a.withdraw(s, at, w, until, drainRefusal(contract.ReasonLinkLost))
+		return
+	}
+	if r := a.permit(); r != nil {
+		cancel()
+		a.withdraw(s, at, w, until, r)
 		return
 	}
 	if !a.table.HandOver(at) {
@@ -149,9 +154,13 @@
 }
 
 // withdraw refuses an accepted attempt that was not handed over.
-func (a *Server) withdraw(s *link.Stream, at *record.Attempt, w *wire.Attempt, until time.Time, reason contract.Reason) {
+func (a *Server) withdraw(s *link.Stream, at *record.Attempt, w *wire.Attempt, until time.Time, r *contract.Refusal) {
 	a.table.Withdraw(at, until)
-	a.refuse(s, at.ID, &contract.Refusal{Outcome: contract.NotRun, Reason: reason, RetryAfter: drainRetryAfter}, w)
+	a.refuse(s, at.ID, r, w)
+}
+
+func drainRefusal(reason contract.Reason) *contract.Refusal {
+	return &contract.Refusal{Outcome: contract.NotRun, Reason: reason, RetryAfter: drainRetryAfter}
 }
 
 // follow watches the stream for the entry VM's Cancel and for its end, and
@@ -185,6 +194,7 @@
 // answer, and the body too if that is short. It returns the response if there is
 // more to come.
 func (a *Server) begin(ctx context.Context, at *record.Attempt, w *wire.Attempt, until time.Time) *http.Response {
+	sent := clock.Now()
 	resp, err := a.engine.Do(ctx, engine.Request{
 		ID: at.ID.String(), Method: w.GetMethod(), Path: w.GetPath(), Headers: w.GetHeaders(),
 		Body: w.GetBody(), Idempotent: w.GetIdempotent(), Priority: int(w.GetPriority()),
@@ -198,6 +208,7 @@
 		}
 		return nil
 	}
+	a.hearLimit(resp.Header, at.ID, sent)
 	head := record.Head{Status: resp.StatusCode, Headers: answerHeaders(resp.Header)}
 	if resp.ContentLength < 0 || resp.ContentLength > chunkSize {
 		at.Answer.SetHead(head)
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -26,6 +26,7 @@
 	"baywall.example/core/contract"
 	"baywall.example/core/expertmap"
 	"baywall.example/core/link"
+	"baywall.example/core/ratelimit"
 	"baywall.example/core/resource"
 	"baywall.example/core/timeline"
 	"baywall.example/core/vm"
@@ -47,6 +48,7 @@
 	vms         *configuration.VMs
 	table       *record.Table
 	engine      *engine.Client
+	limit       *ratelimit.Single
 	pool        *link.Pool
 	groups      *group.Set
 	metrics     *metrics
@@ -115,6 +117,7 @@
 		config:      configuration.NewStore(true),
 		vms:         configuration.NewVMs(),
 		engine:      engine.New(s.Engine.Address),
+		limit:       ratelimit.NewSingle(s.VM, log),
 	}
 	a.table = record.NewTable(id, a.incarnation, record.Limits{
 		Retention:   s.Record.Retention,
--- /dev/null
+++ b/core/ratelimit/parse_test.go
@@ -0,0 +1,65 @@
+package ratelimit
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestWhatAServerSaysOfItsLimit(t *testing.T) {
+	limit := func(l float64) Said { return Said{Kind: SaidLimit, Limit: l} }
+	none := Said{Kind: SaidNone}
+	nothing := Said{}
+	cases := []struct {
+		name   string
+		values []string
+		want   Said
+		fails  bool
+	}{
+		{"no limit", nil, none, false},
+		{"whole number", []string{"3"}, limit(3), false},
+		{"decimal number", []string{"1.1"}, limit(1.1), false},
+		{"with spaces", []string{" 0.25 "}, limit(0.25), false},
+		{"zero", []string{"0"}, limit(0), false},
+		{"larger than any server takes", []string{"100001"}, none, false},
+		{"named twice", []string{"3", "2"}, limit(2), false},
+		{"named twice in one field", []string{"3, 2"}, limit(2), false},
+		{"named twice, one garbled", []string{"3", "x"}, limit(3), true},
+		{"empty", []string{""}, nothing, true},
+		{"negative", []string{"-1"}, nothing, true},
+		{"signed", []string{"+1"}, nothing, true},
+		{"not a number", []string{"NaN"}, nothing, true},
+		{"infinite", []string{"Inf"}, nothing, true},
+		{"exponent", []string{"1e3"}, nothing, true},
+		{"hexadecimal", []string{"0x10"}, nothing, true},
+		{"two dots", []string{"1.2.3"}, nothing, true},
+		{"dot", []string{"."}, nothing, true},
+		{"decimal comma", []string{"1,5"}, limit(1), false}, // two limits
+		{"words", []string{"1 per second"}, nothing, true},
+		{"long", []string{string(make([]byte, 1000))}, nothing, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			said, err := Parse(c.values)
+			is.Equal(said, c.want)
+			is.Equal(err != nil, c.fails)
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{"1", "0.25", "-1", "NaN", "1e309", "1,2", "\x00", "999999999999999999999"} {
+		f.Add(seed, "2")
+	}
+	f.Fuzz(func(t *testing.T, first, second string) {
+		said, err := Parse([]string{first, second})
+		valid := said.Limit >= 0 && said.Limit <= MostLimit
+		if !valid || said.Kind != SaidLimit && said.Limit != 0 {
+			t.Fatalf("%q, %q: %+v", first, second, said)
+		}
+		if said.Kind == SaidNothing && err == nil {
+			t.Fatalf("%q, %q: nothing, and no error", first, second)
+		}
+	})
+}
--- a/entry/backend/backend.go
+++ b/entry/backend/backend.go
@@ -32,6 +32,7 @@
 	suspect     bool
 	draining    bool
 	revision    uint64
+	opens       time.Time // it is at its limit before
 	alive       context.Context
 	kill        context.CancelFunc
 }
@@ -56,6 +57,21 @@
 	return b.vm.State == vm.StateLive && !b.suspect && !b.draining
 }
 
+// AtLimit notes that the backend server takes no more requests before a time.
+func (b *Backend) AtLimit(opens time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.opens = opens
+}
+
+// Opens returns until when the backend server is at the limit that it names; in the past if it
+// is not.
+func (b *Backend) Opens() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.opens
+}
+
 // Incarnation returns that of the linked agent, 0 if there never was a link.
 func (b *Backend) Incarnation() vm.Incarnation {
 	b.mu.Lock()
@@ -102,6 +118,7 @@
 	if b.incarnation != l.Incarnation {
 		b.incarnation = l.Incarnation
 		b.draining = false
+		b.opens = time.Time{}
 	}
 }
 
--- a/entry/backend/directory.go
+++ b/entry/backend/directory.go
@@ -40,6 +40,29 @@
 	Runners  []*routing.Runner
 }
 
+// Open leaves out those that are at the limit that they name. If that is all of them, it
+// returns none, and for how long.
+func (c Choice) Open(now time.Time) (open Choice, wait time.Duration) {
+	for i, b := range c.Backends {
+		if left := b.Opens().Sub(now); left > 0 {
+			if wait == 0 || left < wait {
+				wait = left
+			}
+			continue
+		}
+		open.Backends = append(open.Backends, b)
+		open.Runners = append(open.Runners, c.Runners[i])
+	}
+	switch len(open.Backends) {
+	case len(c.Backends):
+		return c, 0
+	case 0:
+		return open, wait
+	default:
+		return open, 0
+	}
+}
+
 // NewDirectory returns an empty directory. The links of the pool it makes are
 // served by the handler. The callbacks run for each link made and each report.
 func NewDirectory(local *link.Local, handler link.Handler, recorder *timeline.Recorder, onUp func(*link.Link), onReport func(vm.ID, *wire.Report)) *Directory {
--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -39,6 +39,7 @@
 	tried    []*backend.Backend
 	digest   *quarantine.Fingerprint // nil = not needed yet
 	suspect  quarantine.Attempt      // the present one
+	opens    time.Duration           // after which a backend server at its limit takes requests, 0 = none turned it away
 
 	backend *backend.Backend // of the present attempt
 	place   Place
@@ -115,7 +116,9 @@
 		return x.settle(ctx, result{event: retry.EventNoFate, refusal: contract.Refusal{Reason: contract.ReasonReplacedAgent}})
 	}
 	reason, after := contract.ReasonNoBackend, time.Duration(0)
-	if len(x.d.directory.Usable(x.contract.Service).Runners) > 0 {
+	if x.opens > 0 {
+		reason, after = contract.ReasonRateLimit, x.opens
+	} else if len(x.d.directory.Usable(x.contract.Service).Runners) > 0 {
 		reason, after = contract.ReasonOverload, overloadRetryAfter
 	}
 	x.sequence.Deadline = time.Time{} // nothing left to retry on
@@ -139,7 +142,12 @@
 	}
 	view := x.d.config.View()
 	choice := x.d.directory.Usable(x.contract.Service)
-	if len(x.tried) > 0 {
+	open, wait := choice.Open(clock.Now())
+	if wait > 0 {
+		x.opens = wait
+		return false
+	}
+	if choice = open; len(x.tried) > 0 {
 		choice = x.untried(choice)
 	}
 	i := x.d.policy(view, x.contract.Service).Pick(choice.Runners, x.request.Key)
@@ -347,13 +355,18 @@
 		}
 		configuration.RecordChanges(x.d.recorder, x.d.config.Apply(b))
 	}
+	after := time.Duration(w.GetRetryAfterMs()) * time.Millisecond
+	if contract.Reason(w.GetReason()) == contract.ReasonRateLimit {
+		x.backend.AtLimit(clock.Now().Add(after))
+		x.opens = after
+	}
 	if end := w.GetEngineEnd(); end > 0 {
 		x.noteEnd(end)
 	}
 	return result{event: retry.EventRefused, refusal: contract.Refusal{
 		Outcome:    contract.OutcomeFromWire(w.GetOutcome()),
 		Reason:     contract.Reason(w.GetReason()),
-		RetryAfter: time.Duration(w.GetRetryAfterMs()) * time.Millisecond,
+		RetryAfter: after,
 	}}
 }
 
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -153,7 +153,7 @@
 // chargeable reports whether a retry for this reason counts against the
 // budget. One that only corrects this entry VM's outdated view does not.
 func chargeable(r contract.Reason) bool {
-	return r != contract.ReasonStaleConfig && r != contract.ReasonDraining
+	return r != contract.ReasonStaleConfig && r != contract.ReasonDraining && r != contract.ReasonRateLimit
 }
 
 // uncertain handles an attempt that may have run.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -50,7 +50,8 @@
 	Network  *faults.Network
 	Ledger   *ledger.Ledger
 	Groups   map[string]*engine.Group
-	Runners  map[string][]*engine.Rank // engines by service, in order
+	Runners  map[string][]*engine.Rank  // engines by service, in order
+	Plain    map[string][]*plain.Server // the others
 
 	dir       string
 	binaries  Binaries
@@ -73,7 +74,7 @@
 // Start starts the whole site and waits until every entry VM is ready.
 func Start(site Site, opts Options) (*Fleet, error) {
 	f := &Fleet{
-		Site: site, Platform: platform.New(), Ledger: ledger.New(), Groups: make(map[string]*engine.Group), Runners: make(map[string][]*engine.Rank),
+		Site: site, Platform: platform.New(), Ledger: ledger.New(), Groups: make(map[string]*engine.Group), Runners: make(map[string][]*engine.Rank), Plain: make(map[string][]*plain.Server),
 		dir: opts.Dir, binaries: opts.Binaries, processes: make(map[vm.ID]*Process),
 		addresses: make(map[vm.ID]string), zones: make(map[string]string),
 	}
@@ -282,6 +283,7 @@
 			return err
 		}
 		f.closers = append(f.closers, server.Close)
+		f.Plain[svc.Name] = append(f.Plain[svc.Name], server)
 	}
 	v := vm.VM{ID: id, Zone: zone.ID(f.zoneOf(index)), Role: vm.RoleBackend, Link: at(portLink), Services: []string{svc.Name}, State: vm.StateLive}
 	if direct {
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -5,8 +5,11 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"baywall.example/agent/engine"
@@ -19,6 +22,7 @@
 	ledger  *ledger.Ledger
 	delay   time.Duration
 	address string
+	limit   atomic.Uint64 // bits of the requests a second that it names, 0 = none
 }
 
 // HeaderWork names the caller's id of the work.
@@ -36,6 +40,12 @@
 	return s, nil
 }
 
+// Limit has the server name from now on how many requests a second it takes, 0 = none.
+func (s *Server) Limit(perSecond float64) { s.limit.Store(math.Float64bits(perSecond)) }
+
+// Address is where the server listens.
+func (s *Server) Address() string { return s.address }
+
 // Close stops serving and cuts all connections.
 func (s *Server) Close() { _ = s.http.Close() }
 
@@ -46,6 +56,9 @@
 	if s.delay > 0 {
 		time.Sleep(s.delay)
 	}
+	if limit := math.Float64frombits(s.limit.Load()); limit > 0 {
+		w.Header().Set(engine.HeaderRateLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
 	body := fmt.Sprintf("document %s\n", work)
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
