Name limits in the platform's stand-in and the soak; ask for listed servers without a lock

The stand-in's runners name limits that begin, change and end; the soak has such a kind of fault and checks from what runners see that none gets more than its limit allows. A lock order found by reading: the table of limits asked the registry under its lock, and the registry asks the table under its own.

--- a/core/ratelimit/table.go
+++ b/core/ratelimit/table.go
@@ -213,14 +213,29 @@
 	if t.told.Load() == 0 {
 		return
 	}
+	for _, server := range t.old(now) {
+		if k, _ := t.Latest(server); k.Limited && listed(server) { // asked without the lock
+			continue
+		}
+		t.mu.Lock()
+		if k := t.known[server]; k != nil && now.Sub(k.At) >= statementLife {
+			t.forget(k)
+		}
+		t.mu.Unlock()
+	}
+}
+
+// old returns the servers of which nothing was heard for statementLife.
+func (t *Table) old(now time.Time) []Key {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, k := range t.known {
-		if now.Sub(k.At) < statementLife || k.Limited && listed(k.Server) {
-			continue
+	var out []Key
+	for server, k := range t.known {
+		if now.Sub(k.At) >= statementLife {
+			out = append(out, server)
 		}
-		t.forget(k)
 	}
+	return out
 }
 
 // Told returns what a heartbeat says: what changed lately, and others in turn.
--- a/standin/soak/cmd/soak/faults.go
+++ b/standin/soak/cmd/soak/faults.go
@@ -77,6 +77,7 @@
 	{"store history dropped", false, (*faults).compactStore},
 	{"lethal request", false, (*faults).sendLethal},
 	{"store back from an older copy", false, (*faults).returnStore},
+	{"limit named", true, (*faults).nameLimit},
 }
 
 // focused returns the kinds whose names contain one of the words.
--- a/standin/soak/cmd/soak/report.go
+++ b/standin/soak/cmd/soak/report.go
@@ -19,6 +19,7 @@
 	switches  uint64 // largest map version in use at the end
 	// quarantined counts lethal requests under which three backend servers ended.
 	quarantined int
+	limits      int // that backend servers named
 	broken      []string
 	logs        string
 }
@@ -60,6 +61,7 @@
 	}
 	r.checkLeft(w, l, f, looks)
 	r.checkLethal(w, l, f)
+	r.checkLimits(w, l, f, looks)
 	r.checkProcesses(w)
 	r.checkConfig(w, l)
 	r.checkInForce(watched)
@@ -187,7 +189,7 @@
 			fmt.Fprintf(&b, " %d %s", r.outcomes[o], o)
 		}
 	}
-	fmt.Fprintf(&b, ", %d lethal", r.quarantined)
+	fmt.Fprintf(&b, ", %d lethal, %d limits", r.quarantined, r.limits)
 	names := make([]string, 0, len(r.injected))
 	total := 0
 	for name, n := range r.injected {
--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -27,8 +27,12 @@
 	{"a server that left after a return of the store", 2, 10 * time.Second, size{gateways: 4, plain: 3, groups: 2, ranks: 3, rate: 60}, 19, "older copy,configuration,replaced"},
 }
 
-// lethalSeed has a request that ends three backend servers.
-const lethalSeed = 5
+// lethalSeed has a request that ends three backend servers, limitSeed backend servers that name
+// limits.
+const (
+	lethalSeed = 5
+	limitSeed  = 3
+)
 
 // A short run of the real programs as processes, the same faults each time.
 func TestAShortSoakKeepsItsPromises(t *testing.T) {
@@ -51,6 +55,9 @@
 			t.Fail()
 		}
 	}
+	o.focus = "limit"
+	runOne(t, limitSeed, o)
+	o.focus, o.kinds = "", 19
 	runOne(t, lethalSeed, o)
 	o.kinds = 17
 	runOne(t, 4, o)
