--- a/core/ratelimit/bound_test.go
+++ b/core/ratelimit/bound_test.go
@@ -68,6 +68,7 @@
 type outcome struct {
 	counted int     // most requests at the first server in a window, from gateways not disturbed
 	all     int     // from all gateways
+	asks    float64 // for each permit, of all gateways
 	used    float64 // part of what the first server's limit allows, in the time without a fault
 }
 
@@ -102,6 +103,7 @@
 		fl.play(f)
 		time.Sleep(faultTime)
 		out.counted, out.all = f.worst(first)
+		out.asks = f.asks()
 	})
 	return out
 }
@@ -157,7 +159,7 @@
 					s := scene{gateways: n, way: w, limits: c.limits, perSecond: c.perSecond, calm: 11 * time.Second, seed: 1}
 					out := s.play(t, faults[0])
 					most := allowed(c.limits[0])
-					t.Logf("at most %d in %v of %g, %.2f of the limit used", out.counted, window, most, out.used)
+					t.Logf("at most %d in %v of %g, %.2f of the limit used, %.1f asks a permit", out.counted, window, most, out.used, out.asks)
 					switch {
 					case w == byPermit:
 						if float64(out.counted) > (1-margin)*most || out.used < 0.6 {
--- a/core/ratelimit/fleet_test.go
+++ b/core/ratelimit/fleet_test.go
@@ -512,3 +512,16 @@
 	s.limit = limit
 	s.named = time.Time{}
 }
+
+// asks returns how often permits were asked for, for each that was granted.
+func (f *simFleet) asks() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var sum Counts
+	for _, g := range f.gateways {
+		c := g.gate.Counts()
+		sum.Got += c.Got
+		sum.Lacked += c.Lacked
+	}
+	return float64(sum.Got+sum.Lacked) / float64(max(1, sum.Got))
+}
