Ignore what heartbeats tell of limits that waited while the process stood still

Their ages are too low by as long, so a limit that had ended could come back for the fleet until the next answer. Ruled out: to tell it from a slow link, which is a few milliseconds.

--- a/core/cluster/activity_test.go
+++ b/core/cluster/activity_test.go
@@ -160,3 +160,24 @@
 	f.run(foundLifetime + 200*time.Millisecond)
 	is.True(!other.Load(7, f.now).Found)
 }
+
+// A member that fell silent without a word may be cut off and go on; one that said that it
+// leaves does not.
+func TestWhichPartOfTheMembersIsReached(t *testing.T) {
+	is := is.New(t)
+	f := largeFleet(4, 2)
+	table := f.tables["10.0.0.0:1"]
+	is.Equal(table.Reached(), 1.0)
+	leaving := f.selves["10.0.0.1:1"]
+	leaving.Active = false
+	f.selves["10.0.0.1:1"] = leaving
+	f.run(time.Second)
+	f.cut["10.0.0.1:1"] = true
+	f.run(6 * time.Second)
+	is.Equal(table.Reached(), 1.0)
+	f.cut["10.0.0.2:1"] = true
+	f.run(2 * time.Second)
+	is.Equal(table.Reached(), 2.0/3)
+	f.run(forgetAfter + time.Second)
+	is.Equal(table.Reached(), 1.0)
+}
--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -46,6 +46,7 @@
 	// they are ignored.
 	onLimits func(from vm.ID, limits []*wire.ServerLimit)
 
+	stall stall
 	mu    sync.Mutex
 	table *Table
 	rnd   *rand.Rand
@@ -78,6 +79,7 @@
 
 // beat sends what is due, and returns the pause until the next look.
 func (n *Node) beat(now time.Time) time.Duration {
+	n.stall.look(now)
 	self := n.self()
 	n.mu.Lock()
 	out, changes := n.table.Tick(self, n.rnd, now)
@@ -143,7 +145,7 @@
 		if len(hb.GetSuspects()) > 0 && n.onSuspects != nil {
 			n.onSuspects(vm.ID(hb.GetVm()), hb.GetSuspects())
 		}
-		if len(hb.GetLimits()) > 0 && n.onLimits != nil {
+		if len(hb.GetLimits()) > 0 && n.onLimits != nil && !n.stall.waited(clock.Now()) {
 			n.onLimits(vm.ID(hb.GetVm()), hb.GetLimits())
 		}
 		n.mu.Lock()
