--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -221,8 +221,7 @@
 }
 
 // datagrams returns a heartbeat to active members and, without the requests in flight,
-// to standbys. These send few requests, and the counts are most of a heartbeat: 660 of
-// 768 bytes with requests at 60 backend servers.
+// to standbys. These send few requests, and the counts are most of a heartbeat.
 func (t *Table) datagrams(hb *wire.Heartbeat, active, standbys []string) []Datagram {
 	out := make([]Datagram, 0, len(active)+len(standbys))
 	for _, address := range active {
--- /dev/null
+++ b/core/ratelimit/fleet_load_test.go
@@ -0,0 +1,184 @@
+package ratelimit
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"baywall.example/core/clock"
+	"baywall.example/core/wait"
+)
+
+// press sends requests to the gateways.
+func (f *simFleet) press() {
+	for {
+		f.mu.Lock()
+		pause := time.Duration(f.rnd.ExpFloat64() / f.perSecond * float64(time.Second))
+		g := f.gateways[f.rnd.IntN(len(f.gateways))]
+		for try := 0; (!g.active && f.rnd.IntN(50) > 0 || g.down) && try < 1000; try++ {
+			g = f.gateways[f.rnd.IntN(len(f.gateways))]
+		}
+		f.mu.Unlock()
+		go g.request()
+		if !wait.Sleep(f.ctx, pause) {
+			return
+		}
+	}
+}
+
+// request sends one request to a server that may take it.
+func (g *simGateway) request() {
+	g.thaw()
+	f := g.fleet
+	for range 4 {
+		server := g.pick()
+		if server == nil || !wait.Sleep(f.ctx, connectTime) {
+			break
+		}
+		g.thaw()
+		if !g.maySend(server) {
+			continue
+		}
+		if get(f, &g.down) {
+			return
+		}
+		g.send(server)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused++
+}
+
+// pick draws one of the servers that are open.
+func (g *simGateway) pick() *simServer {
+	gate := get(g.fleet, &g.gate)
+	var open []*simServer
+	for _, s := range g.fleet.servers {
+		at, _, limited := gate.Opens(s.key)
+		if !limited || !clock.Now().Before(at) {
+			open = append(open, s)
+		}
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	return open[g.fleet.rnd.IntN(len(open))]
+}
+
+func (g *simGateway) maySend(s *simServer) bool {
+	f := g.fleet
+	if f.way == byPermit {
+		gate := get(f, &g.gate)
+		return gate.Take(f.ctx, s.key) == nil
+	}
+	limits := get(f, &g.limits)
+	known, limited := limits.Get(s.key)
+	if !limited {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	perSecond := known.rate()
+	switch {
+	case f.way == evenParts:
+		perSecond /= float64(g.table.Members())
+	case g.first(s.key) != g.name:
+		return false
+	}
+	bucket := g.parts[s.key]
+	if bucket == nil {
+		bucket = rate.NewLimiter(rate.Limit(perSecond), 1)
+		g.parts[s.key] = bucket
+	}
+	bucket.SetLimitAt(clock.Now(), rate.Limit(perSecond))
+	return bucket.AllowN(clock.Now(), 1)
+}
+
+// send sends a request and takes what its answer says.
+func (g *simGateway) send(s *simServer) {
+	f := g.fleet
+	sent := clock.Now()
+	limits, began := get(f, &g.limits), get(f, &g.began)
+	wait.Sleep(f.ctx, hop)
+	f.mu.Lock()
+	f.sent++
+	now := clock.Now()
+	if s.limit > 0 && s.named.IsZero() {
+		s.named = now
+	}
+	s.got = append(s.got, arrival{at: now, excused: now.Sub(g.disturbed) < f.contact || g.frozen})
+	said := Said{Kind: SaidNone}
+	if s.limit > 0 {
+		said = Said{Kind: SaidLimit, Limit: s.limit}
+	}
+	f.mu.Unlock()
+	wait.Sleep(f.ctx, answerTime+hop)
+	g.thaw()
+	if get(f, &g.began) == began {
+		limits.Heard(s.key, said, sent, clock.Now())
+	}
+}
+
+// window is the time over which requests are counted.
+const window = 4 * time.Second
+
+// allowed is how many requests a server with a limit may get in a window.
+func allowed(limit float64) float64 { return 1.5*limit*window.Seconds() + 5 }
+
+// worst returns the most requests that a server got in a window from gateways that were not
+// disturbed, since its limit was known for long enough; and from all.
+func (f *simFleet) worst(s *simServer) (counted, all int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, last := range s.got {
+		if s.named.IsZero() || last.at.Sub(s.named) < f.contact {
+			continue
+		}
+		n, m := 0, 0
+		for j := i; j >= 0 && last.at.Sub(s.got[j].at) < window && s.got[j].at.Sub(s.named) >= f.from; j-- {
+			m++
+			if !s.got[j].excused {
+				n++
+			}
+		}
+		counted, all = max(counted, n), max(all, m)
+	}
+	return counted, all
+}
+
+// between returns how many requests a server got in a time.
+func (f *simFleet) between(s *simServer, from, to time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, a := range s.got {
+		if !a.at.Before(from) && a.at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// names changes the limit that a server names.
+func (f *simFleet) names(s *simServer, limit float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.limit = limit
+	s.named = time.Time{}
+}
+
+// asks returns how often permits were asked for, for each that was granted.
+func (f *simFleet) asks() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var sum Counts
+	for _, g := range f.gateways {
+		c := g.gate.Counts()
+		sum.Got += c.Got
+		sum.Lacked += c.Lacked
+	}
+	return float64(sum.Got+sum.Lacked) / float64(max(1, sum.Got))
+}
--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -27,8 +27,8 @@
 	freeSlot = time.Millisecond
 	// holdShare is the part of a route's objective for which a stream waits while
 	// the passes of its group are long, holdFrom the part of the gap target from
-	// which they are. On days with eight changes of demand on 12 ranks 0.875 instead
-	// of 0.842 of the worth is served, in the mean of three runs.
+	// which they are. Its
+	// prompt would make the passes longer for all streams of the group.
 	holdShare, holdFrom = 0.4, 0.75
 	// eventPatience is for how long callers wait for the next event of a stream, the
 	// first one included, at least; objectivePatience and gapPatience say the same in
