--- a/core/ratelimit/fleet_test.go
+++ b/core/ratelimit/fleet_test.go
@@ -351,4 +351,3 @@
 	}
 	return best
 }
-
--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -27,8 +27,7 @@
 	freeSlot = time.Millisecond
 	// holdShare is the part of a route's objective for which a stream waits while
 	// the passes of its group are long, holdFrom the part of the gap target from
-	// which they are. Its
-	// prompt would make the passes longer for all streams of the group.
+	// which they are. Its prompt would make them longer for all streams of the group.
 	holdShare, holdFrom = 0.4, 0.75
 	// eventPatience is for how long callers wait for the next event of a stream, the
 	// first one included, at least; objectivePatience and gapPatience say the same in
