--- a/core/ratelimit/table_test.go
+++ b/core/ratelimit/table_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"baywall.example/core/wire"
 )
@@ -170,3 +171,33 @@
 	_, known := table.Latest(0)
 	is.True(!known) // the oldest
 }
+
+// Whatever another process tells, the table stays in order and bounded.
+func FuzzHear(f *testing.F) {
+	seed, err := proto.Marshal(&wire.Heartbeat{Limits: []*wire.ServerLimit{{Server: 1, Limit: 2, AgeMs: 3}, {Server: 1, Ended: true}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var hb wire.Heartbeat
+		if proto.Unmarshal(raw, &hb) != nil {
+			return
+		}
+		now := time.Unix(1000, 0)
+		table := newTestTable()
+		table.Hear("a", hb.GetLimits(), now)
+		limited := 0
+		for _, k := range table.known {
+			if k.Limited {
+				limited++
+			}
+			if k.Limit < 0 || k.Limit > MostLimit || !k.Limited && k.Limit != 0 || k.At.After(now) {
+				t.Fatalf("%+v", k)
+			}
+		}
+		if limited != table.Limited() || len(table.Told(now)) > mostTold {
+			t.Fatalf("%d limited, %d counted", limited, table.Limited())
+		}
+	})
+}
