Do not end an exchange for a permit when its caller leaves

A caller that left while its request asked for a permit cut the exchange, and with it the link to the gateway that grants: asks of others under way on it failed, and their servers were left out for 0.25 s. Ruled out: to keep the link after any failed ask, as a link that went silent has to be given up. Test first: the ask counted as unanswered ({0 0 1} of {1 0 0}).

--- a/core/ratelimit/bound_test.go
+++ b/core/ratelimit/bound_test.go
@@ -107,6 +107,8 @@
 		time.Sleep(faultTime)
 		out.counted, out.all = f.worst(first)
 		out.asks = f.asks()
+		cancel()
+		time.Sleep(time.Second) // asks under way end
 	})
 	return out
 }
--- a/core/ratelimit/gate.go
+++ b/core/ratelimit/gate.go
@@ -56,7 +56,7 @@
 
 // Counts are how often permits were asked for.
 type Counts struct {
-	Got        uint64 // and used at once
+	Got        uint64 // used at once, but where the caller left meanwhile
 	Lacked     uint64 // there was none
 	Unanswered uint64 // the gateway that grants did not answer, or none was known
 }
@@ -146,6 +146,8 @@
 	s.asking = nil
 	if !grant.Granted {
 		s.closed = clock.Now().Add(grant.Wait)
+	}
+	if !grant.Granted || ctx.Err() != nil {
 		return ErrClosed
 	}
 	return nil
@@ -159,7 +161,8 @@
 	if own {
 		return g.Grant(limit), true
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	// A caller that leaves must not end an exchange on a link that others use.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
 	grant, err := g.net.Ask(ctx, id, limit)
 	if err != nil {
--- a/core/ratelimit/gate_test.go
+++ b/core/ratelimit/gate_test.go
@@ -137,3 +137,23 @@
 		_ = table.Told(now)
 	}
 }
+
+// A caller that leaves while a permit is asked for does not end the exchange, which others
+// have in common; nothing is sent for it.
+func TestACallerThatLeavesDoesNotEndTheAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net := &fakeNetwork{ask: func(ctx context.Context) (Grant, error) {
+			time.Sleep(askTimeout / 2)
+			return Grant{Granted: true}, ctx.Err()
+		}}
+		g := newTestGate(net, 1)
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(askTimeout/4, leave)
+		is.True(errors.Is(g.Take(ctx, 1), ErrClosed))
+		is.Equal(g.Counts(), Counts{Got: 1}) // it was answered
+		at, _, _ := g.Opens(1)
+		is.True(!at.After(clock.Now())) // others may ask at once
+		is.NoErr(g.Take(t.Context(), 1))
+	})
+}
