--- a/entry/admission/comeback.go
+++ b/entry/admission/comeback.go
@@ -16,9 +16,28 @@
 	jitterPart = 0.2
 )
 
+// turns hands out times at which callers may come back, one after the other.
+type turns struct{ next time.Time }
+
+// take returns for how long a caller is to stay away: until the turn that follows the latest
+// one given, and the jitter. The first turn can be expected after a time, the others follow at
+// a gap. It returns false, and gives none, if that is longest or more.
+func (t *turns) take(first, gap, jitter, longest time.Duration, now time.Time) (time.Duration, bool) {
+	at := now.Add(max(leastPause, first))
+	if t.next.After(at) {
+		at = t.next
+	}
+	pause := at.Sub(now)
+	if pause >= longest {
+		return 0, false
+	}
+	t.next = at.Add(gap)
+	return min(longest, pause+jitter), true
+}
+
 // Pacer hands out the times at which refused callers may come back. It is not safe for
 // concurrent use.
-type Pacer struct{ next time.Time }
+type Pacer struct{ turns turns }
 
 // Pause returns for how long a refused caller that has some time left is to stay away:
 // until the turn that follows the latest one given, as far as callers heed it. The
@@ -29,16 +48,11 @@
 	if turn >= longest { // or never
 		return lastMoment(longest, s.Back, draw)
 	}
-	at := now.Add(max(leastPause, turn))
-	if p.next.After(at) {
-		at = p.next
-	}
-	pause := at.Sub(now)
-	if pause >= longest {
+	pause, ok := p.turns.take(turn, gap, time.Duration(draw*float64(gap)), longest, now)
+	if !ok {
 		return lastMoment(longest, s.Back, draw)
 	}
-	p.next = at.Add(gap)
-	return min(longest, pause+time.Duration(draw*float64(gap)))
+	return pause
 }
 
 // lastMoment returns the pause of a caller whose turn does not come in time: it comes back
--- a/entry/admission/line.go
+++ b/entry/admission/line.go
@@ -75,22 +75,18 @@
 
 // PermitPacer hands out the times at which callers may come back that were refused for want of a
 // permit. It is not safe for concurrent use.
-type PermitPacer struct{ next time.Time }
+type PermitPacer struct{ turns turns }
 
 // Pause returns for how long a refused caller is to stay away: until the turn that follows the
 // latest one given. The first turn can be expected after a time, the others follow at a gap. The
 // draw is uniform in [0, 1).
 func (p *PermitPacer) Pause(turn, gap time.Duration, draw float64, now time.Time) time.Duration {
-	at := now.Add(max(leastPause, turn))
-	if p.next.After(at) {
-		at = p.next
+	jitter := time.Duration(draw * float64(min(gap, longestReturn)))
+	pause, ok := p.turns.take(turn, gap, jitter, longestReturn, now)
+	if !ok {
+		return lastMoment(longestReturn, 0, draw)
 	}
-	pause := at.Sub(now)
-	if pause >= longestReturn {
-		return longestReturn - time.Duration(jitterPart*draw*float64(longestReturn))
-	}
-	p.next = at.Add(gap)
-	return min(longestReturn, pause+time.Duration(draw*float64(min(gap, longestReturn))))
+	return pause
 }
 
 // PermitBy returns for how long a request waits for a permit that it can expect after a time.
