Read all that an answer says of its backend server in one place, and log the rests

Limit and cold time were read by two functions of the adapter on two ways, Retry-After and a leaving by none.

Nothing follows from it yet: the decisions are those of before.

baywall_limits_refused_total becomes baywall_notices_refused_total.

--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -215,6 +215,9 @@
 
 func (q *request) logAttempt(number uint32, c balance.Choice, a attempt) {
 	e := q.describe(q.log.Info()).Uint32("attempt", number).Str("verdict", a.verdict.String()).Int("answer_status", a.status)
+	if a.rest > 0 {
+		e = e.Dur("rest", a.rest)
+	}
 	if a.liveness != 0 {
 		e = e.Str("liveness", a.liveness.String()).Stringer("fingerprint", q.fingerprint())
 	}
--- a/entry/gateway/cold.go
+++ b/entry/gateway/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"baywall.example/core/ratelimit"
@@ -48,16 +47,6 @@
 	l.table.Impose(info.ColdKey(), ratelimit.RateWithin(service.Cold.PerSecond), now.Add(lasts), now)
 }
 
-// probedCold takes what the answer to a probe says of how long its server is cold.
-func (l *limits) probedCold(server *balance.Server, h http.Header, now time.Time) {
-	lasts, err := l.g.adapter.ReadCold(h)
-	if err != nil {
-		l.g.log.Warn().Err(err).Str("server", server.ID).Msg("answer to a probe not understood")
-		return
-	}
-	l.cold(server.Info, lasts, now)
-}
-
 // takePermits takes the permits that a request to the server needs, just before it is sent.
 func (l *limits) takePermits(ctx context.Context, server *balance.Server) error {
 	for _, key := range server.Limits() {
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -50,6 +50,7 @@
 	body   []byte
 	err    error
 	reason contract.Reason
+	rest   time.Duration // that the server asked for
 	// liveness of the backend server after a lost attempt, 0 = not looked at.
 	liveness upstream.Liveness
 }
@@ -204,8 +205,9 @@
 		return q.judge(ctx, c, attempt{verdict: lostOrNotSent(err), err: err, reason: contract.ReasonEngineDial})
 	}
 	defer answer.Close()
-	q.g.limits.answered(c.Server, answer, sent)
+	said := q.g.hear(c.Server, answer, sent, askedRequest)
 	if a, done := q.rejection(answer); done {
+		a.rest = said.Rest
 		return q.judge(ctx, c, a)
 	}
 	q.g.registry.Accepted(c.Server)
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"baywall.example/core/cluster"
+	"baywall.example/core/notice"
 	"baywall.example/core/process"
 	"baywall.example/core/ratelimit"
 	"baywall.example/core/source"
@@ -50,12 +51,6 @@
 	return strings.CutPrefix(key, "evacuations/")
 }
 
-// ReadCold reads whole seconds.
-func (testAdapter) ReadCold(h http.Header) (time.Duration, error) {
-	seconds, _ := strconv.Atoi(h.Get("T-Cold")) // 0 where there is none
-	return time.Duration(seconds) * time.Second, nil
-}
-
 func (testAdapter) DecodeCatalog(raw []byte) (c catalog.Content, err error) {
 	return c, json.Unmarshal(raw, &c)
 }
@@ -70,17 +65,22 @@
 	return status == http.StatusOK
 }
 
-// ReadLimit reads a limit in whole requests a second.
-func (testAdapter) ReadLimit(h http.Header) (ratelimit.Said, error) {
-	text := h.Get("T-Limit")
-	if text == "" {
-		return ratelimit.Said{Kind: ratelimit.SaidNone}, nil
-	}
-	limit, err := strconv.Atoi(text)
-	if err != nil {
-		return ratelimit.Said{}, err
+// ReadNotice reads a limit in whole requests a second, for how long the server is cold in whole
+// seconds, a rest in decimal seconds, and whether it leaves.
+func (testAdapter) ReadNotice(_ int, h http.Header, now time.Time) (n notice.Notice, err error) {
+	n.Limit.Kind = ratelimit.SaidNone
+	if text := h.Get("T-Limit"); text != "" {
+		limit, err := strconv.Atoi(text)
+		if err != nil {
+			return notice.Notice{}, err
+		}
+		n.Limit = ratelimit.Said{Kind: ratelimit.SaidLimit, Limit: float64(limit)}
 	}
-	return ratelimit.Said{Kind: ratelimit.SaidLimit, Limit: float64(limit)}, nil
+	seconds, _ := strconv.Atoi(h.Get("T-Cold")) // 0 where there is none
+	n.Cold = time.Duration(seconds) * time.Second
+	n.Leaving = h.Get("T-Leaving") != ""
+	n.Rest, err = notice.ParseRest(h["T-Rest"], "", now)
+	return n, err
 }
 
 func (a testAdapter) Engine(string) Engine { return a.engine }
--- a/entry/gateway/limit.go
+++ b/entry/gateway/limit.go
@@ -10,6 +10,7 @@
 
 	"baywall.example/core/clock"
 	"baywall.example/core/cluster"
+	"baywall.example/core/notice"
 	"baywall.example/core/ratelimit"
 	"baywall.example/core/rendezvous"
 	"baywall.example/core/source"
@@ -110,21 +111,16 @@
 	}
 }
 
-// answered takes what an answer of a server says, to a request that was sent at a time. That
-// it names no limit counts only where it is certainly the answer of this server.
-func (l *limits) answered(server *balance.Server, answer *upstream.Answer, sent time.Time) {
-	said, err := l.g.adapter.ReadLimit(answer.Header)
-	if err != nil {
-		l.g.inst.limitsRefused.Inc()
-		l.g.log.Warn().Err(err).Str("server", server.ID).Msg("limit of a backend server not understood")
-	}
+// answered takes what an answer of a server says of its limits, to a request that was sent at a
+// time. That it names none counts only where it is certainly the answer of this server.
+func (l *limits) answered(server *balance.Server, answer *upstream.Answer, said notice.Notice, sent, now time.Time) {
+	l.cold(server.Info, said.Cold, now)
 	own := answer.Header.Get(l.g.headers.RequestID) != "" && answer.Header.Get(l.g.headers.NotRun) == "" &&
 		answer.Status < http.StatusInternalServerError
-	if answer.Status == http.StatusMisdirectedRequest || said.Kind == ratelimit.SaidNone && !own {
+	if answer.Status == http.StatusMisdirectedRequest || said.Limit.Kind == ratelimit.SaidNone && !own {
 		return
 	}
-	now := clock.Now()
-	if l.table.Heard(server.Limit(), said, sent, now) {
+	if l.table.Heard(server.Limit(), said.Limit, sent, now) {
 		l.g.registry.LimitEnded(server.Limit(), now)
 	}
 }
--- a/entry/gateway/limit_test.go
+++ b/entry/gateway/limit_test.go
@@ -38,9 +38,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			limits.answered(choice.Server, &upstream.Answer{Status: 503, Header: http.Header{"T-Limit": {"2"}}}, clock.Now())
+			w.gateway.hear(choice.Server, &upstream.Answer{Status: 503, Header: http.Header{"T-Limit": {"2"}}}, clock.Now(), askedRequest)
 			is.Equal(limits.limitOf(choice.Server).Limit, 2.0) // also in an answer that turns a request away
-			limits.answered(choice.Server, &upstream.Answer{Status: c.status, Header: c.header}, clock.Now())
+			w.gateway.hear(choice.Server, &upstream.Answer{Status: c.status, Header: c.header}, clock.Now(), askedRequest)
 			is.Equal(limits.limitOf(choice.Server) == nil, c.ends)
 		})
 	}
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -29,7 +29,7 @@
 	requests       *metrics.Counter
 	aborted        *metrics.Counter
 	entriesRefused *metrics.Counter
-	limitsRefused  *metrics.Counter
+	noticesRefused *metrics.Counter
 	left           *metrics.Counter
 	resumed        *metrics.Counter
 	retries        *metrics.Counter
@@ -53,7 +53,7 @@
 		requests:       set.NewCounter("baywall_requests_total"),
 		aborted:        set.NewCounter("baywall_answers_aborted_total"),
 		entriesRefused: set.NewCounter("baywall_entries_refused_total"),
-		limitsRefused:  set.NewCounter("baywall_limits_refused_total"),
+		noticesRefused: set.NewCounter("baywall_notices_refused_total"),
 		left:           set.NewCounter("baywall_callers_left_total"),
 		resumed:        set.NewCounter("baywall_streams_resumed_total"),
 		retries:        set.NewCounter("baywall_retries_total"),
@@ -68,6 +68,11 @@
 	i.set.GetOrCreateCounter(fmt.Sprintf("baywall_attempts_total{service=%q,result=%q}", service, result)).Inc()
 }
 
+// restAsked counts that a backend server asked for rest.
+func (i *instruments) restAsked(server string) {
+	i.set.GetOrCreateCounter(fmt.Sprintf("baywall_rests_total{server=%q}", server)).Inc()
+}
+
 // stood counts that a service was found to serve nobody.
 func (i *instruments) stood(service string) {
 	i.set.GetOrCreateCounter(fmt.Sprintf("baywall_service_stood_total{service=%q}", service)).Inc()
--- a/entry/gateway/probe.go
+++ b/entry/gateway/probe.go
@@ -77,12 +77,11 @@
 		return false, err
 	}
 	defer answer.Close()
-	g.limits.answered(server, answer, sent)
+	g.hear(server, answer, sent, askedProbe)
 	if answer.Status == http.StatusMisdirectedRequest {
 		g.registry.Replaced(server)
 		return false, nil
 	}
-	g.limits.probedCold(server, answer.Header, clock.Now())
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxProbeBody))
 	return err == nil && g.adapter.TakesRequests(service, answer.Status, body), err
 }
--- a/entry/gateway/protocol.go
+++ b/entry/gateway/protocol.go
@@ -7,7 +7,7 @@
 
 	"github.com/rs/zerolog"
 
-	"baywall.example/core/ratelimit"
+	"baywall.example/core/notice"
 	"baywall.example/core/source"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
@@ -51,12 +51,9 @@
 	ProbeTarget(s *catalog.Service) string
 	// TakesRequests reads the answer to a probe.
 	TakesRequests(s *catalog.Service, status int, body []byte) bool
-	// ReadLimit reads from an answer's header how many requests a second its backend server
-	// takes from all gateways together. With an error it says nothing.
-	ReadLimit(h http.Header) (ratelimit.Said, error)
-	// ReadCold reads from the header of the answer to a probe for how much longer its backend
-	// server is cold, 0 = it does not say that it is. With an error it says nothing.
-	ReadCold(h http.Header) (time.Duration, error)
+	// ReadNotice reads from an answer, which came at a time, what its backend server says of
+	// itself. What cannot be read, as the error tells, says nothing.
+	ReadNotice(status int, h http.Header, now time.Time) (notice.Notice, error)
 	// Engine returns the engine of the backend server at an IP:port.
 	Engine(address string) Engine
 	// Directory serves callers who ask where to connect, and Ready those who
