Leave a backend server alone for as long as it asks for rest

Cause: Retry-After of a backend server was read nowhere. A server that turned a request away was left alone for 60 to 240 ms; then it looked empty and was the first choice: 307 requests in rests, 290 of them first attempts, until the budget of retries was used up. Ruled out: a way to the server that heeds it not (nothing heeded it), other gateways (each pair of gateway and server broke the rule by itself), a stand.

Now a rest is a time of one incarnation (core/notice.State), which its entry's removal does not end. All that is sent passes balance.Registry.Admits when the connection stands: first and later attempts, moved streams, trials, probes. After a rest a server gets one request at a time, and one more for each that it accepts; where there are more gateways than slots their first requests are spread. While all servers rest, a request waits only if the end comes in half of the time that its caller has, and is refused at once otherwise, asked back after the end in turn.

--- a/core/contract/contract.go
+++ b/core/contract/contract.go
@@ -79,6 +79,7 @@
 	ReasonRetryBudget     Reason = "retry-budget"
 	ReasonQuarantined     Reason = "quarantined"
 	ReasonRateLimit       Reason = "rate-limit"
+	ReasonRest            Reason = "rest"
 	ReasonEvacuated       Reason = "evacuated"
 )
 
--- a/entry/admission/line.go
+++ b/entry/admission/line.go
@@ -63,31 +63,66 @@
 	return min(r.Spare(), r.PlacesBefore())
 }
 
-// MayWaitForPermit reports whether a request waits for a permit that it can expect after a
-// time: only if it is sure to come in time. A late request does not take one that others need.
-func MayWaitForPermit(r Request, turn time.Duration) bool {
-	return r.Urgency() == Punctual && turn*doubt < r.PermitWait()
+// Turn is when a request can expect that a server takes it that is at its limit or rests.
+type Turn struct {
+	// Next is the time until a server takes one.
+	Next time.Duration
+	// Queue is for how long others go before then, and Gap the time between two of them. Both
+	// are estimates.
+	Queue, Gap time.Duration
+}
+
+// after returns the time until the turn.
+func (t Turn) after() time.Duration { return t.Next + t.Queue }
+
+// Latest returns for how long a request waits for its turn at most.
+func (t Turn) Latest() time.Duration { return t.Next + doubt*(t.Queue+t.Gap) }
+
+// MayWaitForPermit reports whether a request waits for a permit: only if it is sure to come in
+// time. A late request does not take one that others need.
+func MayWaitForPermit(r Request, t Turn) bool {
+	return r.Urgency() == Punctual && t.after()*doubt < r.PermitWait()
+}
+
+// MayWaitForRest reports whether a request waits until a rest is over, also if it is late then:
+// only if its turn comes in half of the time until its caller leaves, as the server may ask for
+// another rest.
+func MayWaitForRest(r Request, t Turn) bool {
+	return r.Urgency() != Hopeless && t.after()*doubt < r.PlacesBefore()
+}
+
+// MayStayForRest reports the same of one that waits already: unless another rest was asked for
+// that lasts too long.
+func MayStayForRest(r Request, t Turn) bool {
+	return r.Urgency() != Hopeless && t.Next < r.PlacesBefore()
 }
 
 // longestReturn bounds the time after which a caller may come back that was refused for want of
-// a permit: limits come and go within seconds.
+// a permit, or after the end of a rest: limits come and go within seconds.
 const longestReturn = 5 * time.Second
 
 // PermitPacer hands out the times at which callers may come back that were refused for want of a
-// permit. It is not safe for concurrent use.
+// permit, or as all servers rest. It is not safe for concurrent use.
 type PermitPacer struct{ turns turns }
 
 // Pause returns for how long a refused caller is to stay away: until the turn that follows the
-// latest one given. The first turn can be expected after a time, the others follow at a gap. The
-// draw is uniform in [0, 1).
-func (p *PermitPacer) Pause(turn, gap time.Duration, draw float64, now time.Time) time.Duration {
-	jitter := time.Duration(draw * float64(min(gap, longestReturn)))
-	pause, ok := p.turns.take(turn, gap, jitter, longestReturn, now)
+// latest one given. The draw is uniform in [0, 1).
+func (p *PermitPacer) Pause(t Turn, draw float64, now time.Time) time.Duration {
+	return p.pause(t, 0, draw, now)
+}
+
+// PauseAfterRest is Pause where nobody is served before the end of a rest.
+func (p *PermitPacer) PauseAfterRest(t Turn, draw float64, now time.Time) time.Duration {
+	return p.pause(t, t.Next, draw, now)
+}
+
+// pause returns a time between the end of a rest and longestReturn after it.
+func (p *PermitPacer) pause(t Turn, rest time.Duration, draw float64, now time.Time) time.Duration {
+	longest := rest + longestReturn
+	jitter := time.Duration(draw * float64(min(t.Gap, longestReturn)))
+	pause, ok := p.turns.take(t.after(), t.Gap, jitter, longest, now)
 	if !ok {
-		return lastMoment(longestReturn, 0, draw)
+		return lastMoment(longest, rest, draw)
 	}
 	return pause
 }
-
-// PermitBy returns for how long a request waits for a permit that it can expect after a time.
-func PermitBy(turn time.Duration) time.Duration { return turn * doubt }
--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -49,11 +49,12 @@
 	Limited                  // usable servers are there, but all are at the limit that they name
 	Unavailable              // no server may take the request now
 	Evacuated                // all servers are in evacuated availability zones
+	Resting                  // all servers that take requests rest, or are on their way back from a rest
 )
 
 // String returns the availability's name.
 func (a Availability) String() string {
-	return [...]string{"", "available", "busy", "standing", "at-limit", "unavailable", "evacuated"}[a]
+	return [...]string{"", "available", "busy", "standing", "at-limit", "unavailable", "evacuated", "resting"}[a]
 }
 
 // otherZoneCost is what a server in another availability zone is worth in load: a
@@ -72,11 +73,15 @@
 	defer s.mu.Unlock()
 	load := r.refresh(s, now)
 	s.candidates = s.candidates[:0]
-	busy, known, standing := false, 0, 0
+	busy, known, standing, returning := false, 0, 0, 0
 	if d.GapTarget > 0 {
 		s.longest = s.longestPace(now)
 	}
 	for i, server := range s.usable {
+		if server.returning.full() {
+			returning++
+			continue
+		}
 		if d.Exclude[server.ID] || d.Proven && server.full.rejections > 0 {
 			continue
 		}
@@ -109,6 +114,7 @@
 	if d.Again {
 		s.candidates = preferUnlimited(s.candidates)
 	}
+	load.Resting += returning
 	s.arrivals.note(now)
 	switch {
 	case 2*standing > known:
@@ -124,6 +130,8 @@
 		return Choice{Load: load}, Limited
 	case s.fullOnly(d, now):
 		return Choice{Load: load}, AllBusy
+	case load.Resting > 0 && returning == len(s.usable):
+		return Choice{Load: load}, Resting
 	case s.allEvacuated():
 		return Choice{Load: load}, Evacuated
 	default:
@@ -138,7 +146,7 @@
 		return false
 	}
 	for _, server := range s.servers {
-		left := server.full.until.After(now) && !server.leaves() && !server.health.ejected(now)
+		left := server.full.until.After(now) && !server.leaves() && !server.health.ejected(now) && !server.rests(now)
 		if left && !d.Exclude[server.ID] {
 			return true
 		}
@@ -187,6 +195,10 @@
 		s.late.Add(1)
 		c.late = &s.late
 	}
+	if server.returning.window > 0 {
+		server.returning.underWay.Add(1)
+		c.returning = server.returning.underWay
+	}
 	return c
 }
 
--- a/entry/balance/evacuation_test.go
+++ b/entry/balance/evacuation_test.go
@@ -59,15 +59,15 @@
 	r.Update(zonedInfos()[:1], at(1), 0, start)
 	choice, found := r.Pick(Demand{Service: "s"}, start)
 	is.Equal(found, Available)
-	is.True(r.MayTake(choice.Server))
+	is.NoErr(r.Admits(choice.Server, start))
 	r.Evacuate(map[string]bool{"x": true}, start)
-	is.True(!r.MayTake(choice.Server))
+	is.Equal(r.Admits(choice.Server, start), ErrLeaving)
 	r.Rejected(choice.Server, start)
 	is.Equal(len(r.DueProbes(start)), 0)
 	back, changed := r.Evacuate(nil, start)
 	is.True(changed)
 	is.Equal(len(back), 1)
 	is.Equal(back[0].ID, choice.Server.ID)
-	is.True(r.MayTake(choice.Server))
+	is.NoErr(r.Admits(choice.Server, start))
 	is.True(choice.Server.startShare(start) < 1) // it begins slowly
 }
--- a/entry/balance/late.go
+++ b/entry/balance/late.go
@@ -28,7 +28,7 @@
 	defer s.mu.Unlock()
 	load := Load{}
 	for _, server := range s.servers {
-		if !server.draining && !server.replaced {
+		if !server.drains() && !server.replaced {
 			load.Slots += server.Slots // also of those that stand: they are expected back
 		}
 	}
--- a/entry/balance/limit.go
+++ b/entry/balance/limit.go
@@ -62,13 +62,16 @@
 	return kept
 }
 
-// Permits is what the servers of a service take, as far as they name limits.
+// Permits is what the servers of a service take, as far as they name limits or rest.
 type Permits struct {
-	// Open is how many usable servers may get a request now, with a limit or without.
+	// Open is how many servers may get a request now, with a limit or without.
 	Open int
 	// Next is when the next of the others may.
 	Next time.Duration
-	// PerSecond is the sum of the limits, infinite where a usable server names none.
+	// Resting is how many servers rest, or return from a rest.
+	Resting int
+	// PerSecond is the sum of the limits and of what servers take that rest, infinite where one
+	// does neither.
 	PerSecond float64
 }
 
@@ -79,10 +82,20 @@
 	defer s.mu.Unlock()
 	var out Permits
 	for _, server := range s.servers {
-		if !server.usable(now) {
+		if !server.fit(now) {
 			continue
 		}
 		at, perSecond, limited := r.opens(server)
+		if back, resting := s.backAt(server, now); resting {
+			if back.After(at) {
+				at = back
+			}
+			if !limited {
+				perSecond = float64(max(1, server.Slots)) / s.usualStay().Seconds()
+			}
+			limited = true
+			out.Resting++
+		}
 		wait := at.Sub(now)
 		switch {
 		case !limited:
--- a/entry/balance/limit_test.go
+++ b/entry/balance/limit_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"baywall.example/core/notice"
 	"baywall.example/core/ratelimit"
 )
 
@@ -35,7 +36,7 @@
 		list = append(list, info)
 		byID[info.ID] = wait
 		if wait >= 0 {
-			limits[newServer(info).Limit()] = struct {
+			limits[newServer(info, &notice.State{}).Limit()] = struct {
 				opens     time.Time
 				perSecond float64
 			}{start.Add(wait), 2}
@@ -105,7 +106,7 @@
 	key := func(change func(*Info)) ratelimit.Key {
 		info := Info{ID: "a", Service: "s", Address: "127.0.0.1:1", Started: 5}
 		change(&info)
-		return newServer(info).Limit()
+		return newServer(info, &notice.State{}).Limit()
 	}
 	same := key(func(*Info) {})
 	is.True(key(func(i *Info) { i.Started = 6 }) != same)
--- a/entry/balance/probation.go
+++ b/entry/balance/probation.go
@@ -197,7 +197,7 @@
 		probation := s.onProbation(now)
 		left := s.probes.take(r.probesAtOnce(len(s.servers)), now)
 		for _, server := range s.servers { // in random order
-			if server.trusted(probation, now) || server.leaves() {
+			if server.trusted(probation, now) || server.leaves() || server.rests(now) {
 				continue
 			}
 			p := &server.probation
@@ -268,14 +268,17 @@
 }
 
 // Accepted notes that the server took a request in.
-func (r *Registry) Accepted(server *Server) {
+func (r *Registry) Accepted(server *Server, now time.Time) {
 	s := r.shard(server.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server.full = fullness{}
+	if !server.rests(now) {
+		server.returning.accepted(server.Slots)
+	}
 	p := &server.probation
 	if !p.suspect.IsZero() {
-		p.found = clock.Now()
+		p.found = now
 	}
 	p.accepted, p.suspect = true, time.Time{}
 }
--- a/entry/balance/probation_test.go
+++ b/entry/balance/probation_test.go
@@ -31,7 +31,7 @@
 	is.Equal(found, Unavailable)
 	a := r.shard("s").servers["a"]
 	r.Probed(a, true)
-	r.Accepted(a)
+	r.Accepted(a, start)
 	a.slowStart = start
 	late := d
 	late.Late = true
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -5,9 +5,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"baywall.example/core/cluster"
+	"baywall.example/core/notice"
 	"baywall.example/core/source"
 )
 
@@ -17,7 +19,9 @@
 	log    zerolog.Logger
 	peers  PeerLoad
 	limits Limits // nil = servers name none
-	zone   string // of this gateway
+	// notices is what is known of each incarnation, also of those that are not listed any more.
+	notices *notice.Table
+	zone    string // of this gateway
 
 	mu        sync.RWMutex
 	shards    map[string]*shard
@@ -64,7 +68,7 @@
 
 // NewRegistry returns the empty registry of a gateway in an availability zone.
 func NewRegistry(peers PeerLoad, zone string, log zerolog.Logger) *Registry {
-	return &Registry{log: log, peers: peers, zone: zone, shards: make(map[string]*shard)}
+	return &Registry{log: log, peers: peers, zone: zone, notices: notice.NewTable(), shards: make(map[string]*shard)}
 }
 
 func (r *Registry) shard(service string) *shard {
@@ -135,18 +139,17 @@
 		old := s.servers[info.ID]
 		if old == nil || old.Address != info.Address || old.Started != info.Started {
 			if old != nil {
-				old.gone = true
-				old.Pool.Close()
+				r.remove(old, now)
 			}
-			s.servers[info.ID] = newServer(info)
-			s.servers[info.ID].evacuated = r.isEvacuated(info.Zone)
+			server := newServer(info, r.notices.Of(info.noticeKey()))
+			server.evacuated = r.isEvacuated(info.Zone)
+			s.servers[info.ID] = server
 			r.log.Info().Str("server", info.ID).Str("service", info.Service).Str("address", info.Address).
-				Uint64("era", at.Era).Uint64("revision", at.Revision).Uint64("started", info.Started).Bool("draining", info.Draining).Msg("backend server listed")
+				Uint64("era", at.Era).Uint64("revision", at.Revision).Uint64("started", info.Started).Bool("draining", server.drains()).Msg("backend server listed")
 			continue
 		}
 		old.missingUntil = time.Time{}
-		if info.Draining && !old.draining {
-			old.draining = true
+		if info.Draining && old.said.Leave(notice.FromEntry) {
 			r.log.Info().Str("server", info.ID).Uint64("era", at.Era).Uint64("revision", at.Revision).Msg("backend server drains")
 		}
 	}
@@ -159,7 +162,7 @@
 
 // miss handles a server that is no longer listed.
 func (r *Registry) miss(s *shard, server *Server, at source.Position, absence time.Duration, now time.Time) {
-	if server.missingUntil.IsZero() && absence > 0 && !server.draining {
+	if server.missingUntil.IsZero() && absence > 0 && !server.drains() {
 		server.missingUntil = now.Add(absence)
 		r.log.Info().Str("server", server.ID).Uint64("era", at.Era).Uint64("revision", at.Revision).Dur("for", absence).
 			Msg("backend server missing after the source was away")
@@ -168,14 +171,21 @@
 		return
 	}
 	delete(s.servers, server.ID)
-	server.gone = true
-	server.Pool.Close()
+	r.remove(server, now)
 	r.log.Info().Str("server", server.ID).Str("service", server.Service).Uint64("era", at.Era).Uint64("revision", at.Revision).
 		Msg("backend server gone")
 }
 
+// remove ends the use of a server that is not listed any more.
+func (r *Registry) remove(server *Server, now time.Time) {
+	server.gone = true
+	server.Pool.Close()
+	r.notices.Unlist(server.noticeKey(), now)
+}
+
 // Expire removes servers that were missing for too long.
 func (r *Registry) Expire(at source.Position, now time.Time) {
+	r.notices.Expire(now)
 	for _, s := range r.all() {
 		s.mu.Lock()
 		for _, server := range s.servers {
@@ -231,6 +241,7 @@
 type Load struct {
 	Servers  int // that may take requests
 	AtLimit  int // of which this many are left out since they are at the limit that they name
+	Resting  int // that are left out since they rest, or return from a rest
 	Slots    int // of these together
 	InFlight int // requests of all gateways to these
 	Own      int // of which this gateway's
@@ -247,7 +258,8 @@
 	Pace time.Duration
 	Load Load
 
-	late *atomic.Int32 // late requests of this gateway to the service, nil if this is none
+	late      *atomic.Int32 // late requests of this gateway to the service, nil if this is none
+	returning *atomic.Int32 // requests to a server since its rest, nil if it is no bound
 }
 
 // Release ends the use of the choice.
@@ -256,6 +268,9 @@
 	if c.late != nil {
 		c.late.Add(-1)
 	}
+	if c.returning != nil {
+		c.returning.Add(-1)
+	}
 }
 
 // Load returns the state of the service's servers.
@@ -272,7 +287,11 @@
 	r.hearPeers(s, now)
 	s.usable, s.keys, s.engines = s.usable[:0], s.keys[:0], s.engines[:0]
 	probation := s.onProbation(now)
+	resting := 0
 	for _, server := range s.servers {
+		if server.fit(now) && server.rests(now) {
+			resting++
+		}
 		if server.usable(now) && server.trusted(probation, now) {
 			s.usable = append(s.usable, server)
 			s.keys = append(s.keys, server.Key)
@@ -289,7 +308,7 @@
 			s.slow++
 		}
 	}
-	load := Load{Servers: len(s.usable)}
+	load := Load{Servers: len(s.usable), Resting: resting}
 	for i, server := range s.usable {
 		own := server.InFlight()
 		load.Slots += server.Slots
@@ -359,14 +378,27 @@
 		Dur("for", firstEjection).Msg("backend server ejected")
 }
 
-// MayTake reports whether the server may still be sent a request that was meant for it: it
-// is listed, does not leave, its availability zone is not evacuated, and no other one is known
-// to be at its address.
-func (r *Registry) MayTake(server *Server) bool {
+// Errors of Admits.
+var (
+	ErrLeaving = eris.New("balance: the backend server takes nothing new")
+	ErrResting = eris.New("balance: the backend server rests")
+)
+
+// Admits reports with an error why the server is not to be sent a request any more that was
+// meant for it: ErrLeaving if it is not listed, leaves, its availability zone is evacuated or
+// another one is known to be at its address, ErrResting if it rests.
+func (r *Registry) Admits(server *Server, now time.Time) error {
 	s := r.shard(server.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !server.leaves() && !server.gone
+	switch {
+	case server.leaves() || server.gone:
+		return ErrLeaving
+	case server.rests(now):
+		return ErrResting
+	default:
+		return nil
+	}
 }
 
 // Replaced notes that another backend server answers at the server's address.
--- a/entry/balance/registry_test.go
+++ b/entry/balance/registry_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"baywall.example/core/cluster"
+	"baywall.example/core/notice"
 	"baywall.example/core/source"
 )
 
@@ -104,7 +105,7 @@
 
 func TestTheLeastLoadedServerIsPicked(t *testing.T) {
 	is := is.New(t)
-	busy := newServer(Info{ID: "a"}).Key
+	busy := newServer(Info{ID: "a"}, &notice.State{}).Key
 	r := registry(peerLoad{busy: 2}, "a", "b")
 	is.Equal(pick(t, r, start).Server.ID, "b")
 	is.Equal(pick(t, r, start).Server.ID, "b")
@@ -215,7 +216,7 @@
 	is.Equal(r.Load("s", later).Servers, 2)
 	r.Rejected(a.Server, later)
 	is.Equal(r.Load("s", later.Add(firstFull)).Servers, 1) // twice as long
-	r.Accepted(a.Server)
+	r.Accepted(a.Server, start)
 	is.Equal(r.Load("s", later).Servers, 2)
 }
 
@@ -251,7 +252,7 @@
 	}
 	c := pick(t, r, start)
 	is.Equal(c.Server.ID, "b")
-	r.Accepted(c.Server)
+	r.Accepted(c.Server, start)
 	is.Equal(pick(t, r, start).Server.ID, "b") // the others stay suspect
 	is.Equal(len(r.DueProbes(start.Add(probeInterval))), 3)
 	r.Update(infos("a", "b", "e"), at(2), 0, start)
--- a/entry/balance/server.go
+++ b/entry/balance/server.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"baywall.example/core/cluster"
+	"baywall.example/core/notice"
 	"baywall.example/core/ratelimit"
 	"baywall.example/core/source"
 	"baywall.example/entry/upstream"
@@ -52,8 +53,9 @@
 	cold     ratelimit.Key
 	inFlight atomic.Int32
 
+	said *notice.State // of itself, and its entry of it
+
 	// under the shard's lock
-	draining     bool
 	gone         bool      // no longer listed
 	replaced     bool      // another backend server answers at its address
 	evacuated    bool      // its availability zone is
@@ -64,6 +66,7 @@
 	probation probation
 	slowStart time.Time // when its service, or its group of ranks, began to serve again
 	long      longPasses
+	returning returning
 }
 
 // dialTimeout bounds a connection attempt: a backend server answers within a
@@ -77,6 +80,12 @@
 
 func (i Info) incarnation() string { return i.ID + "/" + strconv.FormatUint(i.Started, 10) }
 
+// noticeKey returns the key of what is known of this incarnation at its address: without a start
+// time, a server at another address is another one.
+func (i Info) noticeKey() notice.Key {
+	return notice.Key(xxhash.Sum64String(i.incarnation() + "@" + i.Address))
+}
+
 // ColdKey returns the key of the limit that holds for this incarnation while it is cold. It
 // is another one than that of the limit that the backend server may name.
 func (i Info) ColdKey() ratelimit.Key {
@@ -93,22 +102,36 @@
 // Limit returns the key of the limit that the backend server may name.
 func (s *Server) Limit() ratelimit.Key { return s.limit }
 
-func newServer(info Info) *Server {
+func newServer(info Info, said *notice.State) *Server {
 	s := &Server{
-		Info: info, Key: uint32(xxhash.Sum64String(info.ID)), draining: info.Draining,
+		Info: info, Key: uint32(xxhash.Sum64String(info.ID)), said: said,
 		Pool: upstream.NewPool(info.Address, dialTimeout), engine: cluster.EngineKey(info.Address),
 	}
 	s.limit, s.cold = ratelimit.Key(s.Incarnation()), s.ColdKey()
+	if info.Draining {
+		said.Leave(notice.FromEntry)
+	}
 	return s
 }
 
 // usable reports whether the server may get a request, under the shard's lock.
 func (s *Server) usable(now time.Time) bool {
+	return s.fit(now) && !s.rests(now)
+}
+
+// fit reports whether the server may get a request but for a rest, under the shard's lock.
+func (s *Server) fit(now time.Time) bool {
 	return !s.leaves() && !s.health.ejected(now) && !now.Before(s.full.until)
 }
 
+// drains reports whether the server said itself, or its entry, that it leaves.
+func (s *Server) drains() bool {
+	_, leaves := s.said.Leaving()
+	return leaves
+}
+
 // leaves reports whether the server takes nothing new, under the shard's lock.
-func (s *Server) leaves() bool { return s.draining || s.replaced || s.evacuated }
+func (s *Server) leaves() bool { return s.replaced || s.evacuated || s.drains() }
 
 // InFlight returns how many requests this gateway has in flight to the server.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -176,6 +176,9 @@
 	if q.atLimit > 0 {
 		e = e.Int("servers_at_limit", q.atLimit)
 	}
+	if q.resting > 0 {
+		e = e.Int("servers_resting", q.resting)
+	}
 	if l := q.serverLimit; l != nil {
 		e = e.Float64("server_limit", l.Limit).Str("limit_from", l.Source).Dur("limit_age", clock.Since(l.At))
 	}
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -35,12 +35,19 @@
 	verdictMoved                       // it was given up to go on elsewhere
 	verdictOutdated                    // it was not sent, as the decision to send it was outdated
 	verdictAtLimit                     // it was not sent, as the server is at a limit
+	verdictResting                     // it was not sent, as the server rests
 )
 
-var verdictNames = [...]string{"", "answered", "not-sent", "rejected", "failed", "lost", "cut", "caller-left", "deadline", "moved", "outdated", "at-limit"}
+var verdictNames = [...]string{"", "answered", "not-sent", "rejected", "failed", "lost", "cut", "caller-left", "deadline", "moved", "outdated", "at-limit", "resting"}
 
 func (v verdict) String() string { return verdictNames[v] }
 
+// heldBack reports whether the request was not sent to the server as something became known that
+// speaks against it.
+func (v verdict) heldBack() bool {
+	return v == verdictOutdated || v == verdictAtLimit || v == verdictResting
+}
+
 // attempt is one try at one backend server.
 type attempt struct {
 	verdict verdict
@@ -89,7 +96,7 @@
 		if a.verdict == verdictMoved {
 			continue
 		}
-		if a.verdict == verdictOutdated || a.verdict == verdictAtLimit {
+		if a.verdict.heldBack() {
 			q.sequence.Void()
 			continue
 		}
@@ -119,6 +126,8 @@
 		refusal.Reason = contract.ReasonQuarantined
 	case found == balance.Evacuated:
 		refusal.Reason = contract.ReasonEvacuated
+	case found == balance.Resting:
+		refusal.Reason = contract.ReasonRest
 	case found == balance.Limited:
 		refusal.Reason = contract.ReasonRateLimit
 	case found == balance.AllBusy:
@@ -200,6 +209,8 @@
 		return q.judge(ctx, c, attempt{verdict: verdictOutdated, err: err})
 	case errors.Is(err, ratelimit.ErrClosed):
 		return q.judge(ctx, c, attempt{verdict: verdictAtLimit, err: err})
+	case errors.Is(err, balance.ErrResting):
+		return q.judge(ctx, c, attempt{verdict: verdictResting, err: err})
 	}
 	if err != nil {
 		return q.judge(ctx, c, attempt{verdict: lostOrNotSent(err), err: err, reason: contract.ReasonEngineDial})
@@ -210,7 +221,7 @@
 		a.rest = said.Rest
 		return q.judge(ctx, c, a)
 	}
-	q.g.registry.Accepted(c.Server)
+	q.g.registry.Accepted(c.Server, clock.Now())
 	q.g.suspects.Answered(quarantine.ServerKey(c.Server.Incarnation()), answer.Opened, began)
 	var a attempt
 	if q.route.Kind == catalog.KindStream && answer.Status == http.StatusOK {
@@ -255,7 +266,7 @@
 		switch {
 		case q.ctx.Err() != nil:
 			a.verdict = verdictLeft
-		case a.verdict != verdictNotSent && a.verdict != verdictOutdated && a.verdict != verdictAtLimit && a.verdict != verdictCut:
+		case a.verdict != verdictNotSent && !a.verdict.heldBack() && a.verdict != verdictCut:
 			a.verdict = verdictDeadline
 		}
 		return a
@@ -263,12 +274,15 @@
 	switch a.verdict {
 	case verdictAnswered:
 		q.g.registry.Succeeded(c.Server)
-	case verdictOutdated, verdictAtLimit:
+	case verdictOutdated, verdictAtLimit, verdictResting:
 		q.g.registry.Released(c.Server)
 	case verdictRejected:
-		if a.reason == contract.ReasonReplacedAgent {
+		switch {
+		case a.reason == contract.ReasonReplacedAgent:
 			q.g.registry.Replaced(c.Server)
-		} else {
+		case a.rest > 0:
+			q.g.registry.Released(c.Server) // it said until when it is left out
+		default:
 			q.g.registry.Rejected(c.Server, clock.Now())
 		}
 	default:
--- a/entry/gateway/limit.go
+++ b/entry/gateway/limit.go
@@ -140,15 +140,27 @@
 	return &admission.Place{Again: q.sequence.Attempts() > 0, Priority: q.priority, Until: now.Add(wait)}
 }
 
-// isAhead reports whether a request that waits for a permit may look for one now: others
-// that are more urgent wait for as many as there may be.
-func (q *request) isAhead(now time.Time) bool {
+// passed returns why the request may not look for a server now, as others that are more urgent
+// wait for as many as may take one: balance.Limited or balance.Resting; balance.Available if it
+// may.
+func (q *request) passed(now time.Time) balance.Availability {
 	s := q.state
 	if q.line == nil && !s.hasLine() {
-		return true
+		return balance.Available
 	}
 	ahead := s.aheadInLine(q.linePlace(now))
-	return ahead == 0 || ahead < q.g.registry.Permits(q.service, now).Open
+	if ahead == 0 {
+		return balance.Available
+	}
+	p := q.g.registry.Permits(q.service, now)
+	switch {
+	case ahead < p.Open:
+		return balance.Available
+	case p.Resting > 0:
+		return balance.Resting
+	default:
+		return balance.Limited
+	}
 }
 
 // linePlace returns the place in the line, or the one that the request would have.
@@ -159,16 +171,15 @@
 	return q.place(now)
 }
 
-// permitTurn returns when the request can expect a permit, and the time between two permits
-// of this gateway.
-func (q *request) permitTurn(now time.Time) (turn, gap time.Duration) {
+// turn returns when the request can expect that a server which is at its limit or rests takes it.
+func (q *request) turn(now time.Time) admission.Turn {
 	p := q.g.registry.Permits(q.service, now)
-	gap = longestPermitGap
+	gap := longestPermitGap
 	if p.PerSecond > 0 {
 		gap = min(gap, time.Duration(float64(q.g.node.Members())/p.PerSecond*float64(time.Second)))
 	}
 	ahead := q.state.aheadInLine(q.linePlace(now))
-	return p.Next + time.Duration(ahead)*gap, gap
+	return admission.Turn{Next: p.Next, Queue: time.Duration(ahead) * gap, Gap: gap}
 }
 
 // longestPermitGap bounds the time between two permits, far beyond any that is waited.
@@ -183,17 +194,33 @@
 	if q.line != nil {
 		return now.Before(q.permitBy) && wants.Urgency() == admission.Punctual
 	}
-	turn, _ := q.permitTurn(now)
-	return admission.MayWaitForPermit(wants, turn)
+	return admission.MayWaitForPermit(wants, q.turn(now))
+}
+
+// mayWaitForRest reports whether the request waits until a server's rest is over.
+func (q *request) mayWaitForRest(wants admission.Request, now time.Time) bool {
+	if q.line != nil {
+		return now.Before(q.permitBy) && admission.MayStayForRest(wants, q.turn(now))
+	}
+	return admission.MayWaitForRest(wants, q.turn(now))
 }
 
-// comeBackForPermit returns for how long a caller stays away for which there was no permit.
+// comeBackForPermit returns for how long a caller stays away for which there was no permit, and
+// comeBackAfterRest the same where all servers rest.
 func (q *request) comeBackForPermit(now time.Time) time.Duration {
-	turn, gap := q.permitTurn(now)
+	turn := q.turn(now)
+	s := q.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.permits.Pause(turn, rand.Float64(), now)
+}
+
+func (q *request) comeBackAfterRest(now time.Time) time.Duration {
+	turn := q.turn(now)
 	s := q.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.permits.Pause(turn, gap, rand.Float64(), now)
+	return s.permits.PauseAfterRest(turn, rand.Float64(), now)
 }
 
 // hasLine reports whether requests wait for a permit.
@@ -215,8 +242,7 @@
 	if q.line != nil {
 		return
 	}
-	turn, _ := q.permitTurn(now)
-	q.permitBy = now.Add(admission.PermitBy(turn))
+	q.permitBy = now.Add(q.turn(now).Latest())
 	q.line = q.place(now)
 	q.state.mu.Lock()
 	defer q.state.mu.Unlock()
--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -20,9 +20,11 @@
 	}
 	g.limits.answered(server, answer, said, sent, now)
 	if said.Rest > 0 {
+		until, before := g.registry.Rested(server, said.Rest, now)
 		g.inst.restAsked(server.ID)
 		g.log.Info().Str("server", server.ID).Uint64("server_incarnation", server.Incarnation()).Str("service", server.Service).
-			Str("asked", asked).Int("status", answer.Status).Dur("rest", said.Rest).Msg("backend server asks for rest")
+			Str("asked", asked).Int("status", answer.Status).Dur("rest", said.Rest).Dur("left_out", until.Sub(now)).Bool("rested", before).
+			Msg("backend server asks for rest")
 	}
 	return said
 }
--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -217,13 +217,16 @@
 		}
 		wants := q.wants(now)
 		stays := queued || permission == quarantine.Wait || q.mayWait(wants, now)
-		if found == balance.Limited {
+		switch found {
+		case balance.Limited:
 			stays = q.mayWaitForPermit(wants, now)
+		case balance.Resting:
+			stays = q.mayWaitForRest(wants, now)
 		}
 		if !stays || wants.Urgency() == admission.Hopeless {
 			return choice, found
 		}
-		if found == balance.Limited {
+		if found == balance.Limited || found == balance.Resting {
 			q.joinLine(now)
 		}
 		if !queued && wants.Urgency() == admission.Late {
@@ -242,13 +245,13 @@
 	if queued && !q.state.mayTry(q.interrupted) {
 		return balance.Choice{}, balance.AllBusy
 	}
-	if !q.isAhead(now) {
-		return balance.Choice{}, balance.Limited
+	if found := q.passed(now); found != balance.Available {
+		return balance.Choice{}, found
 	}
 	d := q.demand(now)
 	d.Avoid = q.avoids(now)
 	choice, found := q.g.registry.Pick(d, now)
-	q.atLimit = choice.Load.AtLimit
+	q.atLimit, q.resting = choice.Load.AtLimit, choice.Load.Resting
 	stands := found == balance.Standing || found == balance.Unavailable && len(q.excluded) == 0 && !q.rejected
 	if stands && q.state.stands(now) {
 		q.g.inst.stood(q.service)
@@ -316,6 +319,10 @@
 		if q.state != nil {
 			return q.comeBackForPermit(now)
 		}
+	case contract.ReasonRest:
+		if q.state != nil {
+			return q.comeBackAfterRest(now)
+		}
 	case contract.ReasonQuarantined:
 		if q.quarantined != nil {
 			return q.quarantined.Left
--- a/entry/gateway/probe.go
+++ b/entry/gateway/probe.go
@@ -48,7 +48,7 @@
 // asked now.
 func (g *Gateway) probeOne(ctx context.Context, server *balance.Server) {
 	good, err := g.takesRequests(ctx, server)
-	if errors.Is(err, ratelimit.ErrClosed) || errors.Is(err, errOutdated) {
+	if errors.Is(err, ratelimit.ErrClosed) || errors.Is(err, errOutdated) || errors.Is(err, balance.ErrResting) {
 		g.registry.NotProbed(server)
 		return
 	}
@@ -86,12 +86,14 @@
 	return err == nil && g.adapter.TakesRequests(service, answer.Status, body), err
 }
 
-// maySend reports with an error that nothing is to be sent to the server any more.
+// maySend reports with an error that nothing is to be sent to the server: errOutdated if it takes
+// nothing any more, balance.ErrResting.
 func (g *Gateway) maySend(server *balance.Server) error {
-	if !g.registry.MayTake(server) {
+	err := g.registry.Admits(server, clock.Now())
+	if errors.Is(err, balance.ErrLeaving) {
 		return errOutdated
 	}
-	return nil
+	return err
 }
 
 // service returns a published service, or nil.
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -69,6 +69,7 @@
 
 	line     *admission.Place // among those that wait for a permit, nil = it does not
 	atLimit  int              // servers left out for the limits that they name, at the latest look
+	resting  int              // servers left out as they rest, at the latest look
 	permitBy time.Time        // until when it waits for a permit
 
 	server      string           // of the latest attempt
