Send nothing new to a backend server that says in its answers that it leaves

Callers would have got cut answers: a server that ends said so in its answers, and gateways passed that on and went on sending until its entry was written or gone: 150 requests later than 2 s after a gateway had passed it on.

Cause: only the entry in the store told that a server leaves, and the fact ended with the registry's object. Now it is a fact of the incarnation (core/notice.State), from its entry or any answer, whichever came first, that no older entry and no copy of the store takes back; the gate at the moment of sending asks for it, so requests that waited go elsewhere. Streams under way go on. Where all servers of a service leave, requests are refused at once as not run, and asked back in two seconds; one that may have run still waits.

--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -50,11 +50,12 @@
 	Unavailable              // no server may take the request now
 	Evacuated                // all servers are in evacuated availability zones
 	Resting                  // all servers that take requests rest, or are on their way back from a rest
+	Leaving                  // all servers leave
 )
 
 // String returns the availability's name.
 func (a Availability) String() string {
-	return [...]string{"", "available", "busy", "standing", "at-limit", "unavailable", "evacuated", "resting"}[a]
+	return [...]string{"", "available", "busy", "standing", "at-limit", "unavailable", "evacuated", "resting", "leaving"}[a]
 }
 
 // otherZoneCost is what a server in another availability zone is worth in load: a
@@ -134,6 +135,8 @@
 		return Choice{Load: load}, Resting
 	case s.allEvacuated():
 		return Choice{Load: load}, Evacuated
+	case s.allDrain():
+		return Choice{Load: load}, Leaving
 	default:
 		return Choice{Load: load}, Unavailable
 	}
@@ -154,6 +157,16 @@
 	return false
 }
 
+// allDrain reports whether the service has servers, and all leave.
+func (s *shard) allDrain() bool {
+	for _, server := range s.servers {
+		if !server.drains() {
+			return false
+		}
+	}
+	return len(s.servers) > 0
+}
+
 // inFlight returns the requests of all gateways to a usable server.
 func (s *shard) inFlight(i int) int { return s.peers[i].Requests + s.usable[i].InFlight() }
 
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -150,7 +150,8 @@
 		}
 		old.missingUntil = time.Time{}
 		if info.Draining && old.said.Leave(notice.FromEntry) {
-			r.log.Info().Str("server", info.ID).Uint64("era", at.Era).Uint64("revision", at.Revision).Msg("backend server drains")
+			r.log.Info().Str("server", info.ID).Str("source", string(notice.FromEntry)).
+				Uint64("era", at.Era).Uint64("revision", at.Revision).Msg("backend server drains")
 		}
 	}
 	for id, server := range s.servers {
@@ -378,6 +379,14 @@
 		Dur("for", firstEjection).Msg("backend server ejected")
 }
 
+// Leaves notes that the server said in an answer that it leaves. It gets nothing new, whatever
+// entries of it say.
+func (r *Registry) Leaves(server *Server) {
+	if server.said.Leave(notice.FromAnswer) {
+		r.log.Info().Str("server", server.ID).Str("service", server.Service).Str("source", string(notice.FromAnswer)).Msg("backend server drains")
+	}
+}
+
 // Errors of Admits.
 var (
 	ErrLeaving = eris.New("balance: the backend server takes nothing new")
--- a/entry/balance/rest_test.go
+++ b/entry/balance/rest_test.go
@@ -167,3 +167,43 @@
 		is.New(t).True(most <= 2*slots)
 	}
 }
+
+// That a server leaves is known from its answers or its entry, whichever told so first, and stays
+// so: an older entry, or one that is written again from a copy of the store, does not end it.
+func TestALeavingIsNeverTakenBack(t *testing.T) {
+	base := infos("a")[0]
+	base.Started = 1
+	draining := base
+	draining.Draining = true
+	reborn := base
+	reborn.Started = 2
+	answered := func(r *Registry) { r.Leaves(serverOf(r, "a")) }
+	listed := func(list ...Info) func(*Registry) {
+		return func(r *Registry) { r.Update(list, at(1), 0, start) }
+	}
+	cases := []struct {
+		name  string
+		steps []func(*Registry)
+		found Availability
+	}{
+		{"in an answer", []func(*Registry){answered}, Leaving},
+		{"in its entry", []func(*Registry){listed(draining)}, Leaving},
+		{"in an answer, an older entry", []func(*Registry){answered, listed(base)}, Leaving},
+		{"in its entry, an older one", []func(*Registry){listed(draining), listed(base)}, Leaving},
+		{"in an answer, listed again after it was gone", []func(*Registry){answered, listed(), listed(base)}, Leaving},
+		{"in its entry, listed again after it was gone", []func(*Registry){listed(draining), listed(), listed(base)}, Leaving},
+		{"gone", []func(*Registry){answered, listed()}, Unavailable},
+		{"started again under its id", []func(*Registry){answered, listed(reborn)}, Available},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := NewRegistry(members(1), "", zerolog.Nop())
+			listed(base)(r)
+			for _, step := range c.steps {
+				step(r)
+			}
+			_, found := r.Pick(Demand{Service: "s"}, start)
+			is.New(t).Equal(found, c.found)
+		})
+	}
+}
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -126,6 +126,8 @@
 		refusal.Reason = contract.ReasonQuarantined
 	case found == balance.Evacuated:
 		refusal.Reason = contract.ReasonEvacuated
+	case found == balance.Leaving:
+		refusal.Reason = contract.ReasonDraining
 	case found == balance.Resting:
 		refusal.Reason = contract.ReasonRest
 	case found == balance.Limited:
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -30,6 +30,7 @@
 	aborted        *metrics.Counter
 	entriesRefused *metrics.Counter
 	noticesRefused *metrics.Counter
+	leavingHeard   *metrics.Counter
 	left           *metrics.Counter
 	resumed        *metrics.Counter
 	retries        *metrics.Counter
@@ -54,6 +55,7 @@
 		aborted:        set.NewCounter("baywall_answers_aborted_total"),
 		entriesRefused: set.NewCounter("baywall_entries_refused_total"),
 		noticesRefused: set.NewCounter("baywall_notices_refused_total"),
+		leavingHeard:   set.NewCounter("baywall_leaving_answers_total"),
 		left:           set.NewCounter("baywall_callers_left_total"),
 		resumed:        set.NewCounter("baywall_streams_resumed_total"),
 		retries:        set.NewCounter("baywall_retries_total"),
--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -19,6 +19,10 @@
 		g.log.Warn().Err(err).Str("server", server.ID).Str("asked", asked).Msg("notice of a backend server not understood")
 	}
 	g.limits.answered(server, answer, said, sent, now)
+	if said.Leaving {
+		g.inst.leavingHeard.Inc()
+		g.registry.Leaves(server)
+	}
 	if said.Rest > 0 {
 		until, before := g.registry.Rested(server, said.Rest, now)
 		g.inst.restAsked(server.ID)
--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -215,6 +215,9 @@
 		if found == balance.Available || found == balance.Evacuated || permission == quarantine.Refused {
 			return choice, found
 		}
+		if found == balance.Leaving && !q.sequence.MayHaveRun() {
+			return choice, found // it can come back instead of waiting for one that is not known
+		}
 		wants := q.wants(now)
 		stays := queued || permission == quarantine.Wait || q.mayWait(wants, now)
 		switch found {
@@ -299,7 +302,7 @@
 	// with places, such as for an unknown key.
 	minRetryAfter = 250 * time.Millisecond
 	// outageRetryAfter is when a caller may come back where this process still knows no
-	// configuration, as the store is away, or all servers are evacuated: processes and groups
+	// configuration, as the store is away, or all servers are evacuated or leave: processes and groups
 	// of ranks are back about two seconds after a loss of power, operators take no less.
 	outageRetryAfter = 2 * time.Second
 	// retrySpread is the part by which these vary, so that callers refused together do
@@ -327,7 +330,7 @@
 		if q.quarantined != nil {
 			return q.quarantined.Left
 		}
-	case contract.ReasonStarting, contract.ReasonEvacuated:
+	case contract.ReasonStarting, contract.ReasonEvacuated, contract.ReasonDraining:
 		return spreadOut(max(r.RetryAfter, outageRetryAfter))
 	}
 	return spreadOut(max(r.RetryAfter, minRetryAfter))
