Give orders to hold a step through the gate and read their answers' notices

Cause: orders to hold a step went by an HTTP client of their own, one a rank, past the gate, and what their answers say of the server was not read. A rank that had asked a gateway for rest would have got them all the same.

A rank that leaves still gets them, as its group stays in step until it is gone.

--- a/entry/admission/line_test.go
+++ b/entry/admission/line_test.go
@@ -73,7 +73,7 @@
 		is.True(pause <= longestReturn)
 	}
 	is.True(p.Pause(Turn{Next: 300 * ms, Gap: 250 * ms}, 1, now) >= longestReturn*4/5) // the turns are far away
-	is.Equal(p.Pause(Turn{}, 0, now.Add(time.Minute)), leastPause)  // they are over
+	is.Equal(p.Pause(Turn{}, 0, now.Add(time.Minute)), leastPause)                     // they are over
 }
 
 // Who waits until the rest of a server is over: one that can be served long before its caller
--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -149,7 +149,7 @@
 		return false
 	}
 	for _, server := range s.servers {
-		left := server.full.until.After(now) && !server.leaves() && !server.health.ejected(now) && !server.rests(now)
+		left := server.full.until.After(now) && !server.leaves() && !server.health.ejected(now) && !server.Rests(now)
 		if left && !d.Exclude[server.ID] {
 			return true
 		}
--- a/entry/balance/probation.go
+++ b/entry/balance/probation.go
@@ -197,7 +197,7 @@
 		probation := s.onProbation(now)
 		left := s.probes.take(r.probesAtOnce(len(s.servers)), now)
 		for _, server := range s.servers { // in random order
-			if server.trusted(probation, now) || server.leaves() || server.rests(now) {
+			if server.trusted(probation, now) || server.leaves() || server.Rests(now) {
 				continue
 			}
 			p := &server.probation
@@ -273,7 +273,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server.full = fullness{}
-	if !server.rests(now) {
+	if !server.Rests(now) {
 		server.returning.accepted(server.Slots)
 	}
 	p := &server.probation
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -198,19 +198,20 @@
 	}
 }
 
-// Lists reports whether a backend server is listed at the address.
-func (r *Registry) Lists(address string) bool {
+// At returns the backend server that is listed at the address, the latest one where there are
+// several; nil if there is none.
+func (r *Registry) At(address string) *Server {
+	var found *Server
 	for _, s := range r.all() {
 		s.mu.Lock()
 		for _, server := range s.servers {
-			if server.Address == address {
-				s.mu.Unlock()
-				return true
+			if server.Address == address && (found == nil || server.laterThan(found.Info)) {
+				found = server
 			}
 		}
 		s.mu.Unlock()
 	}
-	return false
+	return found
 }
 
 func (r *Registry) all() []*shard {
@@ -290,7 +291,7 @@
 	probation := s.onProbation(now)
 	resting := 0
 	for _, server := range s.servers {
-		if server.fit(now) && server.rests(now) {
+		if server.fit(now) && server.Rests(now) {
 			resting++
 		}
 		if server.usable(now) && server.trusted(probation, now) {
@@ -403,7 +404,7 @@
 	switch {
 	case server.leaves() || server.gone:
 		return ErrLeaving
-	case server.rests(now):
+	case server.Rests(now):
 		return ErrResting
 	default:
 		return nil
--- a/entry/balance/rest.go
+++ b/entry/balance/rest.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// rests reports whether the server rests.
-func (s *Server) rests(now time.Time) bool { return now.Before(s.said.RestsUntil()) }
+// Rests reports whether the server rests.
+func (s *Server) Rests(now time.Time) bool { return now.Before(s.said.RestsUntil()) }
 
 // usualStay returns for how long a request occupies a slot.
 func (s *shard) usualStay() time.Duration {
@@ -49,7 +49,7 @@
 func (s *shard) backAt(server *Server, now time.Time) (at time.Time, resting bool) {
 	window := server.returning.window
 	switch {
-	case server.rests(now):
+	case server.Rests(now):
 		return server.said.RestsUntil(), true
 	case server.returning.full():
 		return now.Add(s.usualStay() / time.Duration(window)), true
--- a/entry/balance/server.go
+++ b/entry/balance/server.go
@@ -116,7 +116,7 @@
 
 // usable reports whether the server may get a request, under the shard's lock.
 func (s *Server) usable(now time.Time) bool {
-	return s.fit(now) && !s.rests(now)
+	return s.fit(now) && !s.Rests(now)
 }
 
 // fit reports whether the server may get a request but for a rest, under the shard's lock.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -59,7 +59,6 @@
 	shares      sync.Map // service -> *retry.Share
 	services    sync.Map // service -> *serviceState
 	activity    activity
-	engines     sync.Map // address -> Engine, of ranks that were held
 	suspects    *quarantine.Table
 	limits      *limits
 
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -31,8 +31,7 @@
 
 // testAdapter is a platform whose documents are the product's own types as JSON.
 type testAdapter struct {
-	store  source.Store
-	engine Engine
+	store source.Store
 }
 
 func (testAdapter) Name() string { return "test" }
@@ -83,7 +82,12 @@
 	return n, err
 }
 
-func (a testAdapter) Engine(string) Engine { return a.engine }
+// HoldOrder orders with epoch and step in the path.
+func (testAdapter) HoldOrder(epoch, step uint64) Order {
+	return Order{Target: fmt.Sprintf("/hold/%d/%d", epoch, step), Header: http.Header{}}
+}
+
+func (testAdapter) OrderTaken(status int) bool { return status == http.StatusOK }
 
 func (testAdapter) Directory(Directory) http.Handler { return http.NotFoundHandler() }
 func (testAdapter) Ready(Directory) http.Handler     { return http.NotFoundHandler() }
@@ -161,10 +165,16 @@
 
 // start runs a gateway; backends answer with the number of runs so far, from 1.
 func start(t *testing.T, backends int, answer func(n int, w http.ResponseWriter, r *http.Request)) *world {
+	t.Helper()
+	return startProbed(t, nil, backends, answer)
+}
+
+// startProbed is start with published services, whose backends may be probed.
+func startProbed(t *testing.T, services []catalog.Service, backends int, answer func(n int, w http.ResponseWriter, r *http.Request)) *world {
 	t.Helper()
 	w := &world{}
 	store := fixedStore{item(t, "catalog", catalog.Content{
-		Version: 1, Routes: routes(), Teams: []catalog.Team{{Name: "team", Keys: []string{"key"}}},
+		Version: 1, Routes: routes(), Services: services, Teams: []catalog.Team{{Name: "team", Keys: []string{"key"}}},
 	})}
 	for i := range backends {
 		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
--- a/entry/gateway/hold.go
+++ b/entry/gateway/hold.go
@@ -2,35 +2,69 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"baywall.example/core/clock"
 	"baywall.example/core/cluster"
+	"baywall.example/entry/balance"
+	"baywall.example/entry/upstream"
 )
 
 // holdTimeout bounds one order to a rank, which answers in a few milliseconds.
 const holdTimeout = 300 * time.Millisecond
 
-// Engine is the model engine of a backend server that is a rank.
-type Engine interface {
-	// Hold makes the rank hold a step of its group.
-	Hold(ctx context.Context, epoch, step uint64) error
+// errOrderRefused means that a rank did not take an order.
+var errOrderRefused = eris.New("gateway: order refused")
+
+// Order is an order to a backend server that is a rank.
+type Order struct {
+	Target string // path with query
+	Header http.Header
+	Body   []byte
 }
 
 // holdStep gives an order that an agent asks for. A gateway's VM has no rank: when it
 // freezes, no rank is out of reach.
 func (g *Gateway) holdStep(h cluster.Hold) {
-	if !g.registry.Lists(h.Engine) {
+	server := g.registry.At(h.Engine)
+	if server == nil {
 		g.log.Warn().Str("engine", h.Engine).Msg("asked to hold a step at a backend server that is not listed")
 		return
 	}
-	engine, ok := g.engines.Load(h.Engine)
-	if !ok {
-		engine, _ = g.engines.LoadOrStore(h.Engine, g.adapter.Engine(h.Engine))
-	}
 	g.run.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), holdTimeout)
 		defer cancel()
-		err := engine.(Engine).Hold(ctx, h.Epoch, h.Step)
-		g.log.Info().AnErr("error", err).Str("engine", h.Engine).Uint64("epoch", h.Epoch).Uint64("step", h.Step).Msg("step held for an agent")
+		err := g.order(ctx, server, g.adapter.HoldOrder(h.Epoch, h.Step))
+		g.log.Info().AnErr("error", err).Str("engine", h.Engine).Str("server", server.ID).
+			Uint64("epoch", h.Epoch).Uint64("step", h.Step).Msg("step held for an agent")
+	})
+}
+
+// order gives a rank an order. One that rests gets none, as its own agent gives it then. One
+// that leaves does, as its group stays in step until it is gone.
+func (g *Gateway) order(ctx context.Context, server *balance.Server, o Order) error {
+	sent := clock.Now()
+	header := o.Header.Clone()
+	header.Set(g.headers.ExpectServer, server.ID)
+	answer, err := server.Pool.Do(ctx, &upstream.Request{
+		Method: http.MethodPost, Target: o.Target, Host: server.Address, Header: header, Body: o.Body, IDHeader: g.headers.RequestID,
+		Check: func() error {
+			if server.Rests(clock.Now()) {
+				return balance.ErrResting
+			}
+			return nil
+		},
 	})
+	if err != nil {
+		return err
+	}
+	defer answer.Close()
+	g.hear(server, answer, sent, askedOrder)
+	if !g.adapter.OrderTaken(answer.Status) {
+		return eris.Wrapf(errOrderRefused, "status %d", answer.Status)
+	}
+	return nil
 }
--- a/entry/gateway/hold_test.go
+++ b/entry/gateway/hold_test.go
@@ -1,46 +1,63 @@
 package gateway
 
 import (
-	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"baywall.example/core/clock"
 	"baywall.example/core/cluster"
 	"baywall.example/entry/balance"
 )
 
-// heldEngine tells which steps it was made to hold.
-type heldEngine struct{ steps chan uint64 }
-
-func (e heldEngine) Hold(_ context.Context, _, step uint64) error {
-	e.steps <- step
-	return nil
-}
-
 // A gateway gives the hold that an agent asks for, but only to backend servers that are
-// listed: anybody may send a datagram.
+// listed: anybody may send a datagram. One that rests gets none.
 func TestAGatewayHoldsAStepForAnAgent(t *testing.T) {
 	is := is.New(t)
 	agent, err := cluster.NewNode(freeAddress(t), nil, 0, func() cluster.Self { return cluster.Self{} }, zerolog.Nop())
 	is.NoErr(err)
-	w := start(t, 1, ok)
-	engine := heldEngine{steps: make(chan uint64, 4)}
-	choice, found := w.gateway.registry.Pick(balance.Demand{Service: "s"}, time.Now())
+	held := make(chan string, 4)
+	w := start(t, 1, func(_ int, rw http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/hold/") {
+			held <- r.URL.Path
+		}
+		if r.URL.Path == "/hold/1/8" {
+			rw.Header().Set("T-Rest", "60")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	unlisted := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		t.Errorf("%s reached a server that is not listed", r.URL.Path)
+	}))
+	defer unlisted.Close()
+	choice, found := w.gateway.registry.Pick(balance.Demand{Service: "s"}, clock.Now())
 	is.Equal(found, balance.Available)
-	listed := choice.Server.Address
+	server := choice.Server
 	choice.Release()
-	w.gateway.engines.Store(listed, engine)
-	w.gateway.engines.Store("127.0.0.1:9", engine)
 	to := []string{w.gateway.settings.Listen.Peers}
-	agent.AskHold(to, cluster.Hold{Engine: "127.0.0.1:9", Epoch: 1, Step: 6})
-	agent.AskHold(to, cluster.Hold{Engine: listed, Epoch: 1, Step: 7})
+	agent.AskHold(to, cluster.Hold{Engine: strings.TrimPrefix(unlisted.URL, "http://"), Epoch: 1, Step: 6})
+	for _, step := range []string{"/hold/1/7", "/hold/1/8"} {
+		agent.AskHold(to, cluster.Hold{Engine: server.Address, Epoch: 1, Step: uint64(step[len(step)-1] - '0')})
+		select {
+		case got := <-held:
+			is.Equal(got, step)
+		case <-time.After(2 * time.Second):
+			t.Fatal("not held")
+		}
+	}
+	for until := time.Now().Add(2 * time.Second); !server.Rests(clock.Now()) && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(server.Rests(clock.Now())) // the answer to the order asked for it
+	agent.AskHold(to, cluster.Hold{Engine: server.Address, Epoch: 1, Step: 9})
 	select {
-	case step := <-engine.steps:
-		is.Equal(step, uint64(7))
-	case <-time.After(2 * time.Second):
-		t.Fatal("not held")
+	case got := <-held:
+		t.Fatalf("%s reached a server that rests", got)
+	case <-time.After(300 * time.Millisecond):
 	}
 }
--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -37,4 +37,5 @@
 const (
 	askedRequest = "request"
 	askedProbe   = "probe"
+	askedOrder   = "order"
 )
--- a/entry/gateway/protocol.go
+++ b/entry/gateway/protocol.go
@@ -54,8 +54,10 @@
 	// ReadNotice reads from an answer, which came at a time, what its backend server says of
 	// itself. What cannot be read, as the error tells, says nothing.
 	ReadNotice(status int, h http.Header, now time.Time) (notice.Notice, error)
-	// Engine returns the engine of the backend server at an IP:port.
-	Engine(address string) Engine
+	// HoldOrder returns the order that makes a rank hold a step of its group, OrderTaken reads
+	// from the status of the answer whether it does.
+	HoldOrder(epoch, step uint64) Order
+	OrderTaken(status int) bool
 	// Directory serves callers who ask where to connect, and Ready those who
 	// ask whether this gateway takes requests.
 	Directory(d Directory) http.Handler
