Keep rests and leavings of backend servers at their agents, too

Cause: agents read a limit from answers, as gateways did, and nothing else. A backend server behind an agent that asked for rest, or said that it leaves, got all requests as before.

Now agents read the same notice into the same State (core/notice) just before a request is handed over: it is refused as not run (rest, draining), entry VMs leave the server out and ask its agent again each second, and callers learn when the rest ends. An agent outlives its backend server, so it looks whether one that gets nothing has ended: the next one has said nothing yet.

--- a/agent/engine/ended.go
+++ b/agent/engine/ended.go
@@ -57,16 +57,19 @@
 // Lost returns the error of a request that was handed over and whose answer broke off:
 // EndedError if the process has ended, ErrFailed otherwise.
 func (c *Client) Lost(ctx context.Context, cause error) error {
-	if ctx.Err() != nil {
-		return eris.Wrapf(ErrFailed, "%v", cause)
+	if ctx.Err() == nil && c.Refuses(ctx) {
+		return &EndedError{Number: c.ends.ended(), Cause: cause}
 	}
+	return eris.Wrapf(ErrFailed, "%v", cause)
+}
+
+// Refuses reports whether the backend server's host refuses connections, as its process has
+// ended.
+func (c *Client) Refuses(ctx context.Context) bool {
 	dialer := net.Dialer{Timeout: livenessTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err == nil {
 		_ = conn.Close() // nothing was sent on it
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return &EndedError{Number: c.ends.ended(), Cause: cause}
-	}
-	return eris.Wrapf(ErrFailed, "%v", cause)
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
--- /dev/null
+++ b/agent/engine/notice_test.go
@@ -0,0 +1,38 @@
+package engine
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baywall.example/core/notice"
+	"baywall.example/core/ratelimit"
+)
+
+func TestWhatAnAnswerSaysOfTheBackendServer(t *testing.T) {
+	none := ratelimit.Said{Kind: ratelimit.SaidNone}
+	cases := []struct {
+		name   string
+		status int
+		header http.Header
+		want   notice.Notice
+		fails  bool
+	}{
+		{"nothing", 200, http.Header{}, notice.Notice{Limit: none}, false},
+		{"all at once", 503, http.Header{"X-Rate-Limit": {"2"}, "Retry-After": {"1.5"}, "X-Leaving": {"1"}}, notice.Notice{
+			Limit: ratelimit.Said{Kind: ratelimit.SaidLimit, Limit: 2}, Rest: 1500 * time.Millisecond, Leaving: true,
+		}, false},
+		{"an answer that ran asks for no rest", 200, http.Header{"Retry-After": {"2"}}, notice.Notice{Limit: none}, false},
+		{"one garbled, the others hold", 503, http.Header{"Retry-After": {"soon"}, "X-Leaving": {"1"}}, notice.Notice{Limit: none, Leaving: true}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			said, err := ReadNotice(&http.Response{StatusCode: c.status, Header: c.header}, time.Now())
+			is.Equal(said, c.want)
+			is.Equal(err != nil, c.fails)
+		})
+	}
+}
--- a/agent/server/attempts.go
+++ b/agent/server/attempts.go
@@ -67,7 +67,7 @@
 	if now.After(deadline.Add(a.settings.Record.ClockSkew)) {
 		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonDeadline}
 	}
-	if a.draining.Load() {
+	if a.drains() {
 		return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonDraining, RetryAfter: drainRetryAfter}
 	}
 	if w.GetServiceRevision() < a.config.View().Version(resource.ServiceKey(w.GetService())) {
@@ -208,7 +208,7 @@
 		}
 		return nil
 	}
-	a.hearLimit(resp.Header, at.ID, sent)
+	a.hear(resp, at.ID, sent)
 	head := record.Head{Status: resp.StatusCode, Headers: answerHeaders(resp.Header)}
 	if resp.ContentLength < 0 || resp.ContentLength > chunkSize {
 		at.Answer.SetHead(head)
--- a/agent/server/reports.go
+++ b/agent/server/reports.go
@@ -63,7 +63,7 @@
 		InFlight:       a.inFlight.Load(),
 		Queued:         int64(load.Waiting),
 		Load:           load.Load,
-		Draining:       a.draining.Load(),
+		Draining:       a.drains(),
 	}
 }
 
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -26,6 +26,7 @@
 	"baywall.example/core/contract"
 	"baywall.example/core/expertmap"
 	"baywall.example/core/link"
+	"baywall.example/core/notice"
 	"baywall.example/core/ratelimit"
 	"baywall.example/core/resource"
 	"baywall.example/core/timeline"
@@ -56,6 +57,7 @@
 	inFlight atomic.Int64
 	traffic  atomic.Int64 // bytes of all links
 	draining atomic.Bool
+	said     atomic.Pointer[notice.State] // by the backend server that runs now
 	load     atomic.Pointer[engine.Load]
 	active   inFlightGate
 	workers  conc.WaitGroup
@@ -135,6 +137,7 @@
 		VM: id, Incarnation: a.incarnation, Engine: a.engine, Pool: a.pool,
 		World: published{a.config, a.vms}, Recorder: a.recorder, Log: log,
 	})
+	a.said.Store(&notice.State{})
 	a.metrics = newMetrics(a)
 	a.load.Store(&engine.Load{})
 	return a
@@ -183,6 +186,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a.stop = cancel
 	a.workers.Go(func() { _ = link.Accept(ln, a.local, a.authorize, a) })
+	a.workers.Go(func() { a.forgetEnded(ctx) })
 	if a.settings.Engine.Kind == KindEngine {
 		a.workers.Go(func() { a.pollLoad(ctx) })
 		a.workers.Go(func() { a.groups.Run(ctx) })
--- a/entry/backend/backend.go
+++ b/entry/backend/backend.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"baywall.example/core/contract"
 	"baywall.example/core/link"
 	"baywall.example/core/vm"
 	"baywall.example/core/wire"
@@ -32,7 +33,7 @@
 	suspect     bool
 	draining    bool
 	revision    uint64
-	opens       time.Time // it is at its limit before
+	closed      Closed
 	alive       context.Context
 	kill        context.CancelFunc
 }
@@ -57,19 +58,36 @@
 	return b.vm.State == vm.StateLive && !b.suspect && !b.draining
 }
 
-// AtLimit notes that the backend server takes no more requests before a time.
-func (b *Backend) AtLimit(opens time.Time) {
+// Closed tells until when a backend server takes no requests, and why.
+type Closed struct {
+	// Until is when its agent is asked again, at the latest: another process may have
+	// taken the backend server's place.
+	Until time.Time
+	// Ends is when it takes requests by what its agent said.
+	Ends   time.Time
+	Reason contract.Reason // it is at the limit that it names, or rests
+}
+
+// longestRest bounds the time for which an agent is not asked whose backend server rests.
+const longestRest = time.Second
+
+// Close notes that the backend server takes no more requests for a time.
+func (b *Backend) Close(reason contract.Reason, left time.Duration, now time.Time) Closed {
+	c := Closed{Until: now.Add(left), Ends: now.Add(left), Reason: reason}
+	if reason == contract.ReasonRest {
+		c.Until = now.Add(min(left, longestRest))
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.opens = opens
+	b.closed = c
+	return c
 }
 
-// Opens returns until when the backend server is at the limit that it names; in the past if it
-// is not.
-func (b *Backend) Opens() time.Time {
+// Closed returns until when the backend server takes no requests; in the past if it does.
+func (b *Backend) Closed() Closed {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.opens
+	return b.closed
 }
 
 // Incarnation returns that of the linked agent, 0 if there never was a link.
@@ -118,7 +136,7 @@
 	if b.incarnation != l.Incarnation {
 		b.incarnation = l.Incarnation
 		b.draining = false
-		b.opens = time.Time{}
+		b.closed = Closed{}
 	}
 }
 
--- a/entry/backend/directory.go
+++ b/entry/backend/directory.go
@@ -40,13 +40,13 @@
 	Runners  []*routing.Runner
 }
 
-// Open leaves out those that are at the limit that they name. If that is all of them, it
-// returns none, and for how long.
-func (c Choice) Open(now time.Time) (open Choice, wait time.Duration) {
+// Open leaves out those that are closed now. If that is all of them, it returns none, and the
+// one that opens first.
+func (c Choice) Open(now time.Time) (open Choice, next Closed) {
 	for i, b := range c.Backends {
-		if left := b.Opens().Sub(now); left > 0 {
-			if wait == 0 || left < wait {
-				wait = left
+		if closed := b.Closed(); closed.Until.After(now) {
+			if next.Reason == "" || closed.Ends.Before(next.Ends) {
+				next = closed
 			}
 			continue
 		}
@@ -55,11 +55,11 @@
 	}
 	switch len(open.Backends) {
 	case len(c.Backends):
-		return c, 0
+		return c, Closed{}
 	case 0:
-		return open, wait
+		return open, next
 	default:
-		return open, 0
+		return open, Closed{}
 	}
 }
 
--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -39,7 +39,7 @@
 	tried    []*backend.Backend
 	digest   *quarantine.Fingerprint // nil = not needed yet
 	suspect  quarantine.Attempt      // the present one
-	opens    time.Duration           // after which a backend server at its limit takes requests, 0 = none turned it away
+	closed   backend.Closed          // one that turned it away for a limit or a rest, or all of them
 
 	backend *backend.Backend // of the present attempt
 	place   Place
@@ -116,8 +116,8 @@
 		return x.settle(ctx, result{event: retry.EventNoFate, refusal: contract.Refusal{Reason: contract.ReasonReplacedAgent}})
 	}
 	reason, after := contract.ReasonNoBackend, time.Duration(0)
-	if x.opens > 0 {
-		reason, after = contract.ReasonRateLimit, x.opens
+	if x.closed.Reason != "" {
+		reason, after = x.closed.Reason, max(0, clock.Until(x.closed.Ends))
 	} else if len(x.d.directory.Usable(x.contract.Service).Runners) > 0 {
 		reason, after = contract.ReasonOverload, overloadRetryAfter
 	}
@@ -142,9 +142,9 @@
 	}
 	view := x.d.config.View()
 	choice := x.d.directory.Usable(x.contract.Service)
-	open, wait := choice.Open(clock.Now())
-	if wait > 0 {
-		x.opens = wait
+	open, next := choice.Open(clock.Now())
+	if next.Reason != "" {
+		x.closed = next
 		return false
 	}
 	if choice = open; len(x.tried) > 0 {
@@ -356,9 +356,8 @@
 		configuration.RecordChanges(x.d.recorder, x.d.config.Apply(b))
 	}
 	after := time.Duration(w.GetRetryAfterMs()) * time.Millisecond
-	if contract.Reason(w.GetReason()) == contract.ReasonRateLimit {
-		x.backend.AtLimit(clock.Now().Add(after))
-		x.opens = after
+	if reason := contract.Reason(w.GetReason()); reason == contract.ReasonRateLimit || reason == contract.ReasonRest {
+		x.closed = x.backend.Close(reason, after, clock.Now())
 	}
 	if end := w.GetEngineEnd(); end > 0 {
 		x.noteEnd(end)
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -23,6 +23,9 @@
 	delay   time.Duration
 	address string
 	limit   atomic.Uint64 // bits of the requests a second that it names, 0 = none
+	rest    atomic.Int64  // for which it asks each request that it turns away, 0 = it serves
+	leaving atomic.Bool   // it says that it leaves
+	reached atomic.Int64  // requests so far
 }
 
 // HeaderWork names the caller's id of the work.
@@ -43,6 +46,15 @@
 // Limit has the server name from now on how many requests a second it takes, 0 = none.
 func (s *Server) Limit(perSecond float64) { s.limit.Store(math.Float64bits(perSecond)) }
 
+// Rest has the server turn requests away from now on and ask for so much rest, 0 = it serves.
+func (s *Server) Rest(d time.Duration) { s.rest.Store(int64(d)) }
+
+// Leave has the server say from now on that it leaves.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Reached returns how many requests have reached the server.
+func (s *Server) Reached() int64 { return s.reached.Load() }
+
 // Address is where the server listens.
 func (s *Server) Address() string { return s.address }
 
@@ -52,6 +64,15 @@
 func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
 	work := r.Header.Get(HeaderWork)
 	_, _ = io.Copy(io.Discard, r.Body)
+	s.reached.Add(1)
+	if s.leaving.Load() {
+		w.Header().Set(engine.HeaderLeaving, "1")
+	}
+	if rest := time.Duration(s.rest.Load()); rest > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	s.ledger.Run(work, s.address)
 	if s.delay > 0 {
 		time.Sleep(s.delay)
