Have backend servers of the soak ask for rest and leave by answer alone

Three kinds of faults more: one server, or all of a service, asks for rest of 0.3, 1.2 or 4 s for a while; a server says in its answers only that it leaves, and starts again under its id, or another one. The soak checks from what the servers saw that no gateway that heard so sends to them.

--- a/standin/soak/cmd/soak/faults.go
+++ b/standin/soak/cmd/soak/faults.go
@@ -26,6 +26,7 @@
 	rough    []span                 // while something other than planned work went on
 	stopping map[string][]time.Time // of gateways by front, when they were told to stop
 	paused   map[string][]span      // of gateways by front
+	harmed   map[*relay][]span      // while what was sent there was held back or lost
 
 	evacuated map[string]bool // availability zones
 }
@@ -81,6 +82,9 @@
 	{"store back from an older copy", false, (*faults).returnStore},
 	{"limit named", true, (*faults).nameLimit},
 	{"availability zone evacuated", true, (*faults).evacuate},
+	{"rest asked by one", true, (*faults).askForRest},
+	{"rest asked by all of a service", true, (*faults).askForRestOfAll},
+	{"leaving told in answers", true, (*faults).leaveByAnswer},
 }
 
 // focused returns the kinds whose names contain one of the words.
@@ -107,6 +111,7 @@
 	}
 	f.stopping = make(map[string][]time.Time)
 	f.paused = make(map[string][]span)
+	f.harmed = make(map[*relay][]span)
 	f.evacuated = make(map[string]bool)
 	rnd := f.world.rnd
 	for end := time.Now().Add(o.length); time.Now().Before(end) && ctx.Err() == nil; {
@@ -203,27 +208,35 @@
 // replaceBackend publishes a backend server as leaving, and puts a new one in its
 // place when it is gone.
 func (f *faults) replaceBackend(ctx context.Context, d draw) {
-	w := f.world
-	i := d.which % len(w.backends)
-	b := w.backends[i]
-	if b.group != nil {
+	i := d.which % len(f.world.backends)
+	if f.world.backends[i].group != nil {
 		return // ranks of a group are not replaced one by one
 	}
+	f.replace(ctx, i, "", func(r *standin.Runner) {
+		if d.variant == 0 {
+			f.world.author.Delete(standin.ServerPrefix + r.ID)
+		} else {
+			f.world.list(i, r, true)
+		}
+		f.awaitWritten(ctx, standin.ServerPrefix+r.ID)
+		r.Drain()
+	})
+}
+
+// replace has a backend server say that it leaves, and puts a new incarnation in its place when it
+// is gone: under its id if that is given.
+func (f *faults) replace(ctx context.Context, i int, id string, leave func(*standin.Runner)) {
+	w := f.world
+	b := w.backends[i]
 	r := b.current()
-	if d.variant == 0 {
-		w.author.Delete(standin.ServerPrefix + r.ID)
-	} else {
-		w.list(i, r, true)
-	}
-	f.awaitWritten(ctx, standin.ServerPrefix+r.ID)
-	r.Drain()
+	leave(r)
 	wait.Sleep(ctx, drainNotice)
 	w.author.Delete(standin.ServerPrefix + r.ID)
 	if b.current() != r {
 		return // it crashed meanwhile
 	}
 	r.Crash()
-	if err := w.startRunner(i); err != nil {
+	if err := w.startRunner(i, id); err != nil {
 		fmt.Println("  backend server not started:", err)
 	}
 }
@@ -262,6 +275,22 @@
 	f.notePause(g, from)
 }
 
+// noteHarm notes a time in which what was sent over a relay was held back or lost.
+func (f *faults) noteHarm(r *relay, from time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.harmed[r] = append(f.harmed[r], span{from, time.Now()})
+}
+
+// harmedLately reports whether that was so at a time or within the time of contact before it.
+func (f *faults) harmedLately(r *relay, at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.harmed[r], func(s span) bool {
+		return at.After(s.from) && at.Before(s.to.Add(contactTime))
+	})
+}
+
 // pausedLately reports whether the gateway was paused at a time, or shortly before: it
 // may not have heard yet what happened meanwhile.
 func (f *faults) pausedLately(front string, at time.Time) bool {
@@ -306,7 +335,7 @@
 	if b.group != nil {
 		b.group.Form(b.rank)
 	}
-	if err := w.startRunner(i); err != nil {
+	if err := w.startRunner(i, ""); err != nil {
 		fmt.Println("  backend server not started:", err)
 	}
 	wait.Sleep(ctx, d.duration/2) // the old entry's lease
@@ -320,17 +349,23 @@
 }
 
 func (f *faults) silence(ctx context.Context, r *relay, d draw) {
+	defer f.noteHarm(r, time.Now())
 	r.silence(d.variant != 1, d.variant != 2)
 	wait.Sleep(ctx, d.duration)
 	r.silence(false, false)
 }
 
-func (f *faults) resetBackend(_ context.Context, d draw) { f.backend(d).relay.reset() }
+func (f *faults) resetBackend(_ context.Context, d draw) {
+	r := f.backend(d).relay
+	r.reset()
+	f.noteHarm(r, time.Now())
+}
 
 func (f *faults) silenceBackend(ctx context.Context, d draw) { f.silence(ctx, f.backend(d).relay, d) }
 
 func (f *faults) delayBackend(ctx context.Context, d draw) {
 	r := f.backend(d).relay
+	defer f.noteHarm(r, time.Now())
 	r.delay(d.duration / 10)
 	wait.Sleep(ctx, d.duration)
 	r.delay(0)
--- a/standin/soak/cmd/soak/limit.go
+++ b/standin/soak/cmd/soak/limit.go
@@ -41,10 +41,7 @@
 // checkLimits looks for backend servers that got more than the limits that they named allow,
 // from gateways that were not disturbed.
 func (r *report) checkLimits(w *world, l *load, f *faults, looks map[string]standin.Attempt) {
-	sent := maps.Clone(looks)
-	for _, a := range slices.Concat(l.attempts, f.lethal) {
-		sent[a.ID] = a
-	}
+	sent := sentBy(l, f, looks)
 	for _, b := range w.backends {
 		for _, runner := range b.all {
 			for _, limit := range runner.Limits() {
@@ -57,6 +54,15 @@
 	}
 }
 
+// sentBy returns all that was sent, by id.
+func sentBy(l *load, f *faults, looks map[string]standin.Attempt) map[string]standin.Attempt {
+	sent := maps.Clone(looks)
+	for _, a := range slices.Concat(l.attempts, f.lethal) {
+		sent[a.ID] = a
+	}
+	return sent
+}
+
 // mostInWindow returns the most requests in a window that ends when the limit holds.
 func mostInWindow(limit standin.Limit, sent map[string]standin.Attempt, f *faults) int {
 	var counted []time.Time
--- a/standin/soak/cmd/soak/report.go
+++ b/standin/soak/cmd/soak/report.go
@@ -20,6 +20,8 @@
 	// quarantined counts lethal requests under which three backend servers ended.
 	quarantined int
 	limits      int // that backend servers named
+	rests       int // that they asked for
+	leavings    int // that they told in answers
 	broken      []string
 	logs        string
 }
@@ -62,6 +64,7 @@
 	r.checkLeft(w, l, f, looks)
 	r.checkLethal(w, l, f)
 	r.checkLimits(w, l, f, looks)
+	r.checkNotices(w, l, f, looks)
 	r.checkCold(w)
 	r.checkProcesses(w)
 	r.checkConfig(w, l)
@@ -190,7 +193,7 @@
 			fmt.Fprintf(&b, " %d %s", r.outcomes[o], o)
 		}
 	}
-	fmt.Fprintf(&b, ", %d lethal, %d limits", r.quarantined, r.limits)
+	fmt.Fprintf(&b, ", %d lethal, %d limits, %d rests, %d leavings", r.quarantined, r.limits, r.rests, r.leavings)
 	names := make([]string, 0, len(r.injected))
 	total := 0
 	for name, n := range r.injected {
--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -34,6 +34,8 @@
 	limitSeed  = 3
 	// evacuationSeed evacuates availability zones, and has backend servers that are cold.
 	evacuationSeed = 7
+	// restSeed has backend servers that ask for rest and say in answers that they leave.
+	restSeed = 11
 )
 
 // A short run of the real programs as processes, the same faults each time.
@@ -57,7 +59,9 @@
 			t.Fail()
 		}
 	}
-	o.focus = "evacuated,replaced,crashed"
+	o.focus = "rest asked,answers,crashed"
+	runOne(t, restSeed, o)
+	o.focus, o.kinds = "evacuated,replaced,crashed", 21
 	runOne(t, evacuationSeed, o)
 	o.focus, o.kinds = "limit", 20
 	runOne(t, limitSeed, o)
--- a/standin/soak/cmd/soak/world.go
+++ b/standin/soak/cmd/soak/world.go
@@ -99,6 +99,7 @@
 	runner *standin.Runner
 	all    []*standin.Runner
 	ended  *standin.Runner // the latest one that crashed
+	reborn bool            // the present one has the id of one before
 }
 
 // ends notes that an incarnation crashes, and reports whether it is the present one and
@@ -113,6 +114,17 @@
 	return true
 }
 
+// born returns when an incarnation started that has the id of one before, zero for others: their
+// entries need not tell.
+func (b *backend) born(r *standin.Runner) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.reborn {
+		return time.Time{}
+	}
+	return r.Started()
+}
+
 func (b *backend) current() *standin.Runner {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -218,7 +230,7 @@
 		if b.relay, err = newRelay(w.published(i), b.address); err != nil {
 			return err
 		}
-		if err := w.startRunner(i); err != nil {
+		if err := w.startRunner(i, ""); err != nil {
 			return err
 		}
 	}
@@ -244,11 +256,16 @@
 // has ended.
 const lethalDown = 2 * time.Second
 
-// startRunner starts a new incarnation of a backend server and lists it.
-func (w *world) startRunner(i int) error {
+// startRunner starts a new incarnation of a backend server, under a new id unless one is given, and
+// lists it.
+func (w *world) startRunner(i int, id string) error {
 	b := w.backends[i]
-	w.names++
-	r := standin.NewRunner(fmt.Sprintf("i-%d", w.names), b.service, slots, w.ledger, b.group, b.rank)
+	reborn := id != ""
+	if !reborn {
+		w.names++
+		id = fmt.Sprintf("i-%d", w.names)
+	}
+	r := standin.NewRunner(id, b.service, slots, w.ledger, b.group, b.rank)
 	r.OnLethal = w.onLethal(i, r)
 	if err := r.Start(b.address); err != nil {
 		return err
@@ -260,6 +277,7 @@
 	b.mu.Lock()
 	b.runner = r
 	b.all = append(b.all, r)
+	b.reborn = reborn
 	b.mu.Unlock()
 	w.list(i, r, false)
 	return nil
@@ -271,7 +289,7 @@
 	if b.service == plainService && w.cold.ColdPerS > 0 {
 		left = max(0, coldTime-time.Since(r.Started()))
 	}
-	w.author.Put(standin.ServerPrefix+r.ID, standin.EncodeColdServer(b.service, w.published(i), b.zone, slots, draining, left))
+	w.author.Put(standin.ServerPrefix+r.ID, standin.EncodeStartedServer(b.service, w.published(i), b.zone, slots, draining, left, b.born(r)))
 }
 
 func (w *world) startProcesses(store string) error {
