--- a/core/notice/told_test.go
+++ b/core/notice/told_test.go
@@ -130,8 +130,12 @@
 func TestRestsThatAreToldComparedWithThoseThatEachGatewayLearns(t *testing.T) {
 	for _, n := range []int{7, 30, 254} {
 		f := newSimFleet(n, []scenario{
-			{perSecond: 0.5}, {perSecond: 0.5, tell: true}, {perSecond: 0.5, tell: true, onlyOne: true},
-			{perSecond: 10}, {perSecond: 10, tell: true}, {perSecond: 10, tell: true, onlyOne: true},
+			{perSecond: 0.5},
+			{perSecond: 0.5, tell: true},
+			{perSecond: 0.5, tell: true, onlyOne: true},
+			{perSecond: 10},
+			{perSecond: 10, tell: true},
+			{perSecond: 10, tell: true, onlyOne: true},
 		})
 		f.rest()
 		for k := 0; k < len(f.scenarios); k += 3 {
