--- a/entry/gateway/duty.go
+++ b/entry/follow/election.go
@@ -1,4 +1,4 @@
-package gateway
+package follow
 
 import (
 	"math/rand/v2"
@@ -35,9 +35,9 @@
 // watcherKey is what the order of those who follow the store is drawn for.
 const watcherKey = "store-watch"
 
-// duty decides whether a gateway follows the store itself or leaves it to others. It does no
+// Election decides whether a gateway follows the store itself or leaves it to others. It does no
 // input or output.
-type duty struct {
+type Election struct {
 	vm, zone string
 	within   time.Duration // in which a change has to be in force
 	meets    bool          // there are others to look for at first
@@ -46,27 +46,29 @@
 	asks     time.Duration // askedAfter
 }
 
-func newDuty(vm, zone string, within time.Duration, meets, bootstrap bool, now time.Time) duty {
-	d := duty{
+// NewElection returns the election of a gateway of a fleet in which a change has to be in force
+// within a time. It meets others, or is alone; with bootstrap the fleet starts for the first time.
+func NewElection(vm, zone string, within time.Duration, meets, bootstrap bool, now time.Time) *Election {
+	e := &Election{
 		vm: vm, zone: zone, within: within, meets: meets, began: now,
 		meeting: shortestMeeting + rand.N(longestMeeting-shortestMeeting), asks: askedAfter,
 	}
 	if bootstrap {
-		d.meeting, d.asks = bootstrapMeeting-rand.N(longestMeeting), bootstrapAskedAfter
+		e.meeting, e.asks = bootstrapMeeting-rand.N(longestMeeting), bootstrapAskedAfter
 	}
-	return d
+	return e
 }
 
-// decide returns the gateway's part. Heartbeats tell who hears the store.
-func (d *duty) decide(live []cluster.Peer, own standing, now time.Time) source.Duty {
-	age := now.Sub(d.began)
+// Decide returns the gateway's part. Heartbeats tell who hears the store.
+func (e *Election) Decide(live []cluster.Peer, own Standing, now time.Time) source.Duty {
+	age := now.Sub(e.began)
 	small := len(live)+1 <= smallFleet
 	var order watchable
-	order.add(d.vm, own.active, own.failing)
+	order.add(e.vm, own.Active, own.Failing)
 	fresh := false
 	for _, p := range live {
-		fresh = fresh || now.Sub(p.StoreHeard) < source.Staleness(d.within)
-		if small || p.Zone == d.zone {
+		fresh = fresh || now.Sub(p.StoreHeard) < source.Staleness(e.within)
+		if small || p.Zone == e.zone {
 			order.add(string(p.VM), p.Active, p.StoreFailing)
 		}
 	}
@@ -75,22 +77,22 @@
 		most = smallLeaders
 	}
 	switch {
-	case !own.listed && d.meets && age < d.meeting:
+	case !own.Listed && e.meets && age < e.meeting:
 		return source.DutyRest
-	case slices.Contains(order.first(most), d.vm):
+	case slices.Contains(order.first(most), e.vm):
 		return source.DutyLead
 	case small:
 		return source.DutyFollow
-	case fresh && (own.listed || age <= d.asks):
+	case fresh && (own.Listed || age <= e.asks):
 		return source.DutyRest
 	default:
 		return source.DutyStandIn
 	}
 }
 
-// followersAmong returns how many gateways of a fleet follow the store, the one of the zone
+// Followers returns how many gateways of a fleet follow the store, the one of the zone
 // that sees the others included.
-func followersAmong(zone string, live []cluster.Peer) int {
+func Followers(zone string, live []cluster.Peer) int {
 	if len(live) < smallFleet {
 		return len(live) + 1
 	}
--- a/entry/gateway/watchers_test.go
+++ b/entry/follow/election_test.go
@@ -1,4 +1,4 @@
-package gateway
+package follow
 
 import (
 	"slices"
--- a/entry/gateway/spread_world_test.go
+++ b/entry/follow/spread_world_test.go
@@ -1,4 +1,4 @@
-package gateway
+package follow
 
 import (
 	"context"
@@ -94,8 +94,8 @@
 	table    *cluster.Table
 	rnd      *rand.Rand
 	follower *source.Follower
-	exchange *exchange
-	duty     duty
+	exchange *Exchange
+	election *Election
 	reach    reach
 	frozen   bool
 	isolated bool
@@ -125,10 +125,10 @@
 	address := func(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/200, i%200) }
 	for i := range n {
 		g := &simGateway{
-			fleet: f, index: i, rnd: rand.New(rand.NewPCG(seed, uint64(i))), exchange: newExchange(fmt.Sprintf("z%d", i%3), within),
+			fleet: f, index: i, rnd: rand.New(rand.NewPCG(seed, uint64(i))), exchange: NewExchange(fmt.Sprintf("z%d", i%3), within),
 			active: n <= smallFleet || i%10 == 0 || i < 6,
 		}
-		g.duty = newDuty(g.name(), g.zone(), within, true, false, clock.Now())
+		g.election = NewElection(g.name(), g.zone(), within, true, false, clock.Now())
 		g.table = cluster.NewTable(address(i), []string{address(0), address(1), address(2)}, cluster.DefaultPerPeer)
 		g.table.Attend()
 		g.follower = &source.Follower{
@@ -165,7 +165,7 @@
 func (g *simGateway) others() int {
 	g.fleet.mu.Lock()
 	defer g.fleet.mu.Unlock()
-	return followersAmong(g.zone(), g.table.Live()) - 1
+	return Followers(g.zone(), g.table.Live()) - 1
 }
 
 // thaw waits until the gateway is not frozen.
@@ -177,16 +177,16 @@
 func (g *simGateway) decideDuty() source.Duty {
 	g.fleet.mu.Lock()
 	defer g.fleet.mu.Unlock()
-	duty := g.duty.decide(g.table.Live(), g.standing(), clock.Now())
+	duty := g.election.Decide(g.table.Live(), g.standing(), clock.Now())
 	g.leads, g.resting = duty == source.DutyLead, duty == source.DutyRest
 	return duty
 }
 
 // standing returns what the gateway knows, under the fleet's lock.
-func (g *simGateway) standing() standing {
-	return standing{
-		changed: g.changed, retained: g.retained, listed: g.listed, resting: g.resting, active: g.active,
-		failing: g.follower.Failing(),
+func (g *simGateway) standing() Standing {
+	return Standing{
+		Changed: g.changed, Retained: g.retained, Listed: g.listed, Resting: g.resting, Active: g.active,
+		Failing: g.follower.Failing(),
 	}
 }
 
@@ -239,9 +239,9 @@
 
 // look looks at the others as peering does.
 func (g *simGateway) look(ctx context.Context) {
-	for n := 0; wait.Sleep(ctx, restLook); n++ {
+	for n := 0; wait.Sleep(ctx, RestLook); n++ {
 		g.thaw(ctx)
-		if n%int(expireInterval/restLook) == 0 {
+		if n%int(LookInterval/RestLook) == 0 {
 			g.follower.Recheck()
 		} else if !get(g.fleet, &g.resting) {
 			continue
@@ -249,13 +249,13 @@
 		retained := g.follower.Retained()
 		g.fleet.mu.Lock()
 		g.retained = retained
-		step := g.exchange.look(g.standing(), g.table.Live(), clock.Now())
+		step := g.exchange.Look(g.standing(), g.table.Live(), clock.Now())
 		g.fleet.mu.Unlock()
-		if step.nudge != (source.Position{}) {
-			g.follower.Nudge(step.nudge)
+		if step.Nudge != (source.Position{}) {
+			g.follower.Nudge(step.Nudge)
 		}
-		if step.pull != nil {
-			go g.pull(ctx, *step.pull)
+		if step.Pull != nil {
+			go g.pull(ctx, *step.Pull)
 		}
 	}
 }
@@ -265,12 +265,12 @@
 	defer func() {
 		g.fleet.mu.Lock()
 		defer g.fleet.mu.Unlock()
-		g.exchange.ended(from.VM)
+		g.exchange.Ended(from.VM)
 	}()
 	to := g.fleet.at[from.Address]
 	time.Sleep(hop + serveTime)
 	if get(g.fleet, &to.frozen) || get(g.fleet, &to.isolated) || get(g.fleet, &g.isolated) {
-		wait.Sleep(ctx, pullTimeout)
+		wait.Sleep(ctx, PullTimeout)
 		return
 	}
 	state := to.follower.Since(g.at(), false)
--- a/entry/gateway/directory.go
+++ b/entry/gateway/directory.go
@@ -23,7 +23,7 @@
 
 // catchingUp reports whether this gateway has just started and knows less than others.
 func (g *Gateway) catchingUp() bool {
-	if clock.Since(g.peering.duty.began) >= catchUpTime {
+	if clock.Since(g.began) >= catchUpTime {
 		return false
 	}
 	version, retained := g.catalog.Version(), g.follower.Retained()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"baywall.example/core/wire"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
+	"baywall.example/entry/follow"
 	"baywall.example/entry/quarantine"
 	"baywall.example/entry/retry"
 )
@@ -38,7 +39,7 @@
 	// maxHeader bounds a caller's header, in bytes.
 	maxHeader = 64 << 10
 	// expireInterval is how often grace periods are looked at.
-	expireInterval = 200 * time.Millisecond
+	expireInterval = follow.LookInterval
 )
 
 // Gateway is the process of an entry VM that dispatches straight to backend
--- a/entry/gateway/peers.go
+++ b/entry/gateway/peers.go
@@ -16,21 +16,15 @@
 	"baywall.example/core/wait"
 	"baywall.example/core/wire"
 	"baywall.example/core/zone"
+	"baywall.example/entry/follow"
 )
 
 // A gateway that does not reach the store, or that the store turns away, takes
 // configuration and backend servers from another gateway that knows of a newer
 // change. Heartbeats tell who does.
 
-const (
-	// pullTimeout bounds the exchange with another gateway.
-	pullTimeout = 2 * time.Second
-	// restLook is how often a gateway that does not follow the store itself looks
-	// whether others know more.
-	restLook = 100 * time.Millisecond
-	// linkIdle is how long an unused link to another gateway is kept.
-	linkIdle = 10 * time.Second
-)
+// linkIdle is how long an unused link to another gateway is kept.
+const linkIdle = 10 * time.Second
 
 // peering exchanges states of the store with other gateways.
 type peering struct {
@@ -38,9 +32,9 @@
 	local    *link.Local
 	pool     *link.Pool
 	mu       sync.Mutex
-	exchange *exchange   // under mu
-	resting  atomic.Bool // others follow the store for this one
-	duty     duty
+	exchange *follow.Exchange // under mu
+	resting  atomic.Bool      // others follow the store for this one
+	election *follow.Election
 	latest   atomic.Int32 // source.Duty as decided last
 	packed   packer
 	// asked counts the gateways asked for suspects since askedSince, under mu.
@@ -51,8 +45,8 @@
 func newPeering(g *Gateway) *peering {
 	host, _, _ := net.SplitHostPort(g.settings.Listen.Peers) // validated
 	p := &peering{
-		gateway: g, exchange: newExchange(g.settings.Zone, g.settings.Follow.soonest()),
-		duty: newDuty(g.settings.VM, g.settings.Zone, g.settings.Follow.soonest(), len(g.settings.Seeds) > 0, g.settings.Bootstrap, clock.Now()),
+		gateway: g, exchange: follow.NewExchange(g.settings.Zone, g.settings.Follow.soonest()),
+		election: follow.NewElection(g.settings.VM, g.settings.Zone, g.settings.Follow.soonest(), len(g.settings.Seeds) > 0, g.settings.Bootstrap, clock.Now()),
 	}
 	p.local = &link.Local{
 		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Role: vm.RoleEntry, Zone: zone.ID(g.settings.Zone), BindIP: host,
@@ -63,10 +57,10 @@
 }
 
 // standing returns what this gateway knows.
-func (g *Gateway) standing() standing {
-	return standing{
-		changed: g.knows().changed, catalog: g.catalog.Version(), retained: g.follower.Retained(), listed: g.listed.Load(),
-		resting: g.peering.resting.Load(), active: g.activity.is(), failing: g.follower.Failing(),
+func (g *Gateway) standing() follow.Standing {
+	return follow.Standing{
+		Changed: g.knows().changed, Catalog: g.catalog.Version(), Retained: g.follower.Retained(), Listed: g.listed.Load(),
+		Resting: g.peering.resting.Load(), Active: g.activity.is(), Failing: g.follower.Failing(),
 	}
 }
 
@@ -74,7 +68,7 @@
 func (p *peering) decideDuty() source.Duty {
 	g := p.gateway
 	live := g.node.Live()
-	next := p.duty.decide(live, g.standing(), clock.Now())
+	next := p.election.Decide(live, g.standing(), clock.Now())
 	p.resting.Store(next == source.DutyRest)
 	if before := source.Duty(p.latest.Swap(int32(next))); before != next {
 		g.log.Info().Stringer("duty", next).Stringer("before", before).Int("gateways", len(live)+1).Msg("following of the store changed")
@@ -83,11 +77,11 @@
 }
 
 // followers returns how many other gateways follow the store.
-func (g *Gateway) followers() int { return followersAmong(g.settings.Zone, g.node.Live()) - 1 }
+func (g *Gateway) followers() int { return follow.Followers(g.settings.Zone, g.node.Live()) - 1 }
 
 // run looks often while others follow the store for this gateway.
 func (p *peering) run(ctx context.Context) {
-	for wait.Sleep(ctx, restLook) {
+	for wait.Sleep(ctx, follow.RestLook) {
 		if p.resting.Load() {
 			p.look(ctx)
 		}
@@ -99,13 +93,13 @@
 	g := p.gateway
 	own, live := g.standing(), g.node.Live()
 	p.mu.Lock()
-	step := p.exchange.look(own, live, clock.Now())
+	step := p.exchange.Look(own, live, clock.Now())
 	p.mu.Unlock()
-	if step.nudge != (source.Position{}) {
-		g.follower.Nudge(step.nudge)
+	if step.Nudge != (source.Position{}) {
+		g.follower.Nudge(step.Nudge)
 	}
-	if step.pull != nil {
-		g.run.Go(func() { p.pull(ctx, *step.pull) })
+	if step.Pull != nil {
+		g.run.Go(func() { p.pull(ctx, *step.Pull) })
 	}
 }
 
@@ -113,7 +107,7 @@
 func (p *peering) pull(ctx context.Context, from cluster.Peer) {
 	state, err := p.fetch(ctx, from)
 	p.mu.Lock()
-	p.exchange.ended(from.VM)
+	p.exchange.Ended(from.VM)
 	p.mu.Unlock()
 	log := p.gateway.log.Info()
 	if err != nil {
@@ -131,7 +125,7 @@
 }
 
 func (p *peering) fetch(ctx context.Context, from cluster.Peer) (source.State, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	ctx, cancel := context.WithTimeout(ctx, follow.PullTimeout)
 	defer cancel()
 	at := p.gateway.knows().at
 	pull := &wire.SourcePull{Era: at.Era, After: at.Revision, Removals: from.Retained != p.gateway.follower.Retained()}
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -9,6 +9,7 @@
 	"baywall.example/core/cluster"
 	"baywall.example/core/wire"
 	"baywall.example/entry/balance"
+	"baywall.example/entry/follow"
 	"baywall.example/entry/quarantine"
 	"baywall.example/entry/upstream"
 )
@@ -122,7 +123,7 @@
 }
 
 func (p *peering) askSuspects(from cluster.Peer) {
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), follow.PullTimeout)
 	defer cancel()
 	suspects, err := p.fetchSuspects(ctx, from)
 	log := p.gateway.log.Info()
