--- a/entry/admission/line.go
+++ b/entry/admission/line.go
@@ -75,8 +75,12 @@
 // after returns the time until the turn.
 func (t Turn) after() time.Duration { return t.Next + t.Queue }
 
-// Latest returns for how long a request waits for its turn at most.
-func (t Turn) Latest() time.Duration { return t.Next + doubt*(t.Queue+t.Gap) }
+// PermitBy returns for how long a request waits at most that waits for a permit, RestBy the same
+// of one that waits for the end of a rest, which is known.
+func (t Turn) PermitBy() time.Duration { return t.after() * doubt }
+
+// RestBy: see PermitBy.
+func (t Turn) RestBy() time.Duration { return t.Next + doubt*(t.Queue+t.Gap) }
 
 // MayWaitForPermit reports whether a request waits for a permit: only if it is sure to come in
 // time. A late request does not take one that others need.
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -380,9 +380,9 @@
 		Dur("for", firstEjection).Msg("backend server ejected")
 }
 
-// Leaves notes that the server said in an answer that it leaves. It gets nothing new, whatever
+// SaysLeaving notes that the server said in an answer that it leaves. It gets nothing new, whatever
 // entries of it say.
-func (r *Registry) Leaves(server *Server) {
+func (r *Registry) SaysLeaving(server *Server) {
 	if server.said.Leave(notice.FromAnswer) {
 		r.log.Info().Str("server", server.ID).Str("service", server.Service).Str("source", string(notice.FromAnswer)).Msg("backend server drains")
 	}
--- a/entry/balance/rest_test.go
+++ b/entry/balance/rest_test.go
@@ -177,7 +177,7 @@
 	draining.Draining = true
 	reborn := base
 	reborn.Started = 2
-	answered := func(r *Registry) { r.Leaves(serverOf(r, "a")) }
+	answered := func(r *Registry) { r.SaysLeaving(serverOf(r, "a")) }
 	listed := func(list ...Info) func(*Registry) {
 		return func(r *Registry) { r.Update(list, at(1), 0, start) }
 	}
--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -21,7 +21,7 @@
 	g.limits.answered(server, answer, said, sent, now)
 	if said.Leaving {
 		g.inst.leavingHeard.Inc()
-		g.registry.Leaves(server)
+		g.registry.SaysLeaving(server)
 	}
 	if said.Rest > 0 {
 		until, before := g.registry.Rested(server, said.Rest, now)
--- a/entry/gateway/notice_test.go
+++ b/entry/gateway/notice_test.go
@@ -75,7 +75,7 @@
 		want error
 	}{
 		{"rest", func(g *Gateway, s *balance.Server) { g.registry.Rested(s, time.Minute, clock.Now()) }, balance.ErrResting},
-		{"leaving", func(g *Gateway, s *balance.Server) { g.registry.Leaves(s) }, errOutdated},
+		{"leaving", func(g *Gateway, s *balance.Server) { g.registry.SaysLeaving(s) }, errOutdated},
 		{"nothing", func(*Gateway, *balance.Server) {}, nil},
 	}
 	for _, c := range cases {
@@ -118,7 +118,7 @@
 		choice, _ := w.gateway.registry.Pick(balance.Demand{Service: "s"}, clock.Now())
 		choice.Release()
 		w.gateway.registry.Rested(choice.Server, time.Minute, clock.Now())
-		w.gateway.registry.Leaves(choice.Server)
+		w.gateway.registry.SaysLeaving(choice.Server)
 		close(goOn)
 	}()
 	resp, body, err := w.get(t, t.Context(), "/stream/x", nil)
--- a/entry/gateway/patience.go
+++ b/entry/gateway/patience.go
@@ -230,7 +230,7 @@
 			return choice, found
 		}
 		if found == balance.Limited || found == balance.Resting {
-			q.joinLine(now)
+			q.joinLine(found, now)
 		}
 		if !queued && wants.Urgency() == admission.Late {
 			queued = true
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -67,10 +67,10 @@
 	suspect     quarantine.Attempt      // the present one
 	quarantined *quarantine.Judgement   // nil unless it is refused for that
 
-	line     *admission.Place // among those that wait for a permit, nil = it does not
-	atLimit  int              // servers left out for the limits that they name, at the latest look
-	resting  int              // servers left out as they rest, at the latest look
-	permitBy time.Time        // until when it waits for a permit
+	line    *admission.Place // among those that wait for a permit or the end of a rest, nil = it does not
+	atLimit int              // servers left out for the limits that they name, at the latest look
+	resting int              // servers left out as they rest, at the latest look
+	turnBy  time.Time        // until when it waits for a permit, or for the end of a rest
 
 	server      string           // of the latest attempt
 	serverLimit *ratelimit.Known // that it named when it was sent to, nil = none
