Read what servers say of themselves in one function for both entry paths

Fields.Read in core/notice takes the names of the header fields; the adapter and the agents' engine named them in two copies of it.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -25,7 +25,6 @@
 	"github.com/rotisserie/eris"
 
 	"baywall.example/core/notice"
-	"baywall.example/core/ratelimit"
 	"baywall.example/core/wire"
 )
 
@@ -55,17 +54,13 @@
 // HeaderLeaving is in the answers of a backend server that leaves, a boolean.
 const HeaderLeaving = "X-Leaving"
 
+// noticeFields are the header fields in which a backend server speaks of itself.
+var noticeFields = notice.Fields{Limit: HeaderRateLimit, Leaving: HeaderLeaving}
+
 // ReadNotice reads what an answer says of the backend server. What cannot be read, as the error
 // tells, says nothing.
 func ReadNotice(resp *http.Response, now time.Time) (notice.Notice, error) {
-	var n notice.Notice
-	var errs [3]error
-	n.Limit, errs[0] = ratelimit.Parse(resp.Header[HeaderRateLimit])
-	n.Leaving, errs[1] = notice.ParseLeaving(resp.Header[HeaderLeaving])
-	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
-		n.Rest, errs[2] = notice.ParseRest(resp.Header["Retry-After"], resp.Header.Get("Date"), now)
-	}
-	return n, errors.Join(errs[:]...)
+	return noticeFields.Read(resp.StatusCode, resp.Header, now)
 }
 
 const (
--- a/core/notice/parse.go
+++ b/core/notice/parse.go
@@ -1,12 +1,15 @@
 package notice
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"baywall.example/core/ratelimit"
 )
 
 // ErrValue means that the text of a notice cannot be read.
@@ -71,6 +74,26 @@
 	return time.Duration(seconds * float64(time.Second)), nil
 }
 
+// Fields are the names of the header fields in which backend servers speak of themselves; a rest is
+// asked for in Retry-After.
+type Fields struct {
+	Limit   string // requests a second
+	Leaving string // a boolean
+}
+
+// Read reads what an answer, which came at a time, says of its backend server, but for how cold it is.
+// What cannot be read, as the error tells, says nothing.
+func (f Fields) Read(status int, h http.Header, now time.Time) (Notice, error) {
+	var n Notice
+	var errs [3]error
+	n.Limit, errs[0] = ratelimit.Parse(h.Values(f.Limit))
+	n.Leaving, errs[1] = ParseLeaving(h.Values(f.Leaving))
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		n.Rest, errs[2] = ParseRest(h.Values("Retry-After"), h.Get("Date"), now)
+	}
+	return n, errors.Join(errs[:]...)
+}
+
 // ParseLeaving reads the values of a field in which a server says that it leaves: a boolean. Of
 // several, one that says so counts.
 func ParseLeaving(values []string) (bool, error) {
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -21,77 +21,12 @@
 	"github.com/rs/zerolog"
 
 	"baywall.example/core/cluster"
-	"baywall.example/core/notice"
 	"baywall.example/core/process"
-	"baywall.example/core/ratelimit"
 	"baywall.example/core/source"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
 )
 
-// testAdapter is a platform whose documents are the product's own types as JSON.
-type testAdapter struct {
-	store source.Store
-}
-
-func (testAdapter) Name() string { return "test" }
-
-func (testAdapter) Headers() Headers {
-	return Headers{
-		RequestID: "T-Id", APIKey: "T-Key", Deadline: "T-Deadline", Team: "T-Team", ExpectServer: "T-Server",
-		NotRun: "T-Not-Run", Priority: "T-Priority", ExpectVersion: "T-Version", ResumeAfter: "Last-Event-Id",
-	}
-}
-func (a testAdapter) Store(string, zerolog.Logger) source.Store { return a.store }
-func (testAdapter) CatalogKey() string                          { return "catalog" }
-func (testAdapter) BackendsPrefix() string                      { return "backends/" }
-
-func (testAdapter) EvacuatedZone(key string) (string, bool) {
-	return strings.CutPrefix(key, "evacuations/")
-}
-
-func (testAdapter) DecodeCatalog(raw []byte) (c catalog.Content, err error) {
-	return c, json.Unmarshal(raw, &c)
-}
-
-func (testAdapter) DecodeBackend(_ string, raw []byte) (i balance.Info, err error) {
-	return i, json.Unmarshal(raw, &i)
-}
-
-func (testAdapter) ProbeTarget(*catalog.Service) string { return "/probe" }
-
-func (testAdapter) TakesRequests(_ *catalog.Service, status int, _ []byte) bool {
-	return status == http.StatusOK
-}
-
-// ReadNotice reads a limit in whole requests a second, for how long the server is cold in whole
-// seconds, a rest in decimal seconds, and whether it leaves.
-func (testAdapter) ReadNotice(_ int, h http.Header, now time.Time) (n notice.Notice, err error) {
-	n.Limit.Kind = ratelimit.SaidNone
-	if text := h.Get("T-Limit"); text != "" {
-		limit, err := strconv.Atoi(text)
-		if err != nil {
-			return notice.Notice{}, err
-		}
-		n.Limit = ratelimit.Said{Kind: ratelimit.SaidLimit, Limit: float64(limit)}
-	}
-	seconds, _ := strconv.Atoi(h.Get("T-Cold")) // 0 where there is none
-	n.Cold = time.Duration(seconds) * time.Second
-	n.Leaving = h.Get("T-Leaving") != ""
-	n.Rest, err = notice.ParseRest(h["T-Rest"], "", now)
-	return n, err
-}
-
-// HoldOrder orders with epoch and step in the path.
-func (testAdapter) HoldOrder(epoch, step uint64) Order {
-	return Order{Target: fmt.Sprintf("/hold/%d/%d", epoch, step), Header: http.Header{}}
-}
-
-func (testAdapter) OrderTaken(status int) bool { return status == http.StatusOK }
-
-func (testAdapter) Directory(Directory) http.Handler { return http.NotFoundHandler() }
-func (testAdapter) Ready(Directory) http.Handler     { return http.NotFoundHandler() }
-
 // at is a position in a store without eras.
 func at(revision uint64) source.Position { return source.Position{Revision: revision} }
 
