Log and measure on what the retry budget of a service is decided

Each line of a request whose retry was decided on now has the decision and the state behind it; the same state is on the metrics address for each service. No decision changes.

--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -157,11 +157,19 @@
 type deferredBudget struct {
 	retryShare *retry.Share
 	chargeDue  bool
+	decided    *budgetDecision // the latest decision, nil = none yet
+}
+
+// budgetDecision is the state of the retry budget when a retry was decided on.
+type budgetDecision struct {
+	state   retry.ShareState
+	allowed bool
 }
 
 // Take reports whether the budget has a retry left.
 func (b *deferredBudget) Take() bool {
 	b.chargeDue = b.retryShare.Has()
+	b.decided = &budgetDecision{state: b.retryShare.State(), allowed: b.chargeDue}
 	return b.chargeDue
 }
 
@@ -171,7 +179,9 @@
 		return true
 	}
 	q.budget.chargeDue = false
-	return q.budget.retryShare.Take()
+	charged := q.budget.retryShare.Take()
+	q.budget.decided = &budgetDecision{state: q.budget.retryShare.State(), allowed: charged}
+	return charged
 }
 
 // next decides what follows an attempt that produced no answer.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -229,8 +229,12 @@
 		return s.(*retry.Share)
 	}
 	limit := retry.Limit{Ratio: g.settings.Retry.Ratio, Slack: g.settings.Retry.Slack, Window: g.settings.Retry.Window}
-	s, _ := g.retryShares.LoadOrStore(service, retry.NewShare(limit, g.retrySharers, g.began, clock.Now))
-	return s.(*retry.Share)
+	s, loaded := g.retryShares.LoadOrStore(service, retry.NewShare(limit, g.retrySharers, g.began, clock.Now))
+	share := s.(*retry.Share)
+	if !loaded {
+		g.inst.watchRetries(service, share.State)
+	}
+	return share
 }
 
 // retrySharers returns the number of gateways that share the slack of the retry budget, or
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"baywall.example/core/ratelimit"
+	"baywall.example/entry/retry"
 )
 
 // gauges are the functions that are called to read gauge values when the metrics are
@@ -63,6 +64,18 @@
 	}
 }
 
+// watchRetries adds the gauges of a service's retry budget.
+func (i *instruments) watchRetries(service string, state func() retry.ShareState) {
+	gauge := func(name string, value func(retry.ShareState) float64) {
+		i.set.NewGauge(fmt.Sprintf("%s{service=%q}", name, service), func() float64 { return value(state()) })
+	}
+	gauge("baywall_retry_members", func(s retry.ShareState) float64 { return float64(s.Members) })
+	gauge("baywall_retry_members_highest", func(s retry.ShareState) float64 { return float64(s.MaxMembers) })
+	gauge("baywall_retry_slack", func(s retry.ShareState) float64 { return s.Slack })
+	gauge("baywall_retry_window_requests", func(s retry.ShareState) float64 { return float64(s.Requests) })
+	gauge("baywall_retry_window_retries", func(s retry.ShareState) float64 { return float64(s.Retries) })
+}
+
 func (i *instruments) refused(outcome, reason string) {
 	i.set.GetOrCreateCounter(fmt.Sprintf("baywall_refusals_total{outcome=%q,reason=%q}", outcome, reason)).Inc()
 }
--- a/entry/retry/share.go
+++ b/entry/retry/share.go
@@ -20,6 +20,15 @@
 	Window time.Duration
 }
 
+// ShareState is the state on which a Share bases its decisions.
+type ShareState struct {
+	Members    int     // gateways that share the slack now, 0 = this one is on standby
+	MaxMembers int     // highest number of members seen so far
+	Slack      float64 // this gateway's part of the slack, in retries
+	Requests   int     // requests in the window
+	Retries    int     // retries in the window
+}
+
 // Share is one gateway's part of a Limit: the ratio applied to its own requests, and an
 // equal part of the slack. The gateways do not coordinate: if every gateway counts all
 // members, the parts add up to the limit. A Share is safe for concurrent use.
@@ -73,15 +82,28 @@
 	return s.has(members)
 }
 
-func (s *Share) has(members int) bool {
+// State returns the current state.
+func (s *Share) State() ShareState {
+	members := s.members()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state(members)
+}
+
+func (s *Share) state(members int) ShareState {
 	s.maxMembers = max(s.maxMembers, members, 1)
 	s.advance()
-	slack := 0.0
+	out := ShareState{Members: members, MaxMembers: s.maxMembers, Requests: sum(s.requests), Retries: sum(s.retries)}
 	if members > 0 {
-		slack = s.slack()
+		out.Slack = s.slack()
 	}
-	allowed := shareMargin * (s.limit.Ratio*float64(sum(s.requests)) + slack)
-	return float64(sum(s.retries)+1) <= allowed
+	return out
+}
+
+func (s *Share) has(members int) bool {
+	state := s.state(members)
+	allowed := shareMargin * (s.limit.Ratio*float64(state.Requests) + state.Slack)
+	return float64(state.Retries+1) <= allowed
 }
 
 // slack returns this gateway's part of the slack. It divides by the highest number of
