Give entry VMs the retry budget that holds over all of them

Now entry VMs have the budgets of package retry; the first three on the platform's list grant. Each retry and each refusal for lack of budget is in the time line with the state of the budget. Settings: retry.ratio, retry.slack, retry.window, the defaults of gateways.

The fleets of the other end-to-end tests are seconds old and get a window of 1 s, so that they have retries as before.

--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -67,10 +67,10 @@
 	config    *configuration.Store
 	recorder  *timeline.Recorder
 	suspects  *quarantine.Table
+	retries   *retry.Budgets
 
 	mu       sync.Mutex
 	policies map[string]servicePolicy
-	budgets  map[string]*budget
 }
 
 // servicePolicy is a routing policy with the routing intent that it was created for.
@@ -80,11 +80,11 @@
 }
 
 // New returns a dispatcher. It records in the suspects table which requests bring down backend
-// servers; the table reports them to other entry VMs.
-func New(directory *backend.Directory, config *configuration.Store, recorder *timeline.Recorder, suspects *quarantine.Table) *Dispatcher {
+// servers; the table reports them to other entry VMs. The budgets bound the retries.
+func New(directory *backend.Directory, config *configuration.Store, recorder *timeline.Recorder, suspects *quarantine.Table, retries *retry.Budgets) *Dispatcher {
 	return &Dispatcher{
-		directory: directory, config: config, recorder: recorder, suspects: suspects,
-		policies: make(map[string]servicePolicy), budgets: make(map[string]*budget),
+		directory: directory, config: config, recorder: recorder, suspects: suspects, retries: retries,
+		policies: make(map[string]servicePolicy),
 	}
 }
 
@@ -123,26 +123,14 @@
 	}
 }
 
-// budget returns the retry budget of a service.
-func (d *Dispatcher) budget(service string) *budget {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	b := d.budgets[service]
-	if b == nil {
-		b = newBudget()
-		d.budgets[service] = b
-	}
-	return b
-}
-
 // Serve executes the request and streams its answer to the sink. It returns nil if the
 // complete answer was forwarded, a *contract.Refusal if nothing was, and ErrAborted or
 // ErrCallerGone otherwise.
 func (d *Dispatcher) Serve(ctx context.Context, c contract.Contract, r Request, sink Sink) error {
-	budget := d.budget(c.Service)
-	budget.Earn()
+	budget := d.retries.Of(c.Service)
+	budget.Request()
 	x := &exchange{
-		d: d, contract: c, request: r, sink: sink,
+		d: d, contract: c, request: r, sink: sink, budget: budget,
 		sequence: retry.Sequence{Idempotent: c.Idempotent, Ticketed: c.Ticket != nil, Deadline: c.Deadline, Budget: budget},
 	}
 	ctx, cancel := clock.WithDeadline(ctx, c.Deadline)
@@ -150,12 +138,18 @@
 	return x.run(ctx)
 }
 
+// resumeOnly is the retry budget of a request that is only resumed: it is not sent again.
+type resumeOnly struct{}
+
+// Has implements retry.Checker.
+func (resumeOnly) Has() bool { return true }
+
 // Resume streams the rest of an answer, starting at the offset, from the agent that holds it.
 func (d *Dispatcher) Resume(ctx context.Context, at AttemptLocation, offset int64, deadline time.Time, sink Sink) error {
 	x := &exchange{
 		d: d, sink: sink, location: at, offset: offset,
 		contract: contract.Contract{Request: at.Attempt.Request, Deadline: deadline},
-		sequence: retry.Sequence{Deadline: deadline, Budget: newBudget()},
+		sequence: retry.Sequence{Deadline: deadline, Budget: resumeOnly{}},
 	}
 	b, ok := d.directory.Find(at.VM)
 	if !ok {
--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -36,6 +37,7 @@
 	request  Request
 	sink     Sink
 	sequence retry.Sequence
+	budget   *retry.Budget // nil if the request is only resumed
 	tried    []*backend.Backend
 	digest   *quarantine.Fingerprint // computed on first use
 	suspect  quarantine.Attempt      // of the current attempt
@@ -101,6 +103,9 @@
 		case retry.ActionResume:
 			r = x.resume(ctx)
 		default:
+			if decision.Refusal.Reason == contract.ReasonRetryBudget && x.budget != nil {
+				x.recordBudget(retry.SourceNone)
+			}
 			if x.headSent {
 				x.record(timeline.KindRefused, "answer cut: "+string(decision.Refusal.Reason))
 				return ErrAborted
@@ -232,6 +237,9 @@
 		VM: l.Remote, Incarnation: l.Incarnation,
 		Attempt: contract.AttemptID{Request: x.contract.Request, Number: number},
 	}
+	if !x.chargeRetry(ctx) {
+		return result{event: retry.EventNotSent, refusal: contract.Refusal{Reason: contract.ReasonRetryBudget}}
+	}
 	x.sent = clock.Now()
 	x.suspect.Send(x.serverKey(0), x.sent)
 	if s.SendCall(&wire.Call{Body: &wire.Call_Attempt{Attempt: x.message(number)}}) != nil {
@@ -240,6 +248,28 @@
 	return x.receive(ctx, s)
 }
 
+// chargeRetry charges the attempt to the retry budget if it is a retry, and reports whether it
+// may be sent.
+func (x *exchange) chargeRetry(ctx context.Context) bool {
+	if !x.sequence.ChargeDue() {
+		return true
+	}
+	source := x.budget.Take(ctx)
+	x.recordBudget(source)
+	if source == retry.SourceNone {
+		return false
+	}
+	x.sequence.Charged()
+	return true
+}
+
+// recordBudget records the source of a retry and the state of the budget that it comes from.
+func (x *exchange) recordBudget(source retry.Source) {
+	s := x.budget.State()
+	x.record(timeline.KindRetry, fmt.Sprintf("budget: source=%q window_requests=%d window_retries=%d earned=%.2f grantors=%d grantors_open=%d granted=%d part=%.2f",
+		source, s.Requests, s.Retries, s.Earned, s.Grantors, s.Open, s.Granted, s.Part))
+}
+
 func (x *exchange) message(number uint32) *wire.Attempt {
 	c := x.contract
 	w := &wire.Attempt{
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -116,8 +116,7 @@
 		permits:          g.limits.Counts,
 		logDropped:       func() float64 { return float64(logWriter.Dropped()) },
 	})
-	limit := retry.Limit{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window}
-	g.retries = retry.NewBudgets(s.Listen.Peers, limit, retryFleet{g}, log, clock.Now, g.inst.watchRetries)
+	g.retries = retry.NewBudgets(s.Listen.Peers, s.Retry.Limit(), retryFleet{g}, log, clock.Now, g.inst.watchRetries)
 	return g, nil
 }
 
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"baywall.example/core/settings"
+	"baywall.example/entry/retry"
 )
 
 // Settings are a gateway's static settings.
@@ -30,7 +31,7 @@
 	// Entries sets what the directory tells callers about where to connect.
 	Entries EntriesSettings `yaml:"entries"`
 	// Retry bounds the retries of each service over all gateways.
-	Retry RetrySettings `yaml:"retry"`
+	Retry retry.Settings `yaml:"retry"`
 	// Drain sets how the process shuts down.
 	Drain DrainSettings `yaml:"drain"`
 	// LogLevel is one of debug, info, warn, error. Default info.
@@ -98,17 +99,6 @@
 	MaxAddresses int `yaml:"most"`
 }
 
-// RetrySettings bound retries over all gateways: within any window, to ratio times the
-// number of requests plus slack.
-type RetrySettings struct {
-	// Ratio is from 0 to 10, default 0.2.
-	Ratio float64 `yaml:"ratio"`
-	// Slack is from 0 to 100000, default 20.
-	Slack float64 `yaml:"slack"`
-	// Window is from 1s to 1h, default 10s.
-	Window time.Duration `yaml:"window"`
-}
-
 // DrainSettings set how the process shuts down.
 type DrainSettings struct {
 	// Grace is the time after which the platform kills a process that was told to stop.
@@ -121,9 +111,6 @@
 	defaultHeartbeat    = 1200 * time.Millisecond
 	defaultTTL          = 2 * time.Second
 	defaultMaxAddresses = 64
-	defaultRetryRatio   = 0.2
-	defaultRetrySlack   = 20
-	defaultRetryWindow  = 10 * time.Second
 	defaultGrace        = 8 * time.Second
 )
 
@@ -135,9 +122,7 @@
 	s.Machine.Cores = settings.Or(s.Machine.Cores, 1)
 	s.Entries.TTL = settings.Or(s.Entries.TTL, defaultTTL)
 	s.Entries.MaxAddresses = settings.Or(s.Entries.MaxAddresses, defaultMaxAddresses)
-	s.Retry.Ratio = settings.Or(s.Retry.Ratio, defaultRetryRatio)
-	s.Retry.Slack = settings.Or(s.Retry.Slack, defaultRetrySlack)
-	s.Retry.Window = settings.Or(s.Retry.Window, defaultRetryWindow)
+	s.Retry.Provision()
 	s.Drain.Grace = settings.Or(s.Drain.Grace, defaultGrace)
 	s.LogLevel = settings.Or(s.LogLevel, "info")
 }
@@ -166,9 +151,7 @@
 	c.Float("machine.cores", s.Machine.Cores, 0, 1024)
 	c.Duration("entries.ttl", s.Entries.TTL, time.Second, time.Hour)
 	c.Int("entries.most", s.Entries.MaxAddresses, 1, 1000)
-	c.Float("retry.ratio", s.Retry.Ratio, 0, 10)
-	c.Float("retry.slack", s.Retry.Slack, 0, 100_000)
-	c.Duration("retry.window", s.Retry.Window, time.Second, time.Hour)
+	s.Retry.Check(&c)
 	c.Duration("drain.grace", s.Drain.Grace, time.Second, 24*time.Hour)
 	c.OneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
 	c.Distinct(
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -28,6 +28,7 @@
 	"baywall.example/entry/limits"
 	"baywall.example/entry/membership"
 	"baywall.example/entry/quarantine"
+	"baywall.example/entry/retry"
 	"baywall.example/entry/spread"
 )
 
@@ -49,6 +50,7 @@
 	api       *api.API
 	fleet     *membership.Fleet
 	limiter   *limits.Limiter
+	retries   *retry.Budgets
 
 	draining atomic.Bool
 	traffic  atomic.Int64 // bytes on all links
@@ -113,6 +115,7 @@
 	e.workers.Go(func() { e.limiter.Run(e.ctx) })
 	e.workers.Go(func() { e.pullSuspects(e.ctx) })
 	e.workers.Go(func() { e.expireSuspects(e.ctx) })
+	e.workers.Go(func() { e.refreshGrantors(e.ctx) })
 	e.workers.Go(func() { e.directory.Run(e.ctx, e.api.InSubset) })
 	e.workers.Go(func() { _ = e.http.Serve(httpListener) })
 	e.recorder.Record(timeline.Event{Kind: timeline.KindStart, Subject: e.settings.HTTP.Listen})
@@ -128,10 +131,11 @@
 	}
 	e.fleet = membership.NewFleet(e.local.VM, e.vms, e.prober)
 	e.limiter = limits.New(e.local.VM, &shareNetwork{server: e})
+	e.retries = retry.NewBudgets(string(e.local.VM), e.settings.Retry.Limit(), retryFleet{e}, e.log, clock.Now, nil)
 	e.api = api.New(api.Environment{
 		Self: e.local.VM, Zone: e.local.Zone, Config: e.config, VMs: e.vms,
 		Directory: e.directory, Prober: e.prober, Fleet: e.fleet, Peers: e.peers, Recorder: e.recorder,
-		Dispatcher: dispatch.New(e.directory, e.config, e.recorder, e.suspects), Limiter: e.limiter,
+		Dispatcher: dispatch.New(e.directory, e.config, e.recorder, e.suspects, e.retries), Limiter: e.limiter,
 		Draining: e.draining.Load, LinkBytes: e.traffic.Load, Ready: e.ready, Log: e.log,
 		AddressTTL: e.settings.Callers.AddressTTL, TicketTTL: e.settings.Callers.TicketTTL,
 		MaxBody: int64(e.settings.Callers.MaxBody),
@@ -223,6 +227,9 @@
 	case *wire.Call_Shares:
 		reply := grantsToWire(e.limiter.Grant(shareRequestsFromWire(from.Remote, body.Shares)))
 		_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Shares{Shares: reply}})
+	case *wire.Call_Retry:
+		reply := e.retries.Grant(body.Retry.GetService()).ToWire()
+		_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Retry{Retry: reply}})
 	case *wire.Call_Suspects:
 		known := &wire.Suspects{Suspects: e.suspects.FullReport(clock.Now())}
 		_ = s.SendReply(&wire.Reply{Body: &wire.Reply_Suspects{Suspects: known}})
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"baywall.example/core/settings"
+	"baywall.example/entry/retry"
 )
 
 // Settings are an entry VM's static settings.
@@ -27,6 +28,8 @@
 	Seeds []string `yaml:"seeds"`
 	// Callers are the settings that concern callers.
 	Callers CallerSettings `yaml:"callers"`
+	// Retry bounds the retries of each service over all entry VMs.
+	Retry retry.Settings `yaml:"retry"`
 	// Drain configures how the process shuts down.
 	Drain DrainSettings `yaml:"drain"`
 	// MemoryTarget is the soft limit of the process's heap and stacks, in MiB. A
@@ -109,6 +112,7 @@
 		linger := defaultLinger
 		s.Drain.Linger = &linger
 	}
+	s.Retry.Provision()
 	s.Drain.Timeout = settings.Or(s.Drain.Timeout, defaultDrainTimeout)
 	s.MemoryTarget = settings.Or(s.MemoryTarget, defaultMemoryTarget)
 	s.LogLevel = settings.Or(s.LogLevel, "info")
@@ -130,6 +134,7 @@
 	c.Duration("callers.address_ttl", s.Callers.AddressTTL, 100*time.Millisecond, time.Hour)
 	c.Duration("callers.ticket_ttl", s.Callers.TicketTTL, time.Second, time.Hour)
 	c.Int("callers.max_body", s.Callers.MaxBody, 1024, 4<<20)
+	s.Retry.Check(&c)
 	c.Duration("drain.linger", *s.Drain.Linger, 0, 10*time.Minute)
 	c.Duration("drain.timeout", s.Drain.Timeout, time.Second, 24*time.Hour)
 	c.Int("memory_target", s.MemoryTarget, 16, 65536)
--- a/standin/e2e/fleet_test.go
+++ b/standin/e2e/fleet_test.go
@@ -15,6 +15,7 @@
 	"baywall.example/core/resource"
 	"baywall.example/core/vm"
 	"baywall.example/entry/api"
+	"baywall.example/entry/retry"
 	"baywall.example/standin/engine"
 	"baywall.example/standin/fleet"
 	"baywall.example/standin/load"
@@ -40,12 +41,17 @@
 // networks counts the fleets, so that each one gets its own network.
 var networks atomic.Int64
 
+// retryWindow is the window of the retry budget. It is short, as entry VMs grant no retries in
+// the first window after their start.
+const retryWindow = time.Second
+
 // site returns a small site: 4 entry VMs, a group of 4 ranks and 3 plain servers.
 func site() fleet.Site {
 	return fleet.Site{
 		Name: "test", Network: fmt.Sprintf("127.%d", 40+networks.Add(1)),
 		Zones: []string{"north", "south"}, ZoneDelay: time.Millisecond, EntryVMs: 4,
 		AddressTTL: 500 * time.Millisecond, DrainLinger: time.Second,
+		Retry: retry.Settings{Slack: 100, Window: retryWindow},
 		Services: []fleet.ServiceSite{
 			{
 				Name: "chat", Runners: 4, Spec: resource.Service{Engine: true}, Step: 5 * time.Millisecond,
--- a/standin/e2e/quarantine_test.go
+++ b/standin/e2e/quarantine_test.go
@@ -18,6 +18,7 @@
 func TestRequestThatCrashesEnginesIsRefusedByAllEntryVMs(t *testing.T) {
 	is := is.New(t)
 	f := start(t, site())
+	time.Sleep(retryWindow / 2) // a window after their start, entry VMs grant retries
 	send := func(entry int) *http.Response {
 		resp, _ := openStream(t, f.Entries()[entry], engine.CrashWork, 4)
 		resp.Body.Close()
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -164,6 +164,7 @@
 		Probe:    entryserver.ProbeSettings{Listen: at(portRealProbe)},
 		Platform: entryserver.PlatformSettings{URL: platformURL},
 		Callers:  entryserver.CallerSettings{AddressTTL: f.Site.AddressTTL, TicketTTL: f.Site.TicketTTL},
+		Retry:    f.Site.Retry,
 		Drain:    entryserver.DrainSettings{Linger: &f.Site.DrainLinger},
 	}
 	for j := range min(3, f.Site.EntryVMs) {
--- a/standin/fleet/site.go
+++ b/standin/fleet/site.go
@@ -10,6 +10,7 @@
 
 	"baywall.example/core/resource"
 	"baywall.example/core/settings"
+	"baywall.example/entry/retry"
 )
 
 // Site describes a site: its VMs, services and teams.
@@ -35,6 +36,8 @@
 	TicketTTL time.Duration `yaml:"ticket_ttl"`
 	// AddressTTL, if set, replaces the default of the entry VMs.
 	AddressTTL time.Duration `yaml:"address_ttl"`
+	// Retry, where set, replaces the defaults of the entry VMs.
+	Retry retry.Settings `yaml:"retry"`
 }
 
 // ServiceSite is one service of a site.
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -25,6 +25,7 @@
 	limit    atomic.Uint64 // announced rate limit in requests a second, as float bits; 0 = none
 	backoff  atomic.Int64  // backoff that it asks for when it refuses requests; 0 = it serves them
 	leaving  atomic.Bool   // it announces in responses that it leaves
+	breaking atomic.Bool   // it closes the connection instead of responding
 	requests atomic.Int64  // number of requests received
 }
 
@@ -54,6 +55,9 @@
 // AnnounceLeaving makes the server announce in its responses that it leaves.
 func (s *Server) AnnounceLeaving() { s.leaving.Store(true) }
 
+// BreakConnections makes the server close the connection instead of responding.
+func (s *Server) BreakConnections() { s.breaking.Store(true) }
+
 // RequestCount returns the number of requests that the server has received.
 func (s *Server) RequestCount() int64 { return s.requests.Load() }
 
@@ -67,6 +71,9 @@
 	work := r.Header.Get(HeaderWork)
 	_, _ = io.Copy(io.Discard, r.Body)
 	s.requests.Add(1)
+	if s.breaking.Load() {
+		panic(http.ErrAbortHandler)
+	}
 	if s.leaving.Load() {
 		w.Header().Set(engine.HeaderLeaving, "1")
 	}
