Keep a server's limit in a fleet that is partitioned after all gateways restarted

If all gateways restart while the fleet is cut in three, each part has a grantor that reaches all it knows, and grants the whole limit.

A grantor now grants at most the fraction of the seeds that it reaches. Each seed is in one part, so the parts add up to the limit at most. If none is reached and the process has been up for a minute, the seeds may be outdated, and it goes by the members that it knows, as before.

Price: two thirds of a limit are used while one of three seeds is down.

--- a/core/cluster/activity.go
+++ b/core/cluster/activity.go
@@ -131,6 +131,23 @@
 	return float64(reached) / float64(reached+silent)
 }
 
+// ReachedSeeds returns the number of seeds that this member reaches, itself included, as a
+// fraction of all seeds. Without seeds it is 1. Unlike Reached it does not depend on which
+// members this one has ever heard of: if the fleet is partitioned, the fractions of all
+// parts add up to at most 1.
+func (t *Table) ReachedSeeds() float64 {
+	if len(t.namedSeeds) == 0 {
+		return 1
+	}
+	reached := 0
+	for _, address := range t.namedSeeds {
+		if address == t.self || t.alive[address] {
+			reached++
+		}
+	}
+	return float64(reached) / float64(len(t.namedSeeds))
+}
+
 // reportedLost returns the addresses of recently lost peers to report in a heartbeat.
 func (t *Table) reportedLost(now time.Time) []string {
 	var actives, standbys []string
--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -259,6 +259,13 @@
 	return n.table.Reached()
 }
 
+// ReachedSeeds returns the fraction of the seeds that this member reaches, itself included.
+func (n *Node) ReachedSeeds() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.ReachedSeeds()
+}
+
 // Members returns the number of live active members, this one included.
 func (n *Node) Members() int {
 	n.mu.Lock()
--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -162,7 +162,8 @@
 type Table struct {
 	self              string // own address
 	perPeer           time.Duration
-	seeds             map[string]time.Time
+	seeds             map[string]time.Time // and contacts that have not sent a heartbeat yet
+	namedSeeds        []string             // as set by SetSeeds
 	expectedAddresses []string
 	peers             map[string]*Peer
 	alive             map[string]bool
@@ -195,6 +196,7 @@
 
 // SetSeeds replaces the addresses that are sent heartbeats until they answer.
 func (t *Table) SetSeeds(seeds []string) {
+	t.namedSeeds = seeds
 	t.seeds = make(map[string]time.Time, len(seeds))
 	for _, s := range seeds {
 		if s != t.self {
--- a/core/ratelimit/doc.go
+++ b/core/ratelimit/doc.go
@@ -40,5 +40,7 @@
 // fell silent without announcing that it leaves may be cut off from the others and grant
 // permits to itself. Until it is forgotten, its share of the rate is therefore not used by
 // the others: if the fleet is partitioned, the rates of all parts add up to the limit. A
-// limit below minRate is exceeded, because only an answer tells that the limit has ended.
+// process that has started since then does not know of the others, so a grantor uses at most
+// the fraction of the seeds that it reaches (see ReachableFraction): each seed is in one
+// part. A limit below minRate is exceeded, because only an answer tells that the limit has ended.
 package ratelimit
--- a/core/ratelimit/fleet_test.go
+++ b/core/ratelimit/fleet_test.go
@@ -75,6 +75,7 @@
 	gate      *Gate
 	parts     map[Key]*rate.Limiter
 	began     vm.Incarnation
+	startedAt time.Time
 	down      bool
 	frozen    bool
 	disturbed time.Time // until when it was disturbed
@@ -136,6 +137,7 @@
 	defer f.mu.Unlock()
 	g.down = false
 	g.began++
+	g.startedAt = clock.Now()
 	g.table = cluster.NewTable(g.address, []string{address(0), address(1), address(2)}, cluster.DefaultPerPeer)
 	g.table.EnableMonitoring()
 	g.limits = NewTable(func(Key) string { return "" }, zerolog.Nop())
@@ -257,7 +259,7 @@
 func (g *simGateway) ReachableFraction() float64 {
 	g.fleet.mu.Lock()
 	defer g.fleet.mu.Unlock()
-	return g.table.Reached()
+	return ReachableFraction(g.table.Reached(), g.table.ReachedSeeds(), clock.Since(g.startedAt))
 }
 
 var errSilent = errors.New("no answer")
--- a/core/ratelimit/gate.go
+++ b/core/ratelimit/gate.go
@@ -30,8 +30,8 @@
 	// Grantor returns the gateway that grants permits for a server in the view of this
 	// process, and whether that is this process. known is false if there is none.
 	Grantor(server Key) (id vm.ID, own, known bool)
-	// ReachableFraction returns the fraction of the possibly active gateways that this
-	// process reaches, itself included; see FleetView.
+	// ReachableFraction returns the fraction of a limit that this process may grant; see the
+	// function of the same name.
 	ReachableFraction() float64
 	// RequestPermit requests a permit from another gateway.
 	RequestPermit(ctx context.Context, grantor vm.ID, s Observation) (Grant, error)
--- a/core/ratelimit/grantor.go
+++ b/core/ratelimit/grantor.go
@@ -30,6 +30,9 @@
 	notGrantorBackoff = 100 * time.Millisecond
 	// minWait is the minimum time after which a denied request may be tried again.
 	minWait = 5 * time.Millisecond
+	// partitionMemory is how long a process remembers members that fell silent. Only a process
+	// that has been up for longer knows the members that it does not reach.
+	partitionMemory = time.Minute
 	// maxSlots limits the number of denied requests that are given consecutive slots, one
 	// permit apart: requests in earlier slots may be withdrawn.
 	maxSlots = 2
@@ -39,11 +42,22 @@
 type FleetView struct {
 	// IsGrantor reports whether this process is the grantor for the server.
 	IsGrantor bool
-	// ReachableFraction is the number of active gateways that this process reaches, itself
-	// included, as a fraction of all that may be active: above 0, at most 1.
+	// ReachableFraction is the fraction of a limit that this process may grant, from 0 to 1.
 	ReachableFraction float64
 }
 
+// ReachableFraction returns the fraction of a limit that a process may grant which has been up
+// for some time and reaches the given fractions of the known active members and of the seeds.
+// In a fleet that is partitioned after all processes have restarted, no part knows that there
+// are others, but each seed is in one part. If no seed is reached, the seeds may all be
+// outdated; then a process that has been up for long enough goes by the members.
+func ReachableFraction(members, seeds float64, up time.Duration) float64 {
+	if seeds == 0 && up >= partitionMemory {
+		return members
+	}
+	return min(members, seeds)
+}
+
 // Grant is the reply to a permit request.
 type Grant struct {
 	Granted bool
@@ -74,6 +88,9 @@
 		delete(g.buckets, s.Server)
 		return Grant{Wait: notGrantorBackoff, Elsewhere: true}
 	}
+	if f.ReachableFraction <= 0 {
+		return Grant{Wait: unansweredBackoff}
+	}
 	perSecond := s.rate() * f.ReachableFraction
 	b := g.bucket(s, perSecond, now)
 	b.lastRequest = now
--- a/entry/gateway/limit.go
+++ b/entry/gateway/limit.go
@@ -77,7 +77,9 @@
 }
 
 // ReachableFraction implements ratelimit.Network.
-func (l *limits) ReachableFraction() float64 { return l.g.node.Reached() }
+func (l *limits) ReachableFraction() float64 {
+	return ratelimit.ReachableFraction(l.g.node.Reached(), l.g.node.ReachedSeeds(), clock.Since(l.g.began))
+}
 
 // RequestPermit implements ratelimit.Network.
 func (l *limits) RequestPermit(ctx context.Context, grantor vm.ID, s ratelimit.Observation) (ratelimit.Grant, error) {
