--- a/entry/retry/budget.go
+++ b/entry/retry/budget.go
@@ -101,7 +101,7 @@
 // Refresh looks whether the list of grantors has changed. It must be called more often than
 // once in a window.
 func (b *Budgets) Refresh() {
-	list := slices.Sorted(slices.Values(b.fleet.Grantors()))
+	list := slices.Compact(slices.Sorted(slices.Values(b.fleet.Grantors())))
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
