Say when an agent first sent something on its connection, and how a ticket's uses end

The entry of KNOWN-RED.txt kept neither reasons nor logs, so unknown from an agent that is not reached, from a request that was sent and from one that was not all looked alike. A failed end-to-end test now prints its processes' latest events. No decision changes.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -87,7 +87,7 @@
 		if err != nil {
 			return nil, errors.Join(ErrDial, err)
 		}
-		return conn, nil
+		return track(conn), nil
 	}
 	return &Client{
 		base: "http://" + address, address: address,
@@ -123,11 +123,15 @@
 	if !r.Idempotent {
 		transport = c.singleUse
 	}
-	resp, err := transport.RoundTrip(req)
+	var used exchangeConn
+	resp, err := transport.RoundTrip(used.attach(req))
 	if err != nil {
 		if errors.Is(err, ErrDial) {
 			return nil, eris.Wrapf(ErrDial, "%v", err)
 		}
+		if conn := used.get(); conn != nil {
+			err = fmt.Errorf("%w (connection: %v)", err, conn)
+		}
 		return nil, c.ClassifyFailure(ctx, err)
 	}
 	c.endCounter.markRunning()
--- a/standin/e2e/fleet_test.go
+++ b/standin/e2e/fleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -66,14 +67,42 @@
 
 func start(t *testing.T, s fleet.Site) *fleet.Fleet {
 	t.Helper()
-	f, err := fleet.Start(s, fleet.Options{Binaries: binaries, Dir: t.TempDir()})
+	dir := t.TempDir()
+	f, err := fleet.Start(s, fleet.Options{Binaries: binaries, Dir: dir})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Stop)
+	t.Cleanup(func() {
+		if t.Failed() {
+			logEvents(t, dir)
+		}
+	})
 	return f
 }
 
+// maxLoggedEvents bounds the events of each process that a failed test prints.
+const maxLoggedEvents = 60
+
+// logEvents prints the latest events of each process of a fleet.
+func logEvents(t *testing.T, dir string) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range paths {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			t.Log(err)
+			continue
+		}
+		lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
+		for _, line := range lines[max(0, len(lines)-maxLoggedEvents):] {
+			t.Log(filepath.Base(path), line)
+		}
+	}
+}
+
 // waitLimit bounds every wait; it is far above the time that any condition takes.
 const waitLimit = 40 * time.Second
 
--- a/standin/e2e/outcomes_test.go
+++ b/standin/e2e/outcomes_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -102,9 +103,13 @@
 	is.Equal(resp.Header.Get(api.HeaderOutcome), "unknown")
 	is.True(resp.Header.Get("Retry-After") != "")
 	f.Process(agentVM).Continue()
-	answered := false
+	answered, latest := false, ""
 	await(t, "the ticket returns its answer or not-run", func() bool {
 		resp, body := post(t, f.Entries()[1], "archive", "note", key)
+		if end := fmt.Sprint(resp.StatusCode, " ", resp.Header.Get(api.HeaderOutcome), " ", resp.Header.Get(api.HeaderReason)); end != latest {
+			t.Log(end)
+			latest = end
+		}
 		answered = body == "document note\n"
 		return answered || resp.Header.Get(api.HeaderOutcome) == "not-run"
 	})
