Report requests of which nothing was sent to the backend server as not run

What callers saw: a ticket that brought neither its answer nor a proof, however often it was used.

Cause: an agent that was paused between opening a connection and sending the request wrote, when it went on, on a connection that the server had closed, and recorded the end as that of a request that may have run. Ruled out by the logs: an agent that is not reached or not ready (all refusals are engine-failed, from the agent), a request that was sent before the pause (first sent 1.8 to 5 s after the connection was opened, and nothing ran).

Now the connection knows whether anything was sent on it. Before the first byte it looks whether the server has closed it; if so, or if the exchange ends before the first byte, nothing is sent any more, and the request did not run.

Test first: TestRequestOnConnectionClosedBeforeSendingDidNotRun and TestRequestWhoseTimeIsUpBeforeSendingDidNotRun fail on the code before (ErrFailed). The look at a connection moves from entry/upstream to core/socket and no longer waits for a reader.

--- a/agent/engine/conn.go
+++ b/agent/engine/conn.go
@@ -8,29 +8,55 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"baywall.example/core/clock"
+	"baywall.example/core/socket"
 )
 
-// trackedConn is a connection to the backend server that records when it was opened and when
-// something was first sent on it. It is safe for concurrent use.
+// trackedConn is a connection to the backend server that knows whether anything was sent on
+// it. It is safe for concurrent use.
 type trackedConn struct {
 	net.Conn
 	opened time.Time
 
-	mu     sync.Mutex
-	sentAt time.Time // zero if nothing was sent
+	mu        sync.Mutex
+	sentAt    time.Time // when something was first sent, zero if nothing was
+	abandoned bool      // nothing will be sent
 }
 
 func track(conn net.Conn) *trackedConn { return &trackedConn{Conn: conn, opened: clock.Now()} }
 
-// Write implements net.Conn.
+// errNothingSent means that a connection was closed, or given up, before anything was sent.
+var errNothingSent = eris.New("engine: connection closed before anything was sent")
+
+// Write implements net.Conn. A process may be paused between opening a connection and sending
+// the request, and the server may close the connection meanwhile. Then nothing is sent, so that
+// the request provably does not run.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	if c.sentAt.IsZero() {
-		c.sentAt = clock.Now()
+	defer c.mu.Unlock()
+	if !c.sentAt.IsZero() {
+		return c.Conn.Write(p)
 	}
-	c.mu.Unlock()
-	return c.Conn.Write(p)
+	if c.abandoned || !socket.Quiet(c.Conn) {
+		c.abandoned = true
+		return 0, errNothingSent
+	}
+	c.sentAt = clock.Now()
+	n, err := c.Conn.Write(p)
+	if err != nil && n == 0 {
+		c.sentAt, c.abandoned = time.Time{}, true
+	}
+	return n, err
+}
+
+// abandon makes sure that nothing will be sent, and reports whether nothing was.
+func (c *trackedConn) abandon() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.abandoned = c.abandoned || c.sentAt.IsZero()
+	return c.abandoned
 }
 
 // String describes how the connection was used so far.
@@ -43,25 +69,41 @@
 	return fmt.Sprintf("first sent %v after it was opened, %v ago", c.sentAt.Sub(c.opened), clock.Since(c.sentAt))
 }
 
-// exchangeConn is the connection that an exchange uses, if it has got one.
-type exchangeConn struct {
-	mu   sync.Mutex
-	conn *trackedConn
+// exchangeConns are the connections that an exchange has got, usually one.
+type exchangeConns struct {
+	mu    sync.Mutex
+	conns []*trackedConn
 }
 
-// attach returns a copy of the request that sets the connection when the exchange has one.
-func (e *exchangeConn) attach(req *http.Request) *http.Request {
+// attach returns a copy of the request that adds each connection that the exchange gets.
+func (e *exchangeConns) attach(req *http.Request) *http.Request {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.conn, _ = info.Conn.(*trackedConn)
+		if conn, ok := info.Conn.(*trackedConn); ok {
+			e.conns = append(e.conns, conn)
+		}
 	}}
 	return req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 }
 
-// get returns the connection, or nil if there is none.
-func (e *exchangeConn) get() *trackedConn {
+// abandon makes sure that nothing will be sent, and reports whether nothing was.
+func (e *exchangeConns) abandon() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	nothing := true
+	for _, c := range e.conns {
+		nothing = c.abandon() && nothing
+	}
+	return nothing
+}
+
+// String describes how the latest connection was used.
+func (e *exchangeConns) String() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.conn
+	if len(e.conns) == 0 {
+		return "none"
+	}
+	return e.conns[len(e.conns)-1].String()
 }
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -30,7 +30,8 @@
 
 // Errors of the engine layer.
 var (
-	// ErrDial means that no connection was established: the request did not run.
+	// ErrDial means that no connection was established, or that nothing was sent on it: the
+	// request did not run and never will.
 	ErrDial = eris.New("engine: unreachable")
 	// ErrFailed means that the request was, or may have been, handed over and
 	// there was no complete answer.
@@ -123,16 +124,13 @@
 	if !r.Idempotent {
 		transport = c.singleUse
 	}
-	var used exchangeConn
+	var used exchangeConns
 	resp, err := transport.RoundTrip(used.attach(req))
 	if err != nil {
-		if errors.Is(err, ErrDial) {
-			return nil, eris.Wrapf(ErrDial, "%v", err)
+		if used.abandon() {
+			return nil, eris.Wrapf(ErrDial, "%v (connection: %v)", err, &used)
 		}
-		if conn := used.get(); conn != nil {
-			err = fmt.Errorf("%w (connection: %v)", err, conn)
-		}
-		return nil, c.ClassifyFailure(ctx, err)
+		return nil, c.ClassifyFailure(ctx, fmt.Errorf("%w (connection: %v)", err, &used))
 	}
 	c.endCounter.markRunning()
 	if echo := resp.Header.Get(HeaderRequestID); echo != "" && echo != r.ID {
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"baywall.example/core/clock"
+	"baywall.example/core/socket"
 )
 
 // Errors of an exchange.
@@ -136,24 +137,4 @@
 
 // usable reports whether an idle connection is open and has no unread bytes:
 // such bytes would not belong to any request of this gateway.
-func (c *conn) usable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && open
-}
+func (c *conn) usable() bool { return c.reader.Buffered() == 0 && socket.Quiet(c.Conn) }
