Do not send a request on a connection that the server closed while it waited

A request that was written on a connection which the server had closed meanwhile counted as lost, and one that must not run twice ended as unknown. Now a connection that has waited for over 0.1 s is looked at first, and the request counts as not sent. TestRequestOnConnectionClosedBeforeSendingIsNotSent failed before (ErrLost).

--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -25,6 +25,10 @@
 	// written while the answer is read, as a backend server may answer before it
 	// has read the whole body.
 	inlineBody = 16 << 10
+	// recheckAfter is how long a connection may wait for its request before it is checked
+	// whether the backend server has closed it. It is shorter than any time that servers
+	// wait for a request.
+	recheckAfter = 100 * time.Millisecond
 )
 
 // Request is one request to one backend server.
@@ -74,6 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
+	ready := clock.Now()
 	a := &Answer{pool: p, conn: c, Reused: reused, Opened: c.opened}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if r.Check != nil {
@@ -82,6 +87,12 @@
 			return nil, err
 		}
 	}
+	// The check may take long, and the process may be paused. What is sent on a connection that
+	// was closed meanwhile would count as lost, though it provably does not run.
+	if clock.Since(ready) >= recheckAfter && !c.usable() {
+		a.Close()
+		return nil, eris.Wrapf(ErrNotSent, "%s closed the connection before the request was sent", p.address)
+	}
 	if err := a.exchange(r); err != nil {
 		a.Close()
 		return nil, err
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -190,6 +190,32 @@
 	}
 }
 
+// A gateway that was paused between opening a connection and sending the request wrote on a
+// connection that the server had closed, and the request counted as one that may have run.
+func TestRequestOnConnectionClosedBeforeSendingIsNotSent(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.Close() // as a server that has waited for a request for long enough
+		}
+	}()
+	r := request("1")
+	r.Fresh = true
+	r.Check = func() error {
+		time.Sleep(recheckAfter)
+		return nil
+	}
+	_, _, err = do(NewPool(ln.Addr().String(), time.Second), r)
+	is.True(errors.Is(err, ErrNotSent))
+}
+
 func TestARefusedConnectionMeansNotSent(t *testing.T) {
 	is := is.New(t)
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
