Check the retries of all gateways in the soak

The soak counts the arrivals at backend servers beyond the first of each request, by service, against the limit in the gateways' settings, over all gateways and without any excuse; a new fault has all servers of a service break off requests.

--- a/standin/soak/cmd/soak/backoff.go
+++ b/standin/soak/cmd/soak/backoff.go
@@ -29,14 +29,18 @@
 
 // askForBackoffOfService has all backend servers of a service ask for a backoff.
 func (f *faults) askForBackoffOfService(ctx context.Context, d draw) {
-	service := f.backend(d).service
+	f.backoff(ctx, f.runnersOf(f.backend(d).service), d)
+}
+
+// runnersOf returns the current runners of a service.
+func (f *faults) runnersOf(service string) []*standin.Runner {
 	var all []*standin.Runner
 	for _, b := range f.world.backends {
 		if b.service == service {
 			all = append(all, b.current())
 		}
 	}
-	f.backoff(ctx, all, d)
+	return all
 }
 
 // backoff has the runners ask for a backoff for a while and returns when the last one that
--- a/standin/soak/cmd/soak/faults.go
+++ b/standin/soak/cmd/soak/faults.go
@@ -85,6 +85,7 @@
 	{"rest asked by one", true, (*faults).askForBackoff},
 	{"rest asked by all of a service", true, (*faults).askForBackoffOfService},
 	{"leaving told in answers", true, (*faults).leaveByAnswer},
+	{"requests of a service failed", false, (*faults).failRequests},
 }
 
 // focused returns the kinds whose names contain one of the words.
--- a/standin/soak/cmd/soak/report.go
+++ b/standin/soak/cmd/soak/report.go
@@ -21,6 +21,7 @@
 	quarantined  int
 	limits       int // announced by backend servers
 	backoffs     int // backoffs that backend servers asked for
+	retries      int // arrivals at backend servers beyond the first of their request
 	leaveNotices int // gateways informed by a response that a backend server leaves
 	violations   []string
 	logs         string
@@ -67,6 +68,7 @@
 	r.checkLethal(w, l, f)
 	r.checkLimits(w, l, f, probes)
 	r.checkNotices(w, l, f, probes)
+	r.checkRetries(w, sentBy(l, f, probes))
 	r.checkCold(w)
 	r.checkProcesses(w)
 	r.checkConfig(w, l)
@@ -196,7 +198,7 @@
 			fmt.Fprintf(&b, " %d %s", r.outcomes[o], o)
 		}
 	}
-	fmt.Fprintf(&b, ", %d lethal, %d limits, %d rests, %d leavings", r.quarantined, r.limits, r.backoffs, r.leaveNotices)
+	fmt.Fprintf(&b, ", %d lethal, %d limits, %d rests, %d leavings, %d repeats", r.quarantined, r.limits, r.backoffs, r.leaveNotices, r.retries)
 	names := make([]string, 0, len(r.injected))
 	total := 0
 	for name, n := range r.injected {
--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -38,6 +38,8 @@
 	// backoffSeed has backend servers that ask for a backoff and announce in responses that they
 	// leave.
 	backoffSeed = 11
+	// retrySeed has all requests of a service fail while gateways stop and are killed.
+	retrySeed = 13
 )
 
 // Runs the real programs as processes for a short time, with the same faults each time.
@@ -61,7 +63,9 @@
 			t.Fail()
 		}
 	}
-	o.focus = "rest asked,answers,crashed"
+	o.focus = "failed,told to stop,killed"
+	runOne(t, retrySeed, o)
+	o.focus, o.kinds = "rest asked,answers,crashed", 24
 	runOne(t, backoffSeed, o)
 	o.focus, o.kinds = "evacuated,replaced,crashed", 21
 	runOne(t, evacuationSeed, o)
