Count each end of an engine, also if it has answered nothing since it started again

Cause: an agent numbers the ends of its engine, and took the engine for ended until it answered something, so that the second and third end had the number of the first and counted as one. Now a connection that was requested after an end and is accepted shows that the engine runs again. TestEachEndOfAnEngineCounts failed before (1 where 2 is due). This path is not used on the users' platform, where requests do not pass agents.

--- a/agent/engine/ended.go
+++ b/agent/engine/ended.go
@@ -49,7 +49,15 @@
 	return e.count
 }
 
-// markRunning records that the process answers.
+// isDown reports whether the process has ended and is not known to run again.
+func (e *endCounter) isDown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down
+}
+
+// markRunning records that the process runs: it answers, or accepts a connection that was
+// requested after its end.
 func (e *endCounter) markRunning() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -82,19 +82,22 @@
 
 // New returns a client of the backend server at the address.
 func New(address string) *Client {
+	c := &Client{base: "http://" + address, address: address}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ended := c.endCounter.isDown()
 		conn, err := dialer.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, errors.Join(ErrDial, err)
 		}
+		if ended { // it runs again, and its next end counts even if it answers nothing before
+			c.endCounter.markRunning()
+		}
 		return track(conn), nil
 	}
-	return &Client{
-		base: "http://" + address, address: address,
-		keepAlive: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdle, DisableCompression: true},
-		singleUse: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
-	}
+	c.keepAlive = &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
+	c.singleUse = &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	return c
 }
 
 // Request is a request as the caller sent it.
