Add the scheduling settings, the demand report in heartbeats and two bounds of a pick

The interfaces that the scheduling parts build on: settings (scheduling.*, all off), messages Waiting and TeamUse in heartbeats, and the fields Concurrency and Reserved of a balance.Demand. Nothing sets them yet. A change of the settings follow, machine, bootstrap or scheduling is now reported as restart_needed; equal left them out.

--- a/core/cluster/heartbeat.go
+++ b/core/cluster/heartbeat.go
@@ -27,6 +27,9 @@
 	if self.Limits != nil {
 		hb.Limits = self.Limits(now)
 	}
+	if self.Demand != nil {
+		hb.Waiting, hb.TeamUse = self.Demand(now)
+	}
 	if answered := t.lastStoreAnswer(self.LastStoreAnswer); !answered.IsZero() {
 		// Rounded up: a relayed age must never be too low.
 		hb.StoreAgeMs = 1 + uint32(math.Ceil(now.Sub(answered).Seconds()*1000))
--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -47,6 +47,7 @@
 	// onLimits is called with the limits of backend servers that a member reports. If it
 	// is nil, they are ignored.
 	onLimits func(from vm.ID, limits []*wire.ServerLimit)
+	onDemand func(from vm.ID, waiting []*wire.Waiting, use []*wire.TeamUse)
 
 	stall stall
 	mu    sync.Mutex
@@ -152,6 +153,9 @@
 		if len(hb.GetLimits()) > 0 && n.onLimits != nil && !n.stall.mayHaveWaited(clock.Now()) {
 			n.onLimits(vm.ID(hb.GetVm()), hb.GetLimits())
 		}
+		if n.onDemand != nil && hb.GetAddress() != "" && !n.stall.mayHaveWaited(clock.Now()) {
+			n.onDemand(vm.ID(hb.GetVm()), hb.GetWaiting(), hb.GetTeamUse())
+		}
 		n.mu.Lock()
 		changes := n.table.Receive(&hb, clock.Now())
 		n.mu.Unlock()
@@ -189,6 +193,12 @@
 // member reports. It must be called before Run.
 func (n *Node) OnLimits(f func(from vm.ID, limits []*wire.ServerLimit)) { n.onLimits = f }
 
+// OnDemand sets the function that is called after each heartbeat of a member with what
+// waits for slots there and what teams use there. It must be called before Run.
+func (n *Node) OnDemand(f func(from vm.ID, waiting []*wire.Waiting, use []*wire.TeamUse)) {
+	n.onDemand = f
+}
+
 // OnPeerUp sets the function that is called with each member that joined or was regained.
 // The function must not block. OnPeerUp must be called before Run.
 func (n *Node) OnPeerUp(f func(Peer)) { n.onPeerUp = f }
--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -23,6 +24,10 @@
 	// GapTarget is the longest gap between events of a stream that is on time, 0 = the
 	// request is not a stream.
 	GapTarget time.Duration
+	// Concurrency bounds the mean number of requests in flight to a server, 0 = its slots.
+	Concurrency float64
+	// Reserved is the number of free slots of the service that are left to other requests.
+	Reserved int
 	// HoldThreshold is the gap between events from which a server gets no further stream
 	// for a short time, 0 = none: processing the prompt of a new stream lengthens the
 	// engine pass for all streams of the group.
@@ -122,6 +127,8 @@
 		return Choice{Load: load}, Stalled
 	case d.Late && len(s.candidates) > 0 && float64(s.late.Load()+1) > s.lateQuota(load, d, r.peers.Members(), now):
 		return Choice{Load: load}, AllBusy
+	case len(s.candidates) > 0 && !d.fits(load):
+		return Choice{Load: load}, AllBusy
 	case len(s.candidates) > 0:
 		unreported := s.arrivals.rate() * float64(r.peers.Members()) * r.peers.Staleness().Seconds()
 		return s.choose(drawCandidate(s.candidates, unreported, rand.Float64()), d, load), Available
@@ -177,6 +184,9 @@
 	if d.MaxWait <= 0 || slots <= 0 {
 		return false
 	}
+	if d.Concurrency > 0 && s.inFlight(i)+1 > d.slotsOf(s.usable[i]) {
+		return true
+	}
 	if s.holdsBack(i, d, now) || d.GapTarget > 0 && s.tooSlow(i) {
 		return true
 	}
@@ -196,6 +206,32 @@
 	return s.meanServiceTime
 }
 
+// slotsOf returns how many requests the server may run at a time.
+func (d Demand) slotsOf(server *Server) int {
+	if d.Concurrency <= 0 {
+		return server.Slots
+	}
+	return min(server.Slots, int(math.Ceil(d.Concurrency)))
+}
+
+// capacity returns how many requests the servers of a load may run at a time.
+func (d Demand) capacity(load Load) int {
+	if d.Concurrency <= 0 {
+		return load.Slots
+	}
+	return min(load.Slots, int(d.Concurrency*float64(load.Servers)))
+}
+
+// fits reports whether the service has a slot for the request besides those that are left
+// to others. It does not decide where nothing is limited: a request may then queue at a
+// server.
+func (d Demand) fits(load Load) bool {
+	if load.Servers == 0 || d.Concurrency <= 0 && d.Reserved == 0 {
+		return true
+	}
+	return load.InFlight+d.Reserved < d.capacity(load)
+}
+
 // choose counts a request to a usable server and returns the choice.
 func (s *shard) choose(i int, d Demand, load Load) Choice {
 	server := s.usable[i]
--- a/entry/balance/late.go
+++ b/entry/balance/late.go
@@ -29,6 +29,7 @@
 	load := Load{}
 	for _, server := range s.servers {
 		if !server.drains() && !server.replaced {
+			load.Servers++
 			load.Slots += server.Slots // including stalled servers, which are expected to recover
 		}
 	}
@@ -37,6 +38,6 @@
 
 func (s *shard) lateQuota(load Load, d Demand, members int, now time.Time) float64 {
 	return admission.LateQuota(admission.Capacity{
-		Slots: load.Slots, Members: members, OnTimeRate: s.onTime.rateAt(now), ServiceTime: s.serviceTime(d),
+		Slots: d.capacity(load), Members: members, OnTimeRate: s.onTime.rateAt(now), ServiceTime: s.serviceTime(d),
 	})
 }
--- a/entry/gateway/reload.go
+++ b/entry/gateway/reload.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"reflect"
+
 	"baywall.example/core/settings"
 )
 
@@ -17,11 +19,5 @@
 	seeds := next.Seeds
 	g.seeds.Store(&seeds)
 	old.Seeds, next.Seeds = nil, nil
-	g.log.Info().Strs("seeds", seeds).Bool("restart_needed", !old.equal(next)).Msg("settings reloaded")
-}
-
-// equal compares the settings apart from their lists.
-func (s Settings) equal(o Settings) bool {
-	return s.VM == o.VM && s.Zone == o.Zone && s.Listen == o.Listen && s.Store == o.Store &&
-		s.Entries == o.Entries && s.Retry == o.Retry && s.Drain == o.Drain && s.LogLevel == o.LogLevel
+	g.log.Info().Strs("seeds", seeds).Bool("restart_needed", !reflect.DeepEqual(old, next)).Msg("settings reloaded")
 }
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -32,6 +32,8 @@
 	Entries EntriesSettings `yaml:"entries"`
 	// Retry bounds the retries of each service over all gateways.
 	Retry retry.Settings `yaml:"retry"`
+	// Scheduling sets how requests share backend servers that are short of slots.
+	Scheduling SchedulingSettings `yaml:"scheduling"`
 	// Drain sets how the process shuts down.
 	Drain DrainSettings `yaml:"drain"`
 	// LogLevel is one of debug, info, warn, error. Default info.
@@ -152,6 +154,7 @@
 	c.Duration("entries.ttl", s.Entries.TTL, time.Second, time.Hour)
 	c.Int("entries.most", s.Entries.MaxAddresses, 1, 1000)
 	s.Retry.Check(&c)
+	s.Scheduling.check(&c)
 	c.Duration("drain.grace", s.Drain.Grace, time.Second, 24*time.Hour)
 	c.OneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
 	c.Distinct(
--- a/entry/gateway/settings_test.go
+++ b/entry/gateway/settings_test.go
@@ -24,6 +24,9 @@
 		{"bad ratio", "retry: {ratio: 11}", "retry.ratio"},
 		{"short evacuation", "follow: {evacuation: 1ms}", "follow.evacuation"},
 		{"short grace", "drain: {grace: 1ms}", "drain.grace"},
+		{"fair shares without a queue", "scheduling: {fair_share: true}", "scheduling.fair_share"},
+		{"team without weight", "scheduling: {queue: true, fair_share: true, team_weights: {a: 0}}", "scheduling.team_weights.a"},
+		{"scheduling", "scheduling: {queue: true, fair_share: true, concurrency_limit: true, server_speed: true, team_weights: {a: 2}}", ""},
 		{"duplicate address", `listen: {front: "127.0.0.1:1", ready: "127.0.0.1:1", directory: "127.0.0.1:3", peers: "127.0.0.1:4"}`, "listen.ready"},
 	}
 	for _, c := range cases {
