--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -153,13 +153,13 @@
 		if len(hb.GetLimits()) > 0 && n.onLimits != nil && !n.stall.mayHaveWaited(clock.Now()) {
 			n.onLimits(vm.ID(hb.GetVm()), hb.GetLimits())
 		}
-		if n.onDemand != nil && hb.GetAddress() != "" && !n.stall.mayHaveWaited(clock.Now()) {
-			n.onDemand(vm.ID(hb.GetVm()), hb.GetWaiting(), hb.GetTeamUse())
-		}
 		n.mu.Lock()
 		changes := n.table.Receive(&hb, clock.Now())
 		n.mu.Unlock()
 		n.handleChanges(changes)
+		if n.onDemand != nil && hb.GetAddress() != "" && !n.stall.mayHaveWaited(clock.Now()) {
+			n.onDemand(vm.ID(hb.GetVm()), hb.GetWaiting(), hb.GetTeamUse())
+		}
 	}
 }
 
@@ -194,7 +194,8 @@
 func (n *Node) OnLimits(f func(from vm.ID, limits []*wire.ServerLimit)) { n.onLimits = f }
 
 // OnDemand sets the function that is called after each heartbeat of a member with what
-// waits for slots there and what teams use there. It must be called before Run.
+// waits for slots there and what teams use there. The member's load is up to date then. It
+// must be called before Run.
 func (n *Node) OnDemand(f func(from vm.ID, waiting []*wire.Waiting, use []*wire.TeamUse)) {
 	n.onDemand = f
 }
--- a/entry/balance/late.go
+++ b/entry/balance/late.go
@@ -36,6 +36,22 @@
 	return Late{Quota: s.lateQuota(load, d, r.peers.Members(), now), Taken: int(s.late.Load()), ServiceTime: s.serviceTime(d)}
 }
 
+// Capacity describes the slots of a service's servers that may take requests.
+type Capacity struct {
+	Slots       int           // requests that the servers may run at a time
+	InFlight    int           // requests of all gateways to the servers
+	ServiceTime time.Duration // expected time for which a request occupies a slot
+}
+
+// Capacity returns the capacity for requests of the demand.
+func (r *Registry) Capacity(d Demand, now time.Time) Capacity {
+	s := r.shard(d.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load := r.refresh(s, now)
+	return Capacity{Slots: d.capacity(load), InFlight: load.InFlight, ServiceTime: s.serviceTime(d)}
+}
+
 func (s *shard) lateQuota(load Load, d Demand, members int, now time.Time) float64 {
 	return admission.LateQuota(admission.Capacity{
 		Slots: d.capacity(load), Members: members, OnTimeRate: s.onTime.rateAt(now), ServiceTime: s.serviceTime(d),
