Queue on-time requests for slots at the gateway, by setting scheduling.queue

Cause: each request polled for a slot every 15 ms, whatever its priority and deadline. Change: with scheduling.queue, on-time requests join the queue of their service; only the first looks for a slot, when a request of the gateway ends, a heartbeat arrives, or 15 ms have passed. What waits is reported in heartbeats.

--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -77,6 +77,7 @@
 		}
 		number := q.sequence.Begin()
 		a := q.try(ctx, choice, stream)
+		q.state.slots.released(clock.Now())
 		q.g.inst.attempted(q.service, a.verdict.String())
 		q.recordOutcome(ctx, choice.Server, &a)
 		q.quarantineAttempt.Release()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -63,6 +63,7 @@
 	activity      activity
 	suspects      *quarantine.Table
 	limits        *limits
+	slots         *slotQueues // nil = requests do not queue for slots
 
 	follower       *source.Follower
 	peering        *peering
@@ -99,6 +100,10 @@
 	g.limits = newLimits(g)
 	g.registry.LimitBy(g.limits)
 	node.OnLimits(g.limits.receiveReports)
+	if s.Scheduling.Queue {
+		g.slots = &slotQueues{g: g}
+		node.OnDemand(g.slots.receive)
+	}
 	g.peering = newPeering(g)
 	node.OnPeerUp(g.peering.peerUp)
 	g.follower = &source.Follower{
@@ -121,7 +126,7 @@
 }
 
 func (g *Gateway) self() cluster.Self {
-	return cluster.Self{
+	self := cluster.Self{
 		VM: vm.ID(g.settings.VM), Incarnation: g.incarnation, Zone: g.settings.Zone,
 		Address: g.settings.Listen.Peers, Front: g.settings.Listen.Front, Ready: g.Ready(),
 		CatalogVersion: g.catalog.Version(), StoreChanged: g.applied().changed, Retained: g.follower.Retained(),
@@ -131,6 +136,10 @@
 			Active: g.activity.isActive() && !g.leaving.Load(), Millicores: g.settings.Machine.millicores(), Arrivals: g.activity.rate(),
 		},
 	}
+	if g.slots != nil {
+		self.Demand = g.slots.report
+	}
+	return self
 }
 
 // Start opens the listeners and begins to follow the store and the other gateways.
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -9,6 +9,7 @@
 
 	"baywall.example/core/ratelimit"
 	"baywall.example/entry/retry"
+	"baywall.example/entry/slotqueue"
 )
 
 // gauges are the functions that are called to read gauge values when the metrics are
@@ -78,6 +79,21 @@
 	gauge("baywall_retry_part", func(s retry.State) float64 { return s.Part })
 }
 
+// watchSlotQueue adds the gauge of the length of a service's queue for slots.
+func (i *instruments) watchSlotQueue(service string, length func() float64) {
+	i.set.NewGauge(fmt.Sprintf("baywall_slot_queue_requests{service=%q}", service), length)
+}
+
+// waitedForSlot records the time that a request spent in the queue for a slot.
+func (i *instruments) waitedForSlot(service string, d time.Duration) {
+	i.set.GetOrCreateHistogram(fmt.Sprintf("baywall_slot_queue_wait_seconds{service=%q}", service)).Update(d.Seconds())
+}
+
+// refusedSlot counts a request that was refused because it cannot get a slot in time.
+func (i *instruments) refusedSlot(service string, level slotqueue.Level) {
+	i.set.GetOrCreateCounter(fmt.Sprintf("baywall_slot_queue_refusals_total{service=%q,level=\"%d\"}", service, level)).Inc()
+}
+
 func (i *instruments) refused(outcome, reason string) {
 	i.set.GetOrCreateCounter(fmt.Sprintf("baywall_refusals_total{outcome=%q,reason=%q}", outcome, reason)).Inc()
 }
--- a/entry/gateway/refresh.go
+++ b/entry/gateway/refresh.go
@@ -79,6 +79,7 @@
 	}
 	if q.service != service {
 		q.leavePermitQueue(q.state)
+		q.leaveSlotQueue()
 		q.state = q.g.serviceStateOf(q.service)
 		q.budget.Budget = q.g.retries.Of(q.service)
 		q.excluded = make(map[string]bool)
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -18,6 +18,7 @@
 	"baywall.example/entry/catalog"
 	"baywall.example/entry/quarantine"
 	"baywall.example/entry/retry"
+	"baywall.example/entry/slotqueue"
 )
 
 const (
@@ -71,6 +72,9 @@
 	backingOff int                   // servers excluded at the latest pick because they are in backoff
 	queueUntil time.Time             // until when it waits for a permit or for the end of a backoff
 
+	slotWait    *slotWait          // place in the queue for a slot, nil = not queued
+	slotRefusal *slotqueue.Refusal // nil unless it was refused because it cannot get a slot in time
+
 	server         string                // server of the latest attempt
 	serverLimit    *ratelimit.KnownLimit // limit that the server had named when the attempt was made, nil = none
 	sent           appliedState          // store state that was known when the attempt was made
--- a/entry/gateway/waiting.go
+++ b/entry/gateway/waiting.go
@@ -61,14 +61,19 @@
 	lateWaiting        int                   // late requests that wait for a slot
 	interruptedWaiting int                   // interrupted requests among these, which go first
 	first              time.Duration         // typical time from the sending of a request to its first answer
+	slots              *slotQueue            // queue of requests that wait for a slot, nil = they do not queue
 }
 
 func (g *Gateway) serviceStateOf(service string) *serviceState {
 	if s, ok := g.serviceStates.Load(service); ok {
 		return s.(*serviceState)
 	}
-	s, _ := g.serviceStates.LoadOrStore(service, &serviceState{})
-	return s.(*serviceState)
+	s, loaded := g.serviceStates.LoadOrStore(service, &serviceState{slots: g.slots.newQueue(service)})
+	state := s.(*serviceState)
+	if !loaded && state.slots != nil {
+		g.inst.watchSlotQueue(service, state.slots.length)
+	}
+	return state
 }
 
 // observeFirstAnswer records a first answer and, if the server had a free slot, the time it
@@ -178,6 +183,9 @@
 // server, 0 meaning any time. A request may queue as long as it is still on time after
 // that.
 func (q *request) maxQueueWait(r admission.Request) time.Duration {
+	if q.state.slots != nil {
+		return freeSlotWait // it waits in the queue at this gateway, where more urgent requests can pass it
+	}
 	if r.Objective == 0 {
 		return 0
 	}
@@ -208,6 +216,7 @@
 	queued := false // it is counted among the late requests that wait
 	interrupted := q.interrupted
 	defer func() {
+		q.leaveSlotQueue()
 		q.leavePermitQueue(q.state)
 		if queued {
 			q.state.adjustWaiting(-1, interrupted)
@@ -225,6 +234,13 @@
 		if found == balance.Leaving && !q.sequence.MayHaveRun() {
 			return choice, found // the caller can retry instead of waiting for a server that may never be listed
 		}
+		if q.queuesForSlot(found, permission, now) {
+			if !q.awaitTurn(ctx, now) {
+				return choice, found
+			}
+			continue
+		}
+		q.leaveSlotQueue()
 		admissionRequest := q.admissionRequest(now)
 		keepWaiting := queued || permission == quarantine.Wait || q.mayWait(admissionRequest, now)
 		switch found {
@@ -258,9 +274,17 @@
 	if found := q.queueAvailability(now); found != balance.Available {
 		return balance.Choice{}, found
 	}
+	turn := q.slotTurn(now)
+	if !turn.Look {
+		return balance.Choice{}, balance.AllBusy
+	}
 	d := q.demand(now)
 	d.Avoid = q.avoidedServers(now)
+	d.Reserved = turn.Reserved
 	choice, found := q.g.registry.Pick(d, now)
+	if found == balance.Available {
+		q.tookSlot(now)
+	}
 	q.atLimit, q.backingOff = choice.Load.AtLimit, choice.Load.InBackoff
 	serviceDown := found == balance.Stalled || found == balance.Unavailable && len(q.excluded) == 0 && !q.rejected
 	if serviceDown && q.state.serviceDown(now) {
--- a/entry/slotqueue/queue.go
+++ b/entry/slotqueue/queue.go
@@ -169,7 +169,7 @@
 // A request may look if all that precede it are selective. It leaves a slot to the less
 // urgent request that is due by the starvation bound.
 func (q *Queue) Turn(e *Entry, others *Counts) Turn {
-	due := q.due(others)
+	due := q.Due(others)
 	if due == e {
 		return Turn{Look: true}
 	}
@@ -189,7 +189,7 @@
 // Lookers returns the requests that may look for a slot.
 func (q *Queue) Lookers(others *Counts) []*Entry {
 	var out []*Entry
-	if due := q.due(others); due != nil {
+	if due := q.Due(others); due != nil {
 		out = append(out, due)
 	}
 	for _, e := range q.entries {
--- a/entry/slotqueue/starvation.go
+++ b/entry/slotqueue/starvation.go
@@ -22,11 +22,11 @@
 
 // Advance counts a slot if none was counted for a mean service time: a gateway without
 // requests in flight gets no slot back.
-func (q *Queue) Advance(others *Counts, c Capacity, now time.Time) {
+func (q *Queue) Advance(others *Counts, serviceTime time.Duration, now time.Time) {
 	if q.counted.IsZero() {
 		q.counted = now
 	}
-	if c.ServiceTime > 0 && now.Sub(q.counted) >= c.ServiceTime {
+	if serviceTime > 0 && now.Sub(q.counted) >= serviceTime {
 		q.Released(others, now)
 	}
 }
@@ -46,8 +46,8 @@
 	return min(q.entries[0].Level, others.mostUrgent())
 }
 
-// due returns the less urgent request that gets the next slot, nil = none.
-func (q *Queue) due(others *Counts) *Entry {
+// Due returns the less urgent request that gets the next slot, nil = none.
+func (q *Queue) Due(others *Counts) *Entry {
 	if q.passed < starvationBound {
 		return nil
 	}
