--- a/entry/gateway/slotqueue.go
+++ b/entry/gateway/slotqueue.go
@@ -168,8 +168,12 @@
 	}
 	turn := s.queue.Turn(e, others)
 	if turn.Look && s.yields.Observe(e.Level, turn.GivesWay, now) {
-		s.all.g.log.Info().Str("service", s.service).Int("level", int(e.Level)).Bool("gives_way", turn.GivesWay).
-			Int("waiting", s.queue.Len()).Int("more_urgent_elsewhere", others.Above(e.Level)).Msg("level gives way changed")
+		message := "level no longer gives way"
+		if turn.GivesWay {
+			message = "level gives way"
+		}
+		s.all.g.log.Info().Str("service", s.service).Int("level", int(e.Level)).Int("waiting", s.queue.Len()).
+			Int("more_urgent_elsewhere", others.Above(e.Level)).Msg(message)
 	}
 	return turn
 }
--- a/entry/slotqueue/starvation.go
+++ b/entry/slotqueue/starvation.go
@@ -2,8 +2,14 @@
 
 import "time"
 
-// starvationBound is the number of slots of which one goes to a less urgent request.
-const starvationBound = 8
+const (
+	// starvationBound is the number of slots of which one goes to a less urgent request.
+	starvationBound = 8
+	// minCountInterval is the least time after which a slot is counted although none was
+	// released. All gateways of a fleet may count so at the same time: with a shorter time
+	// they would together take more than one in starvationBound slots.
+	minCountInterval = 250 * time.Millisecond
+)
 
 // starvation counts the slots that went, or were left, to more urgent requests while less
 // urgent ones waited.
@@ -20,13 +26,13 @@
 	}
 }
 
-// Advance counts a slot if none was counted for a mean service time: a gateway without
-// requests in flight gets no slot back.
+// Advance counts a slot if none was counted for a mean service time, or minCountInterval
+// if that is longer: a gateway without requests in flight gets no slot back.
 func (q *Queue) Advance(others *Counts, serviceTime time.Duration, now time.Time) {
 	if q.counted.IsZero() {
 		q.counted = now
 	}
-	if serviceTime > 0 && now.Sub(q.counted) >= serviceTime {
+	if now.Sub(q.counted) >= max(serviceTime, minCountInterval) {
 		q.Released(others, now)
 	}
 }
