--- a/entry/concurrency/concurrency.go
+++ b/entry/concurrency/concurrency.go
@@ -29,9 +29,9 @@
 	// slots, from which gaps tell the cost of a sequence: in smaller batches prompts
 	// dominate the pass.
 	minLoad = 0.25
-	// minLimit is the least limit, in requests per server. A group serves few streams with a
-	// smaller batch, and no shorter pass is to be gained.
-	minLimit = 2
+	// minBatch is the least limit, as a fraction of the slots. With smaller batches the fixed
+	// part of a step dominates: the group serves fewer streams than are late in larger ones.
+	minBatch = 0.5
 )
 
 // Engine holds the published parameters of a service's engines.
@@ -130,7 +130,7 @@
 	if requests >= float64(e.Slots) {
 		return Limit{CostFactor: factor}
 	}
-	return Limit{Requests: max(minLimit, requests), CostFactor: factor}
+	return Limit{Requests: max(minBatch*float64(e.Slots), requests), CostFactor: factor}
 }
 
 // costFactor returns the highest cost factor that still counts, 0 if there is none.
