Serve requests that callers send again after a refusal last, and order teams of one priority by their routes

And teams have a priority of their own, which hid that of the routes: allergen answers were refused as often as kitchen summaries. Change: package entry/retried recognizes repeated requests by content at all gateways; they are the least urgent level. The route's priority orders requests of teams of the same priority.

--- a/core/cluster/heartbeat.go
+++ b/core/cluster/heartbeat.go
@@ -28,7 +28,7 @@
 		hb.Limits = self.Limits(now)
 	}
 	if self.Demand != nil {
-		hb.Waiting, hb.TeamUse = self.Demand(now)
+		hb.Demand = self.Demand(now)
 	}
 	if answered := t.lastStoreAnswer(self.LastStoreAnswer); !answered.IsZero() {
 		// Rounded up: a relayed age must never be too low.
--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -47,7 +47,7 @@
 	// onLimits is called with the limits of backend servers that a member reports. If it
 	// is nil, they are ignored.
 	onLimits func(from vm.ID, limits []*wire.ServerLimit)
-	onDemand func(from vm.ID, waiting []*wire.Waiting, use []*wire.TeamUse)
+	onDemand func(from vm.ID, demand *wire.Demand)
 
 	stall stall
 	mu    sync.Mutex
@@ -158,7 +158,7 @@
 		n.mu.Unlock()
 		n.handleChanges(changes)
 		if n.onDemand != nil && hb.GetAddress() != "" && !n.stall.mayHaveWaited(clock.Now()) {
-			n.onDemand(vm.ID(hb.GetVm()), hb.GetWaiting(), hb.GetTeamUse())
+			n.onDemand(vm.ID(hb.GetVm()), hb.GetDemand())
 		}
 	}
 }
@@ -196,7 +196,7 @@
 // OnDemand sets the function that is called after each heartbeat of a member with what
 // waits for slots there and what teams use there. The member's load is up to date then. It
 // must be called before Run.
-func (n *Node) OnDemand(f func(from vm.ID, waiting []*wire.Waiting, use []*wire.TeamUse)) {
+func (n *Node) OnDemand(f func(from vm.ID, demand *wire.Demand)) {
 	n.onDemand = f
 }
 
--- a/core/cluster/table.go
+++ b/core/cluster/table.go
@@ -73,8 +73,8 @@
 	Suspects func(now time.Time) []*wire.Suspect
 	// Limits returns the limits of backend servers to report. It may be nil.
 	Limits func(now time.Time) []*wire.ServerLimit
-	// Demand returns what waits for slots at this member and what teams use. It may be nil.
-	Demand func(now time.Time) ([]*wire.Waiting, []*wire.TeamUse)
+	// Demand returns the demand for slots at this member to report. It may be nil.
+	Demand func(now time.Time) *wire.Demand
 	Activity
 }
 
@@ -258,7 +258,7 @@
 		return out
 	}
 	short := proto.CloneOf(hb)
-	short.InFlight, short.Waiting, short.TeamUse = nil, nil, nil
+	short.InFlight, short.Demand = nil, nil
 	for _, address := range brief {
 		out = append(out, Datagram{address, short})
 	}
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -145,6 +145,9 @@
 	if q.id != "" {
 		h.Set(q.g.headers.RequestID, q.id)
 	}
+	if r.Reason == contract.ReasonOverload && r.Outcome == contract.NotRun {
+		q.rememberRefusal()
+	}
 	after := q.retryAfter(r)
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
@@ -161,7 +164,7 @@
 		e = e.Dur("back", s.RecoversIn).Int("late_waiting", s.Waiting).Int("late_served", s.Taken).Float64("late_room", s.Quota)
 	}
 	if s := q.slotRefusal; s != nil {
-		e = e.Int("level", int(s.Level)).Int("queue_position", s.Position).Int("ahead_elsewhere", s.Others).Dur("expected_wait", s.Wait)
+		e = e.Int("queue_level", int(s.Level)).Int("queue_position", s.Position).Int("ahead_elsewhere", s.Others).Dur("expected_wait", s.Wait)
 	}
 	e.AnErr("write", err).Int("status", status).Str("outcome", string(r.Outcome)).
 		Str("reason", string(r.Reason)).Dur("retry_after", after).Msg("request refused")
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -73,6 +73,7 @@
 	queueUntil time.Time             // until when it waits for a permit or for the end of a backoff
 
 	slotWait    *slotWait          // place in the queue for a slot, nil = not queued
+	repeated    bool               // its caller sent it before and was refused for lack of a slot
 	slotRefusal *slotqueue.Refusal // nil unless it was refused because it cannot get a slot in time
 
 	server         string                // server of the latest attempt
@@ -161,6 +162,7 @@
 	if !q.interrupted {
 		q.g.registry.Arrived(q.service, q.began)
 	}
+	q.recognizeRetry()
 	q.budget.Budget = q.g.retries.Of(q.service)
 	q.sequence = retry.Sequence{
 		Idempotent: q.route.Idempotent(), Deadline: q.deadline,
--- a/entry/gateway/slotqueue.go
+++ b/entry/gateway/slotqueue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"baywall.example/entry/admission"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/quarantine"
+	"baywall.example/entry/retried"
 	"baywall.example/entry/slotqueue"
 )
 
@@ -31,6 +33,7 @@
 // slotQueues holds what waits at other gateways. It is safe for concurrent use.
 type slotQueues struct {
 	g       *Gateway
+	refused retried.Table
 	mu      sync.Mutex
 	reports slotqueue.Reports
 }
@@ -74,26 +77,28 @@
 	})
 }
 
-// report returns what waits at this gateway.
-func (s *slotQueues) report(time.Time) (waiting []*wire.Waiting, use []*wire.TeamUse) {
+// report returns what waits at this gateway, and what it refused lately.
+func (s *slotQueues) report(now time.Time) *wire.Demand {
+	out := &wire.Demand{Refused: s.refused.Report(now)}
 	s.each(func(slots *slotQueue) {
 		for level, n := range slots.counts() {
 			if n > 0 {
-				waiting = append(waiting, &wire.Waiting{Service: slots.key, Level: uint32(level), Requests: uint32(n)})
+				out.Waiting = append(out.Waiting, &wire.Waiting{Service: slots.key, Level: uint32(level), Requests: uint32(n)})
 			}
 		}
 	})
-	return waiting, nil
+	return out
 }
 
 // receive takes in what waits at another gateway. Its heartbeat may also have told of free
 // slots.
-func (s *slotQueues) receive(from vm.ID, waiting []*wire.Waiting, _ []*wire.TeamUse) {
-	reports := make([]slotqueue.Report, 0, len(waiting))
-	for _, w := range waiting {
+func (s *slotQueues) receive(from vm.ID, demand *wire.Demand) {
+	reports := make([]slotqueue.Report, 0, len(demand.GetWaiting()))
+	for _, w := range demand.GetWaiting() {
 		reports = append(reports, slotqueue.Report{Service: w.GetService(), Level: slotqueue.Level(w.GetLevel()), Requests: int(w.GetRequests())})
 	}
 	now := clock.Now()
+	s.refused.Receive(demand.GetRefused(), now)
 	s.mu.Lock()
 	s.reports.Receive(string(from), reports, now)
 	s.mu.Unlock()
@@ -172,7 +177,7 @@
 		if turn.GivesWay {
 			message = "level gives way"
 		}
-		s.all.g.log.Info().Str("service", s.service).Int("level", int(e.Level)).Int("waiting", s.queue.Len()).
+		s.all.g.log.Info().Str("service", s.service).Int("queue_level", int(e.Level)).Int("waiting", s.queue.Len()).
 			Int("more_urgent_elsewhere", others.Above(e.Level)).Msg(message)
 	}
 	return turn
@@ -223,7 +228,31 @@
 }
 
 // level returns the urgency of the request among those that wait for slots.
-func (q *request) level() slotqueue.Level { return slotqueue.LevelOf(q.priority, false) }
+func (q *request) level() slotqueue.Level {
+	return slotqueue.Urgency{Repeated: q.repeated, Priority: q.priority, RoutePriority: q.route.Priority}.Level()
+}
+
+// retryID returns the digest by which the request is recognized when it is sent again. The
+// parts of a prompt tell requests apart whose bodies are alike.
+func (q *request) retryID() retried.ID {
+	digest := q.fingerprint()
+	return retried.ID(binary.BigEndian.Uint64(digest[:]) ^ rendezvous.Hash(q.r.Header.Get(q.g.headers.Prompt)))
+}
+
+// recognizeRetry finds out whether the request was refused before.
+func (q *request) recognizeRetry() {
+	if q.g.slots != nil && len(q.body) > 0 && !q.interrupted && q.g.slots.refused.Size() > 0 {
+		q.repeated = q.g.slots.refused.Returned(q.retryID(), q.began)
+	}
+}
+
+// rememberRefusal records that the request is refused for lack of a slot. Requests without
+// a body are often equal, so their retries cannot be recognized.
+func (q *request) rememberRefusal() {
+	if q.g.slots != nil && len(q.body) > 0 && q.state != nil {
+		q.g.slots.refused.Refused(q.retryID(), clock.Now())
+	}
+}
 
 // newSlotEntry returns the entry with which the request joins the queue for slots.
 func (q *request) newSlotEntry(now time.Time) *slotqueue.Entry {
--- a/entry/gateway/slotqueue_test.go
+++ b/entry/gateway/slotqueue_test.go
@@ -125,7 +125,7 @@
 	peer, err := cluster.NewNode(address, []string{w.gateway.settings.Listen.Peers}, 0, func() cluster.Self {
 		return cluster.Self{
 			VM: vm.ID("peer"), Incarnation: 1, Zone: "z", Address: address, Activity: cluster.Activity{Active: true},
-			Demand: func(time.Time) ([]*wire.Waiting, []*wire.TeamUse) { return waiting, nil },
+			Demand: func(time.Time) *wire.Demand { return &wire.Demand{Waiting: waiting} },
 		}
 	}, zerolog.Nop())
 	is.NoErr(err)
--- /dev/null
+++ b/entry/retried/retried.go
@@ -0,0 +1,136 @@
+// Package retried recognizes requests that callers send again after a refusal for lack of a
+// slot. It performs no I/O and reads no clock.
+//
+// # The load it is designed for
+//
+// During an overload a refused caller comes back later and competes with new requests for
+// the same slots, although it can no longer be on time. If a part x of the demand exceeds the
+// capacity, the share of attempts that are refused grows to the square root of x, since
+// everyone who is refused comes back once. Of 110% demand a third would be late or not
+// served. So repeated requests get slots after those that can still be on time.
+//
+// # How they are recognized
+//
+// A request that is sent again has the same content. Gateways remember the digests of the
+// requests that they refused, and exchange them in heartbeats, as callers come back to any
+// gateway. Each digest is used once for each refusal. A digest that is lost only makes a
+// repeated request count as a new one.
+package retried
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// lifetime is how long a refusal is remembered: callers come back within a third of the
+	// time that they have left.
+	lifetime = 10 * time.Second
+	// reportTime is how long a refusal is reported to other gateways. Callers come back
+	// later than the first of these reports, and lost datagrams are made up for.
+	reportTime = 600 * time.Millisecond
+	// maxReported bounds the refusals in a report, the newest first.
+	maxReported = 64
+	// maxRefusals bounds the refusals that are remembered.
+	maxRefusals = 16384
+)
+
+// ID is a digest of the content of a request.
+type ID uint64
+
+// Table holds the refusals of all gateways. The zero value is empty. It is safe for concurrent
+// use.
+type Table struct {
+	mu       sync.Mutex
+	refusals map[ID]*refusal
+	swept    time.Time
+}
+
+type refusal struct {
+	at  time.Time
+	own bool // refused by this gateway
+	// returned is set once the request was sent again. The entry is kept, so that late
+	// reports of the same refusal do not count.
+	returned bool
+}
+
+// Refused records that this gateway refused a request.
+func (t *Table) Refused(id ID, now time.Time) { t.add(id, true, now) }
+
+// Receive records refusals that another gateway reported.
+func (t *Table) Receive(ids []uint64, now time.Time) {
+	for _, id := range ids {
+		t.add(ID(id), false, now)
+	}
+}
+
+func (t *Table) add(id ID, own bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	old := t.refusals[id]
+	switch {
+	case old != nil && !own: // reported before, or the request has returned since
+		return
+	case old == nil && len(t.refusals) >= maxRefusals:
+		return
+	case t.refusals == nil:
+		t.refusals = make(map[ID]*refusal)
+	}
+	t.refusals[id] = &refusal{at: now, own: own}
+}
+
+// Returned reports whether an arriving request was refused before, and uses the refusal up.
+func (t *Table) Returned(id ID, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.refusals[id]
+	if r == nil || r.returned || now.Sub(r.at) >= lifetime {
+		return false
+	}
+	r.returned = true
+	return true
+}
+
+// Report returns the latest refusals of this gateway.
+func (t *Table) Report(now time.Time) []uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	var ids []ID
+	for id, r := range t.refusals {
+		if r.own && now.Sub(r.at) < reportTime {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b ID) int {
+		return cmp.Or(t.refusals[b].at.Compare(t.refusals[a].at), cmp.Compare(a, b))
+	})
+	out := make([]uint64, 0, min(len(ids), maxReported))
+	for _, id := range ids[:min(len(ids), maxReported)] {
+		out = append(out, uint64(id))
+	}
+	return out
+}
+
+// Size returns the number of refusals that are remembered.
+func (t *Table) Size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.refusals)
+}
+
+// expire removes the refusals that no longer count, at most once a second.
+func (t *Table) expire(now time.Time) {
+	if now.Sub(t.swept) < time.Second {
+		return
+	}
+	t.swept = now
+	for id, r := range t.refusals {
+		if now.Sub(r.at) >= lifetime {
+			delete(t.refusals, id)
+		}
+	}
+}
--- /dev/null
+++ b/entry/retried/retried_test.go
@@ -0,0 +1,90 @@
+package retried
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A caller that comes back to another gateway must not take the slot of a request that can
+// still be on time.
+func TestRequestIsRecognizedAtEveryGateway(t *testing.T) {
+	is := is.New(t)
+	var refusing, other Table
+	now := time.Unix(100, 0)
+	refusing.Refused(7, now)
+	other.Receive(refusing.Report(now), now.Add(100*time.Millisecond))
+	is.True(!other.Returned(8, now.Add(time.Second)))
+	is.True(other.Returned(7, now.Add(time.Second)))
+	is.True(refusing.Returned(7, now.Add(2*time.Second)))
+	is.Equal(len(refusing.Report(now.Add(reportTime))), 0)
+}
+
+// Equal requests of other callers must not all count as sent again after one refusal.
+func TestRefusalIsUsedOnce(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	now := time.Unix(100, 0)
+	table.Receive([]uint64{7}, now)
+	is.True(table.Returned(7, now))
+	table.Receive([]uint64{7}, now) // the same report once more
+	is.True(!table.Returned(7, now))
+	table.Refused(7, now)
+	is.True(table.Returned(7, now))
+}
+
+func TestRefusalsExpire(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	now := time.Unix(100, 0)
+	for id := range ID(maxRefusals + 10) {
+		table.Refused(id, now)
+	}
+	is.Equal(table.Size(), maxRefusals)
+	is.Equal(len(table.Report(now)), maxReported)
+	now = now.Add(lifetime)
+	is.True(!table.Returned(1, now))
+	table.Refused(1, now)
+	is.Equal(table.Size(), 1)
+}
+
+// If a part of the demand exceeds the capacity and everyone who is refused comes back once,
+// requests that can be on time lose far more than that part unless those that came back go
+// last. The load is 110% of the capacity.
+func TestOverloadDoesNotGrowByThoseWhoComeBack(t *testing.T) {
+	is := is.New(t)
+	const capacity, demand, back = 100, 110, 3 // requests per round, rounds until a caller comes back
+	serve := func(last bool) (onTime float64) {
+		var table Table
+		returning := make(map[int][]ID)
+		next, total := ID(0), 0
+		for round := range 60 {
+			now := time.Unix(int64(100+round), 0)
+			fresh, repeated := []ID{}, []ID{}
+			for range demand {
+				next++
+				fresh = append(fresh, next)
+			}
+			for _, id := range returning[round] {
+				if table.Returned(id, now) {
+					repeated = append(repeated, id)
+				}
+			}
+			share := capacity
+			if !last { // slots go to both in proportion
+				share = capacity * len(fresh) / (len(fresh) + len(repeated))
+			}
+			for _, id := range fresh[min(share, demand):] {
+				table.Refused(id, now)
+				returning[round+back] = append(returning[round+back], id)
+			}
+			if round >= 30 {
+				total += min(share, demand)
+			}
+		}
+		return float64(total) / (30 * demand)
+	}
+	is.True(serve(true) > 0.9)
+	is.True(serve(false) < 0.75)
+}
--- a/entry/slotqueue/level.go
+++ b/entry/slotqueue/level.go
@@ -3,14 +3,36 @@
 // Level is the urgency of a request, 0 is the most urgent.
 type Level int
 
-// levels is the number of levels. Less urgent priorities share the last two.
-const levels = 16
-
-// LevelOf returns the level of a request by its priority and by whether its team is over
-// its share.
-func LevelOf(priority int, overShare bool) Level {
-	l := 2 * min(max(0, priority), levels/2-1)
-	if overShare {
+const (
+	// priorities and routePriorities are the numbers of priorities that are told apart. Less
+	// urgent ones count as the last.
+	priorities, routePriorities = 6, 3
+	// repeatedLevel is the level of all requests that are sent again after a refusal.
+	repeatedLevel Level = priorities * routePriorities * 2
+	levels              = int(repeatedLevel) + 1
+)
+
+// Urgency is what the level of a request follows from, the most significant first.
+type Urgency struct {
+	// Repeated is set if the caller sent the request before and was refused, so that it can
+	// no longer be on time.
+	Repeated bool
+	// Priority is the priority of the team, or of the route if the team has none.
+	Priority int
+	// RoutePriority orders the requests of teams with the same priority.
+	RoutePriority int
+	// OverShare is set if the team is over its share.
+	OverShare bool
+}
+
+// Level returns the level of a request.
+func (u Urgency) Level() Level {
+	if u.Repeated {
+		return repeatedLevel
+	}
+	l := min(max(0, u.Priority), priorities-1)*routePriorities + min(max(0, u.RoutePriority), routePriorities-1)
+	l *= 2
+	if u.OverShare {
 		l++
 	}
 	return Level(l)
@@ -29,7 +51,7 @@
 }
 
 // Total returns the number of requests of all levels.
-func (c *Counts) Total() int { return c.Above(levels) }
+func (c *Counts) Total() int { return c.Above(Level(levels)) }
 
 // mostUrgent returns the most urgent level that has requests, or levels if none has.
 func (c *Counts) mostUrgent() Level {
@@ -38,5 +60,5 @@
 			return Level(l)
 		}
 	}
-	return levels
+	return Level(levels)
 }
--- a/entry/slotqueue/reports.go
+++ b/entry/slotqueue/reports.go
@@ -36,7 +36,7 @@
 			counts = &Counts{}
 			services[one.Service] = counts
 		}
-		level := min(max(0, one.Level), levels-1)
+		level := min(max(0, one.Level), repeatedLevel)
 		counts[level] = min(counts[level]+max(0, one.Requests), MaxEntries)
 	}
 	if r.gateways == nil {
