Gateways account for what teams use, report it and know which teams are over their share

Each request counts as demand when it is dispatched; each attempt as use when it begins, corrected by what it took or, if it did not run, withdrawn.

--- a/entry/gateway/adapter_test.go
+++ b/entry/gateway/adapter_test.go
@@ -27,7 +27,7 @@
 func (testAdapter) Headers() Headers {
 	return Headers{
 		RequestID: "T-Id", APIKey: "T-Key", Deadline: "T-Deadline", Team: "T-Team", ExpectServer: "T-Server",
-		NotRun: "T-Not-Run", Priority: "T-Priority", ExpectVersion: "T-Version", ResumeAfter: "Last-Event-Id",
+		NotRun: "T-Not-Run", Priority: "T-Priority", ExpectVersion: "T-Version", ResumeAfter: "Last-Event-Id", TokenCounts: "T-Tokens",
 	}
 }
 func (a testAdapter) Store(string, zerolog.Logger) source.Store { return a.store }
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -69,6 +69,7 @@
 	defer cancel()
 	stream := &streamState{}
 	last := attempt{verdict: verdictNotSent} // the latest one that was sent
+	q.recordDemand()
 	for {
 		choice, found := q.awaitServer(ctx)
 		if found != balance.Available {
@@ -76,7 +77,9 @@
 			return
 		}
 		number := q.sequence.Begin()
+		use := q.beginUse(choice)
 		a := q.try(ctx, choice, stream)
+		q.endUse(use, a.verdict)
 		q.g.inst.attempted(q.service, a.verdict.String())
 		q.recordOutcome(ctx, choice.Server, &a)
 		q.quarantineAttempt.Release()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -63,6 +63,7 @@
 	activity      activity
 	suspects      *quarantine.Table
 	limits        *limits
+	fairShares    *fairShares // nil if switched off
 
 	follower       *source.Follower
 	peering        *peering
@@ -116,6 +117,7 @@
 		permits:          g.limits.Counts,
 		logDropped:       func() float64 { return float64(logWriter.Dropped()) },
 	})
+	g.fairShares = newFairShares(g)
 	g.retries = retry.NewBudgets(s.Listen.Peers, s.Retry.Limit(), retryFleet{g}, log, clock.Now, g.inst.watchRetries)
 	return g, nil
 }
@@ -219,6 +221,7 @@
 			g.suspects.Expire(now)
 			g.limits.maintain(now)
 			g.retries.Refresh()
+			g.fairShares.maintain(now)
 			g.decideActivity(now)
 			g.peering.reconcile(ctx)
 			g.peering.pool.CloseIdle(now.Add(-linkIdle))
--- a/entry/gateway/protocol.go
+++ b/entry/gateway/protocol.go
@@ -25,6 +25,7 @@
 	Priority      string // set for backend servers, never accepted from callers
 	ExpectVersion string // set by gateways only, never accepted from callers
 	ResumeAfter   string // id of the last event that the caller has received
+	TokenCounts   string // prompt tokens and most output tokens of the request, comma-separated, passed through
 }
 
 // Adapter connects a gateway to the platform that it runs on.
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -16,6 +16,7 @@
 	"baywall.example/entry/admission"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
+	"baywall.example/entry/cost"
 	"baywall.example/entry/quarantine"
 	"baywall.example/entry/retry"
 )
@@ -47,6 +48,7 @@
 	priority     int // priority level, 0 is the most urgent
 	service      string
 	body         []byte
+	tokens       cost.Tokens // declared, zero without fair shares
 	header       http.Header // for backend servers
 
 	deadline time.Time     // the caller's or the route's timeout, whichever is first
