--- a/entry/gateway/fairshare.go
+++ b/entry/gateway/fairshare.go
@@ -24,9 +24,10 @@
 // records what requests use, exchanges reports with the other gateways and logs changes.
 
 const (
-	// standingsLifetime is how long computed standings are used. Reports of other gateways
-	// are older than that.
-	standingsLifetime = 50 * time.Millisecond
+	// standingsInterval is the least time between two computations of the standings of a
+	// service. Reports of other gateways are older than that. The computation is due when a
+	// request arrives or ends, and at each run of the maintenance.
+	standingsInterval = 50 * time.Millisecond
 	// maxShareServices bounds the services with an account. Keys of services come from other
 	// gateways too.
 	maxShareServices = 256
@@ -47,11 +48,11 @@
 	log     zerolog.Logger
 	set     *metrics.Set
 	weights map[fairshare.Team]float64
-	// slots returns the number of slots of a service. It locks the node of the gateway, so
-	// it must not be called under mu: heartbeats are built under the node's lock and take mu.
-	slots func(service string, now time.Time) int
-	// waiting reports whether requests of a service wait for a slot at any gateway. It must
-	// not lock the node. If it is nil, none waits.
+	// slots returns the number of slots of a service. waiting reports whether requests of it
+	// wait for one at any gateway; if it is nil, none waits. It must be set before the start.
+	// Both are called without any lock: slots locks the node of the gateway, under whose lock
+	// teamUse is called, and waiting may lock a queue, under whose lock overShare is called.
+	slots   func(service string, now time.Time) int
 	waiting func(service string, now time.Time) bool
 
 	mu       sync.Mutex
@@ -64,7 +65,8 @@
 	service   string // empty until it gets a request
 	account   *fairshare.Account
 	standings map[fairshare.Team]fairshare.Standing
-	at        time.Time                 // when the standings were computed
+	waiting   bool                      // requests waited when the standings were computed
+	at        time.Time                 // when that was
 	over      map[fairshare.Team]string // names of the teams logged as over their share
 	logged    time.Time                 // time of the latest log line
 }
@@ -137,10 +139,11 @@
 	q.tokens = cost.ParseTokens(q.r.Header.Get(q.g.headers.TokenCounts))
 	now := clock.Now()
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	if a := f.ofService(q.service); a != nil {
 		a.account.AddDemand(teamKey(q.team), q.expectedSlotTime(), now)
 	}
+	f.mu.Unlock()
+	f.refresh(q.service, now)
 }
 
 // expectedSlotTime returns for how long the request is expected to occupy a slot. The caller
@@ -179,6 +182,7 @@
 		return
 	}
 	now := clock.Now()
+	f.refresh(u.service, now)
 	took := now.Sub(u.began)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -201,7 +205,7 @@
 }
 
 // overShare reports whether the request's team is over its share of the slots of the service
-// while requests wait for them.
+// while requests wait for them. It may be called under any lock but that of the accounts.
 func (q *request) overShare(now time.Time) bool {
 	return q.standing(now).Over
 }
@@ -212,10 +216,9 @@
 	if f == nil {
 		return fairshare.Standing{}
 	}
-	f.refresh(q.service, now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	a := f.ofService(q.service)
+	a := f.accounts[shareServiceKey(q.service)]
 	if a == nil {
 		return fairshare.Standing{}
 	}
@@ -232,7 +235,7 @@
 func (f *fairShares) refresh(service string, now time.Time) {
 	f.mu.Lock()
 	a := f.ofService(service)
-	due := a != nil && now.Sub(a.at) >= standingsLifetime
+	due := a != nil && now.Sub(a.at) >= standingsInterval
 	if due {
 		a.at = now // other requests use the earlier standings meanwhile
 	}
@@ -240,11 +243,11 @@
 	if !due {
 		return
 	}
-	waiting := f.waits(service, now)
+	waiting := f.waiting != nil && f.waiting(service, now)
 	slots := f.slots(service, now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	a.standings = a.account.Standings(slots, waiting, now)
+	a.standings, a.waiting = a.account.Standings(slots, waiting, now), waiting
 	for team := range a.over {
 		if !a.standings[team].Over && f.mayLog(a, now) {
 			f.logChange(a, team, now, "team back under its share")
@@ -253,10 +256,6 @@
 	}
 }
 
-func (f *fairShares) waits(service string, now time.Time) bool {
-	return f.waiting != nil && f.waiting(service, now)
-}
-
 // mayLog reports whether a line about the service may be logged now. A change that is not
 // logged is logged later if it lasts.
 func (f *fairShares) mayLog(a *shareAccount, now time.Time) bool {
@@ -281,7 +280,7 @@
 	}
 }
 
-// services returns the names of the services that get requests, in order.
+// services returns the names of the services that get requests.
 func (f *fairShares) services() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -291,7 +290,6 @@
 			names = append(names, a.service)
 		}
 	}
-	slices.Sort(names)
 	return names
 }
 
@@ -302,23 +300,16 @@
 	if f == nil {
 		return nil
 	}
-	var out []*wire.TeamUse
-	for _, service := range f.services() {
-		if f.waits(service, now) && len(out) < maxTeamUse {
-			out = append(out, f.report(service, now)...)
-		}
-	}
-	return out
-}
-
-// report returns the claims of one service.
-func (f *fairShares) report(service string, now time.Time) []*wire.TeamUse {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	key := shareServiceKey(service)
 	var out []*wire.TeamUse
-	for _, u := range f.accounts[key].account.Report(now) {
-		out = append(out, &wire.TeamUse{Service: key, Team: uint32(u.Team), Use: toThousandths(u.Use), Demand: toThousandths(u.Demand)})
+	for key, a := range f.accounts {
+		if a.service == "" || !a.waiting || len(out) >= maxTeamUse {
+			continue
+		}
+		for _, u := range a.account.Report(now) {
+			out = append(out, &wire.TeamUse{Service: key, Team: uint32(u.Team), Use: toThousandths(u.Use), Demand: toThousandths(u.Demand)})
+		}
 	}
 	return out
 }
--- a/entry/gateway/fairshare_test.go
+++ b/entry/gateway/fairshare_test.go
@@ -65,6 +65,7 @@
 	slots := f.slots
 	f.slots = func(service string, now time.Time) int { unlocked(); return slots(service, now) }
 	f.waiting = func(string, time.Time) bool { unlocked(); return waiting }
+	f.maintain(clock.Now().Add(standingsInterval))
 }
 
 // What a team uses must be recorded, reported while requests wait, and compared with the
@@ -98,11 +99,14 @@
 	w.gateway.receiveTeamUse("vm2", []*wire.TeamUse{
 		{Service: service, Team: report[0].GetTeam(), Use: 3000, Demand: 9000}, {Service: service, Team: 1, Use: 500, Demand: 1000},
 	})
-	later := now.Add(standingsLifetime)
+	later := clock.Now().Add(2 * standingsInterval)
+	w.gateway.fairShares.maintain(later)
 	is.True(w.teamRequest().overShare(later))
 	other := &request{g: w.gateway, service: "s", team: "other"}
 	is.True(!other.overShare(later))
-	is.True(!w.teamRequest().overShare(later.Add(3 * time.Second))) // the report has expired
+	later = later.Add(3 * time.Second)
+	w.gateway.fairShares.maintain(later)
+	is.True(!w.teamRequest().overShare(later)) // the report has expired
 }
 
 // A request that a server refused uses no slot, but its team needs one.
