Requests count as waiting for 500 ms after they were last seen waiting

In an overload the queues are empty at times, and the standings are computed every 50 ms at most: teams went back under their share in between. Levels have no effect while nothing waits, so the longer time costs nothing.

--- a/entry/gateway/fairshare.go
+++ b/entry/gateway/fairshare.go
@@ -28,6 +28,9 @@
 	// service. Reports of other gateways are older than that. The computation is due when a
 	// request arrives or ends, and at each run of the maintenance.
 	standingsInterval = 50 * time.Millisecond
+	// waitingHold is how long requests count as waiting after they were last seen waiting:
+	// in an overload the queues are empty at times.
+	waitingHold = 500 * time.Millisecond
 	// maxShareServices bounds the services with an account. Keys of services come from other
 	// gateways too.
 	maxShareServices = 256
@@ -65,8 +68,8 @@
 	service   string // empty until it gets a request
 	account   *fairshare.Account
 	standings map[fairshare.Team]fairshare.Standing
-	waiting   bool                      // requests waited when the standings were computed
-	at        time.Time                 // when that was
+	at        time.Time                 // when the standings were computed
+	waited    time.Time                 // when requests were last seen waiting
 	over      map[fairshare.Team]string // names of the teams logged as over their share
 	logged    time.Time                 // time of the latest log line
 }
@@ -247,7 +250,10 @@
 	slots := f.slots(service, now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	a.standings, a.waiting = a.account.Standings(slots, waiting, now), waiting
+	if waiting {
+		a.waited = now
+	}
+	a.standings = a.account.Standings(slots, a.waiting(now), now)
 	for team := range a.over {
 		if !a.standings[team].Over && f.mayLog(a, now) {
 			f.logChange(a, team, now, "team back under its share")
@@ -256,6 +262,11 @@
 	}
 }
 
+// waiting reports whether requests wait for a slot at any gateway, or did so lately.
+func (a *shareAccount) waiting(now time.Time) bool {
+	return !a.waited.IsZero() && now.Sub(a.waited) < waitingHold
+}
+
 // mayLog reports whether a line about the service may be logged now. A change that is not
 // logged is logged later if it lasts.
 func (f *fairShares) mayLog(a *shareAccount, now time.Time) bool {
@@ -304,7 +315,7 @@
 	defer f.mu.Unlock()
 	var out []*wire.TeamUse
 	for key, a := range f.accounts {
-		if a.service == "" || !a.waiting || len(out) >= maxTeamUse {
+		if a.service == "" || !a.waiting(now) || len(out) >= maxTeamUse {
 			continue
 		}
 		for _, u := range a.account.Report(now) {
