--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -64,6 +64,7 @@
 	suspects      *quarantine.Table
 	limits        *limits
 	slots         *slotQueues // nil = requests do not queue for slots
+	fairShares    *fairShares // nil if switched off
 
 	follower       *source.Follower
 	peering        *peering
@@ -121,6 +122,10 @@
 		permits:          g.limits.Counts,
 		logDropped:       func() float64 { return float64(logWriter.Dropped()) },
 	})
+	g.fairShares = newFairShares(g)
+	if g.fairShares != nil {
+		g.fairShares.waiting = g.slots.waits
+	}
 	g.retries = retry.NewBudgets(s.Listen.Peers, s.Retry.Limit(), retryFleet{g}, log, clock.Now, g.inst.watchRetries)
 	return g, nil
 }
@@ -228,6 +233,7 @@
 			g.suspects.Expire(now)
 			g.limits.maintain(now)
 			g.retries.Refresh()
+			g.fairShares.maintain(now)
 			g.decideActivity(now)
 			g.peering.reconcile(ctx)
 			g.peering.pool.CloseIdle(now.Add(-linkIdle))
--- a/entry/gateway/protocol.go
+++ b/entry/gateway/protocol.go
@@ -26,6 +26,7 @@
 	ExpectVersion string // set by gateways only, never accepted from callers
 	ResumeAfter   string // id of the last event that the caller has received
 	Prompt        string // parts of the prompt, which a request has in common with its retries
+	TokenCounts   string // prompt tokens and most output tokens of the request, comma-separated, passed through
 }
 
 // Adapter connects a gateway to the platform that it runs on.
--- a/entry/gateway/slotqueue.go
+++ b/entry/gateway/slotqueue.go
@@ -12,6 +12,7 @@
 	"baywall.example/core/wire"
 	"baywall.example/entry/admission"
 	"baywall.example/entry/balance"
+	"baywall.example/entry/fairshare"
 	"baywall.example/entry/quarantine"
 	"baywall.example/entry/retried"
 	"baywall.example/entry/slotqueue"
@@ -79,7 +80,7 @@
 
 // report returns what waits at this gateway, and what it refused lately.
 func (s *slotQueues) report(now time.Time) *wire.Demand {
-	out := &wire.Demand{Refused: s.refused.Report(now)}
+	out := &wire.Demand{Refused: s.refused.Report(now), TeamUse: s.g.teamUse(now)}
 	s.each(func(slots *slotQueue) {
 		for level, n := range slots.counts() {
 			if n > 0 {
@@ -99,12 +100,20 @@
 	}
 	now := clock.Now()
 	s.refused.Receive(demand.GetRefused(), now)
+	s.g.receiveTeamUse(from, demand.GetTeamUse())
 	s.mu.Lock()
 	s.reports.Receive(string(from), reports, now)
 	s.mu.Unlock()
 	s.each(func(slots *slotQueue) { slots.heartbeatReceived(now) })
 }
 
+// waits reports whether requests of the service wait for a slot at any gateway.
+func (s *slotQueues) waits(service string, now time.Time) bool {
+	slots := s.g.serviceStateOf(service).slots
+	others := slots.others(now)
+	return others.Total() > 0 || slots.length() > 0
+}
+
 // others returns how many requests of the service wait at other gateways.
 func (s *slotQueue) others(now time.Time) *slotqueue.Counts {
 	s.all.mu.Lock()
@@ -227,9 +236,12 @@
 	return w.entry.Refusal()
 }
 
-// level returns the urgency of the request among those that wait for slots.
-func (q *request) level() slotqueue.Level {
-	return slotqueue.Urgency{Repeated: q.repeated, Priority: q.priority, RoutePriority: q.route.Priority}.Level()
+// level returns the urgency of the request among those that wait for slots. The standing is
+// that of its team.
+func (q *request) level(standing fairshare.Standing) slotqueue.Level {
+	return slotqueue.Urgency{
+		Repeated: q.repeated, Priority: q.priority, RoutePriority: q.route.Priority, OverShare: standing.Over,
+	}.Level()
 }
 
 // retryID returns the digest by which the request is recognized when it is sent again. The
@@ -256,8 +268,9 @@
 
 // newSlotEntry returns the entry with which the request joins the queue for slots.
 func (q *request) newSlotEntry(now time.Time) *slotqueue.Entry {
+	standing := q.standing(now)
 	return &slotqueue.Entry{
-		Level: q.level(), Team: q.team, Until: now.Add(q.admissionRequest(now).PermitWait()),
+		Level: q.level(standing), Team: q.team, Used: standing.Used(), Until: now.Add(q.admissionRequest(now).PermitWait()),
 		Selective: len(q.excluded) > 0 || q.rejected,
 	}
 }
