Team limits: count requests that run above a lowered share

A lowered share does not end the requests that run under the higher one, but once the holder had confirmed it the grantor granted the difference to others. After a burst through one entry VM a team had 36 requests running with a limit of 24 (in the new test, which fails without the change). Holders now report the requests that run beyond their base share when there are more of them than their lease has, and the grantor counts them.

--- a/entry/limits/grantor.go
+++ b/entry/limits/grantor.go
@@ -33,8 +33,9 @@
 type LeaseRequest struct {
 	From   vm.ID
 	Demand int // peak of running requests plus refused ones, since the last lease request
-	// HeldSequence, Held and HeldFor are the sequence number, the share and the remaining
-	// time of the lease that the holder has.
+	// HeldSequence and HeldFor are the sequence number and the remaining time of the lease
+	// that the holder has. Held is the share of that lease, or the number of requests that
+	// run beyond the holder's base share if there are more of them.
 	HeldSequence uint64
 	Held         int
 	HeldFor      time.Duration
@@ -57,7 +58,11 @@
 // holderState is the state of one holder as known to the grantor.
 type holderState struct {
 	demand int
-	leases []lease // newest last; earlier ones count until a later one is confirmed or they end
+	// held is the Held of the latest request. It counts as long as the holder has any lease,
+	// since requests go on when a share is lowered or a lease ends.
+	held         int
+	heldSequence uint64
+	leases       []lease // newest last; earlier ones count until a later one is confirmed or they end
 }
 
 type lease struct {
@@ -105,6 +110,11 @@
 // confirm drops the leases before the one that the holder reports to use. If this grantor
 // does not know that lease, an earlier grantor granted it, and it is added.
 func (h *holderState) confirm(a LeaseRequest, now time.Time) {
+	if a.HeldSequence < h.heldSequence { // a later request has overtaken this one
+		h.held = max(h.held, a.Held)
+	} else {
+		h.held, h.heldSequence = a.Held, a.HeldSequence
+	}
 	for i, l := range h.leases {
 		if l.sequence == a.HeldSequence {
 			h.leases = h.leases[i:]
@@ -118,7 +128,7 @@
 
 // maxInUse returns the largest share that the holder may be using.
 func (h *holderState) maxInUse() int {
-	most := 0
+	most := h.held
 	for _, l := range h.leases {
 		most = max(most, l.share)
 	}
--- a/entry/limits/holder.go
+++ b/entry/limits/holder.go
@@ -21,6 +21,7 @@
 // It is a pure state machine and not safe for concurrent use.
 type Holder struct {
 	running   int
+	base      int // share that it owned when a request was last admitted or refused
 	peak      int // since the last lease request
 	refused   int // since the last lease request
 	sequence  uint64
@@ -33,7 +34,7 @@
 // Admit reports whether the base share and the lease allow another request. If so, it counts
 // the request as running.
 func (h *Holder) Admit(base int, now time.Time) bool {
-	h.used = now
+	h.used, h.base = now, base
 	if h.running >= base+h.leased(now) {
 		h.refused++
 		return false
@@ -73,9 +74,9 @@
 // LeaseRequest returns the lease request to send now.
 func (h *Holder) LeaseRequest(self vm.ID, now time.Time) LeaseRequest {
 	h.requested = now
-	a := LeaseRequest{From: self, Demand: max(h.peak, h.running) + h.refused, HeldSequence: h.sequence, Held: h.leased(now)}
-	if a.Held > 0 {
-		a.HeldFor = h.until.Sub(now)
+	a := LeaseRequest{
+		From: self, Demand: max(h.peak, h.running) + h.refused,
+		HeldSequence: h.sequence, Held: max(h.leased(now), h.running-h.base), HeldFor: max(0, h.until.Sub(now)),
 	}
 	h.peak, h.refused = h.running, 0
 	return a
--- a/entry/limits/limits_test.go
+++ b/entry/limits/limits_test.go
@@ -232,3 +232,53 @@
 		is.True(refusal == nil)
 	}
 }
+
+// A burst of long streams through one entry VM takes all of the pool, then the other VMs need
+// some of it. The grantor must not grant what running streams still use when it has lowered the
+// share of their VM: the team had 36 requests running with a limit of 24.
+func TestRequestsAboveALoweredShareStillCount(t *testing.T) {
+	is := is.New(t)
+	const limit, listed = 24, 4
+	fleet := Fleet{Listed: listed, Reachable: listed, GrantorSince: start.Add(-time.Hour)}
+	g := NewGrantor(start)
+	holders := make([]Holder, listed)
+	now := start
+	admit := func(i int) {
+		for range limit {
+			holders[i].Admit(Base(limit, listed), now)
+		}
+	}
+	running := func() (n int) {
+		for i := range holders {
+			n += holders[i].Running()
+		}
+		return n
+	}
+	renew := func() {
+		for i := range holders {
+			admit(i)
+			holders[i].Granted(g.Handle(holders[i].LeaseRequest(vm.ID(fmt.Sprint(i)), now), limit, fleet, now), now)
+			admit(i)
+			is.True(running() <= limit)
+		}
+		now = now.Add(renewAfter)
+	}
+	admit(0)
+	holders[0].Granted(g.Handle(holders[0].LeaseRequest("0", now), limit, fleet, now), now)
+	admit(0)
+	is.True(holders[0].Running() > limit/2)
+	for range 12 {
+		renew()
+	}
+	is.Equal(running(), limit)
+	for range holders[0].Running() { // its requests end
+		holders[0].Release()
+	}
+	for range 12 {
+		renew()
+	}
+	is.Equal(running(), limit)
+	for i := range holders {
+		is.Equal(holders[i].Running(), limit/listed)
+	}
+}
