--- a/standin/e2e/limits_test.go
+++ b/standin/e2e/limits_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
@@ -77,6 +78,32 @@
 	is.True(strings.Contains(events[0].Reason, "team-limit"))
 }
 
+// A team's streams take most of its limit through one entry VM. When its requests then come
+// through all entry VMs, the shares are evened out while the streams run; 36 streams ran with a
+// limit of 24 when the grantor did not count those above a lowered share.
+func TestTeamLimitHoldsWhenDemandMoves(t *testing.T) {
+	is := is.New(t)
+	s := site()
+	const limit, tokens = 24, 600
+	s.Teams = map[string]resource.Team{"red": {Concurrency: limit}}
+	f := start(t, s)
+	await(t, "a grantor grants more than the base share", func() bool { return admitted(t, f, f.Entries()[1:2], 1, 10) >= 8 })
+	streamTime := tokens * s.Services[0].Step // at least
+	began := time.Now()
+	running := admitted(t, f, f.Entries()[1:2], tokens, 2*limit)
+	is.True(running > limit/2)
+	for time.Since(began) < streamTime/2 {
+		more := admitted(t, f, f.Entries(), tokens, 3*limit)
+		if time.Since(began) > streamTime {
+			break // the first streams may have ended
+		}
+		running += more
+		is.True(running <= limit)
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Logf("%d streams with a limit of %d", running, limit)
+}
+
 // admitted sends concurrent requests of team red, distributed round-robin over the entry VMs,
 // and returns how many were admitted.
 func admitted(t *testing.T, f *fleet.Fleet, entries []string, tokens, requests int) int {
