Do not take equal requests for retries of a refused one

Now content of which equal requests keep arriving is not recognized. The load test's bodies differ by request, as callers' requests do, and are the same in both attempts.

--- a/entry/gateway/load_test.go
+++ b/entry/gateway/load_test.go
@@ -131,7 +131,7 @@
 	f.mu.Lock()
 	w := f.live[int(draw*float64(len(f.live)))]
 	f.mu.Unlock()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("%s/p%d/x", w.url, flow.priority), strings.NewReader("body"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("%s/p%d/x", w.url, flow.priority), strings.NewReader(fmt.Sprintf("%s-%v", flow.team, c.at)))
 	if err != nil {
 		f.t.Error(err)
 		return w, 0, 0
--- a/entry/retried/retried.go
+++ b/entry/retried/retried.go
@@ -45,6 +45,7 @@
 type Table struct {
 	mu       sync.Mutex
 	refusals map[ID]*refusal
+	arrivals map[ID]arrivals // that did not count as retries
 	swept    time.Time
 }
 
@@ -54,6 +55,14 @@
 	// returned is set once the request was sent again. The entry is kept, so that late
 	// reports of the same refusal do not count.
 	returned bool
+	// ambiguous is set if equal requests arrived that were not retries of this one.
+	ambiguous bool
+}
+
+// arrivals counts equal requests.
+type arrivals struct {
+	count int
+	at    time.Time // of the latest
 }
 
 // Refused records that this gateway refused a request.
@@ -79,19 +88,40 @@
 	case t.refusals == nil:
 		t.refusals = make(map[ID]*refusal)
 	}
-	t.refusals[id] = &refusal{at: now, own: own}
+	equal := t.arrivals[id].count // besides the refused request
+	if own {
+		equal--
+	}
+	t.refusals[id] = &refusal{at: now, own: own, ambiguous: equal > 0 || old != nil && old.ambiguous}
 }
 
 // Returned reports whether an arriving request was refused before, and uses the refusal up.
 func (t *Table) Returned(id ID, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.refusals[id]
-	if r == nil || r.returned || now.Sub(r.at) >= lifetime {
+	if len(t.refusals) == 0 {
 		return false
 	}
-	r.returned = true
-	return true
+	r := t.refusals[id]
+	if r != nil && !r.returned && !r.ambiguous && now.Sub(r.at) < lifetime {
+		r.returned = true
+		return true
+	}
+	if r != nil {
+		r.ambiguous = true // an equal request that is no retry
+	}
+	t.arrived(id, now)
+	return false
+}
+
+// arrived records an arrival that does not count as a retry.
+func (t *Table) arrived(id ID, now time.Time) {
+	if t.arrivals == nil {
+		t.arrivals = make(map[ID]arrivals)
+	}
+	if a, known := t.arrivals[id]; known || len(t.arrivals) < maxRefusals {
+		t.arrivals[id] = arrivals{a.count + 1, now}
+	}
 }
 
 // Report returns the latest refusals of this gateway.
@@ -133,4 +163,9 @@
 			delete(t.refusals, id)
 		}
 	}
+	for id, a := range t.arrivals {
+		if now.Sub(a.at) >= lifetime {
+			delete(t.arrivals, id)
+		}
+	}
 }
--- a/entry/retried/retried_test.go
+++ b/entry/retried/retried_test.go
@@ -30,8 +30,35 @@
 	is.True(table.Returned(7, now))
 	table.Receive([]uint64{7}, now) // the same report once more
 	is.True(!table.Returned(7, now))
-	table.Refused(7, now)
-	is.True(table.Returned(7, now))
+	table.Receive([]uint64{8}, now)
+	is.True(table.Returned(8, now))
+	table.Refused(8, now) // a retry is refused
+	is.True(table.Returned(8, now))
+}
+
+// After one refusal, equal requests of other callers must not be put last at all gateways:
+// those would be refused too, and so on.
+func TestEqualRequestsAreNotTakenForRetries(t *testing.T) {
+	is := is.New(t)
+	tables := make([]Table, 7)
+	now := time.Unix(100, 0)
+	taken := 0
+	for i := range 700 {
+		now = now.Add(10 * time.Millisecond)
+		table := &tables[i%len(tables)]
+		if table.Returned(7, now) {
+			taken++
+		}
+		if i%2 == 0 { // half of them are refused
+			table.Refused(7, now)
+			for j := range tables {
+				if &tables[j] != table {
+					tables[j].Receive([]uint64{7}, now)
+				}
+			}
+		}
+	}
+	is.True(taken <= 2*len(tables))
 }
 
 func TestRefusalsExpire(t *testing.T) {
