Learn the speed of backend servers without engines

A server that takes four times as long as the others still got its part of the requests by free slots, and its queue made them late. With scheduling.server_speed, package entry/speed learns from the answers how much longer than the median each server takes; a pick counts a slower server with fewer slots and leaves it out, except for single requests, while its answers would be late. Off by default; only requests that are no streams take part.

--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -28,6 +28,10 @@
 	Concurrency float64
 	// Reserved is the number of free slots of the service that are left to other requests.
 	Reserved int
+	// ServerSpeed is set if slower servers get fewer requests, and Route then names the
+	// route of the request.
+	ServerSpeed bool
+	Route       string
 	// HoldThreshold is the gap between events from which a server gets no further stream
 	// for a short time, 0 = none: processing the prompt of a new stream lengthens the
 	// engine pass for all streams of the group.
@@ -83,6 +87,9 @@
 	if d.GapTarget > 0 {
 		s.maxGap = s.longestGap(now)
 	}
+	if d.ServerSpeed {
+		s.fastest = s.fastestSpeed(d, now)
+	}
 	for i, server := range s.usable {
 		if server.rampUp.full() {
 			rampUp++
@@ -107,7 +114,7 @@
 			busy = true
 			continue
 		}
-		slots := float64(max(1, server.Slots))
+		slots := s.loadSlots(i, d, now)
 		score := float64(s.inFlight(i))/slots + s.lateness(i, d.GapTarget, now) + s.slowness(i)
 		if server.Zone != r.zone {
 			score += otherZoneCost
@@ -180,8 +187,7 @@
 // tooBusy reports whether a request must not be sent to the server because it would queue
 // for too long, or because streams are held back from it.
 func (s *shard) tooBusy(i int, d Demand, now time.Time) bool {
-	slots := s.usable[i].Slots
-	if d.MaxWait <= 0 || slots <= 0 {
+	if d.MaxWait <= 0 || s.usable[i].Slots <= 0 {
 		return false
 	}
 	if d.Concurrency > 0 && s.inFlight(i)+1 > d.slotsOf(s.usable[i]) {
@@ -193,8 +199,7 @@
 	if d.HoldThreshold > 0 && s.usable[i].passes.holds(s.expectedGap(i, now) >= d.HoldThreshold, now) {
 		return true
 	}
-	ahead := s.inFlight(i) + 1 - slots // requests that have to end before this one starts
-	return ahead > 0 && time.Duration(ahead)*s.serviceTime(d)/time.Duration(slots) > d.MaxWait
+	return s.queues(i, d, now)
 }
 
 // serviceTime returns the expected time for which a request of the demand occupies a
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -11,6 +11,7 @@
 	"baywall.example/core/cluster"
 	"baywall.example/core/notice"
 	"baywall.example/core/source"
+	"baywall.example/entry/speed"
 )
 
 // Registry holds the backend servers of all services. It is safe for concurrent use.
@@ -62,6 +63,8 @@
 	// meanServiceTime is the smoothed time for which a request occupies a slot; 0 =
 	// unknown.
 	meanServiceTime time.Duration
+	speeds          speed.Service // of servers without engines
+	fastest         float64       // least slowness of the servers that the current demand may use
 	probes          probeBudget
 	probationSince  time.Time // zero = not on probation
 }
@@ -177,10 +180,11 @@
 		Msg("backend server no longer listed")
 }
 
-// remove closes a server that is no longer listed.
+// remove closes a server that is no longer listed. The caller holds the shard's lock.
 func (r *Registry) remove(server *Server, now time.Time) {
 	server.gone = true
 	server.Pool.Close()
+	r.shard(server.Service).speeds.Forget(server.ID)
 	r.notices.Unlist(server.noticeKey(), now)
 }
 
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -222,6 +222,7 @@
 	if a.verdict == verdictAnswered && c.InFlight < c.Server.Slots {
 		q.g.registry.RecordServiceTime(q.service, clock.Since(began))
 	}
+	q.recordSpeed(c, a, sent)
 	if a.verdict == verdictAnswered && q.route.Kind != catalog.KindStream {
 		q.recordFirstAnswer(c, began)
 	}
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -78,6 +78,12 @@
 	gauge("baywall_retry_part", func(s retry.State) float64 { return s.Part })
 }
 
+// watchSpeed adds the gauge of how much longer than the median server the slowest server of a
+// service takes for an answer.
+func (i *instruments) watchSpeed(service string, slowest func() float64) {
+	i.set.GetOrCreateGauge(fmt.Sprintf("baywall_slowest_server_slowness{service=%q}", service), slowest)
+}
+
 func (i *instruments) refused(outcome, reason string) {
 	i.set.GetOrCreateCounter(fmt.Sprintf("baywall_refusals_total{outcome=%q,reason=%q}", outcome, reason)).Inc()
 }
--- a/entry/gateway/refresh.go
+++ b/entry/gateway/refresh.go
@@ -56,6 +56,7 @@
 	if q.service == "" || !route.Targeted(q.service) {
 		q.service = route.Pick(rand.Float64())
 	}
+	q.learnsSpeed = q.g.learnsSpeed(s, route, q.service)
 	return nil
 }
 
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -46,6 +46,7 @@
 	team         string
 	priority     int // priority level, 0 is the most urgent
 	service      string
+	learnsSpeed  bool // it takes part in learning and applying the speeds of servers
 	body         []byte
 	header       http.Header // for backend servers
 
--- a/entry/gateway/waiting.go
+++ b/entry/gateway/waiting.go
@@ -170,6 +170,9 @@
 		d.AssumedServiceTime *= defaultStreamOccupancy
 		d.HoldThreshold = q.holdThreshold(now)
 	}
+	if q.learnsSpeed {
+		d.ServerSpeed, d.Route = true, q.route.Name
+	}
 	d.MaxWait = q.maxQueueWait(r)
 	return d
 }
