--- a/entry/balance/speed.go
+++ b/entry/balance/speed.go
@@ -13,12 +13,12 @@
 // speedMargin is the factor by which the additional time of a slower server is
 // overestimated: its answers vary, and the smoothed slowness approaches its final value from
 // below.
-const speedMargin = 1.1
+const speedMargin = 1.2
 
-// RecordSpeed records how long the chosen server took for an answer. If the request is
-// likely to have queued there, the expected part of the queue is deducted: a slow server is
-// full most of the time, so the few answers without a queue come too late to learn its speed
-// from them alone.
+// RecordSpeed records how long the chosen server took for an answer. Answers to requests
+// that may have queued count, too, with a lower bound that excludes the expected time in the
+// queue: a slow server is full most of the time, so its speed would be learned too late from
+// the others.
 func (r *Registry) RecordSpeed(c Choice, route string, took time.Duration, now time.Time) {
 	server := c.Server
 	s := r.shard(server.Service)
@@ -29,7 +29,8 @@
 	}
 	slots := max(1, server.Slots)
 	ahead := max(0, c.InFlight+1-slots) // requests that had to end before this one started
-	s.speeds.Answered(server.ID, route, took*time.Duration(slots)/time.Duration(slots+ahead), now)
+	least := took * time.Duration(slots) / time.Duration(slots+ahead)
+	s.speeds.Answered(server.ID, route, least, took, now)
 	if change, changed := s.speeds.Change(now); changed {
 		r.logSpeed(server.Service, change)
 	}
@@ -74,7 +75,7 @@
 	switch {
 	case !d.ServerSpeed:
 		return slots
-	case s.tooLate(i, d, now):
+	case s.inFlight(i) == 0 && s.tooLate(i, d, now):
 		return 1 // it gets one request at a time
 	default:
 		return max(1, slots/s.speeds.Slowness(s.usable[i].ID, now))
--- a/entry/speed/speed.go
+++ b/entry/speed/speed.go
@@ -23,7 +23,7 @@
 	// probeAge is the age of the latest answer from which a server that gets only a trickle
 	// is due for a request of this process. It is below lifetime, so that the slowness of
 	// the server does not expire.
-	probeAge = 8 * time.Second
+	probeAge = 7 * time.Second
 	// recoveryFactor is how much faster than its smoothed time a server answers when it
 	// seems to recover.
 	recoveryFactor = 2
@@ -65,10 +65,10 @@
 	t.time += max(routeWeight, 1/float64(t.answers)) * (seconds - t.time)
 }
 
-// Answered records how long a server worked on an answer, without the time that the
-// request queued.
-func (s *Service) Answered(id, route string, took time.Duration, now time.Time) {
-	if took <= 0 {
+// Answered records an answer of a server, which worked on it for a time between least and
+// most. The two differ if the request may have queued.
+func (s *Service) Answered(id, route string, least, most time.Duration, now time.Time) {
+	if least <= 0 || most < least {
 		return
 	}
 	s.expire(now)
@@ -81,12 +81,16 @@
 		s.servers[id] = one
 	}
 	t := s.route(route)
+	took := least.Seconds()
+	if one.known() {
+		took = min(most.Seconds(), max(took, t.time*one.ratio)) // what was expected, if possible
+	}
 	if t.answers == 0 {
-		s.learnRoute(t, one, took.Seconds())
-		one.add(took.Seconds()/t.time, now)
+		s.learnRoute(t, one, took)
+		one.add(took/t.time, now)
 	} else {
-		one.add(took.Seconds()/t.time, now)
-		s.learnRoute(t, one, took.Seconds())
+		one.add(took/t.time, now)
+		s.learnRoute(t, one, took)
 	}
 	s.normalize()
 }
--- a/entry/speed/speed_test.go
+++ b/entry/speed/speed_test.go
@@ -23,7 +23,7 @@
 func record(s *Service, now time.Time, rounds ...answers) time.Time {
 	for _, a := range rounds {
 		for range a.count {
-			s.Answered(a.server, a.route, a.took, now)
+			s.Answered(a.server, a.route, a.took, a.took, now)
 			now = now.Add(100 * ms)
 		}
 	}
