--- a/entry/balance/speed.go
+++ b/entry/balance/speed.go
@@ -95,7 +95,7 @@
 func (s *shard) queueTime(i int, d Demand, now time.Time) time.Duration {
 	server := s.usable[i]
 	ahead := s.inFlight(i) + 1 - server.Slots // requests that have to end before this one starts
-	if ahead <= 0 {
+	if ahead <= 0 || server.Slots <= 0 {
 		return 0
 	}
 	serviceTime := s.serviceTime(d)
@@ -125,8 +125,8 @@
 // has become faster.
 func (s *shard) probesSpeed(i int, now time.Time) bool {
 	server := s.usable[i]
-	if s.inFlight(i) == 0 {
-		return true
+	if server.InFlight() > 0 || s.inFlight(i) >= server.Slots {
+		return false
 	}
-	return server.InFlight() == 0 && s.inFlight(i) < server.Slots && s.speeds.ProbeDue(server.ID, now)
+	return s.speeds.ProbeDue(server.ID, s.inFlight(i) == 0, now)
 }
--- a/entry/speed/speed.go
+++ b/entry/speed/speed.go
@@ -20,9 +20,13 @@
 	// time if the server's speed has changed. The smoothed time then starts again: gateways
 	// that send a server one request a second would otherwise need ten seconds.
 	stepFactor = 1.5
-	// probeAge is the age of the latest answer from which a server that gets only a trickle
-	// is due for a request of this process. It is below lifetime, so that the slowness of
-	// the server does not expire.
+	// idleProbeAge is the age of the latest answer from which a server that gets only a
+	// trickle is due for a request of this process if it is idle. It bounds the late answers
+	// of a process with few requests.
+	idleProbeAge = 2 * time.Second
+	// probeAge is the same if the server has requests of other processes. It is below
+	// lifetime, so that the slowness of the server does not expire in a large fleet, where
+	// the single request in flight is seldom one of this process.
 	probeAge = 7 * time.Second
 	// recoveryFactor is how much faster than its smoothed time a server answers when it
 	// seems to recover.
@@ -205,11 +209,15 @@
 }
 
 // ProbeDue reports whether a server that gets only a trickle is due for a request of this
-// process, even if it has a request of another one: its latest answer is old, or so fast
-// that the server seems to recover.
-func (s *Service) ProbeDue(id string, now time.Time) bool {
+// process: its latest answer is old, or so fast that the server seems to recover. A server
+// that is idle, with no request of any process in flight, is due earlier.
+func (s *Service) ProbeDue(id string, idle bool, now time.Time) bool {
 	one := s.servers[id]
-	if one == nil || one.answers == 0 || now.Sub(one.at) >= probeAge {
+	if one == nil || one.answers == 0 {
+		return true
+	}
+	age := now.Sub(one.at)
+	if age >= probeAge || idle && age >= idleProbeAge {
 		return true
 	}
 	newest := one.latest[(one.answers-1)%latestAnswers]
--- a/entry/speed/speed_test.go
+++ b/entry/speed/speed_test.go
@@ -97,12 +97,14 @@
 func TestProbeDue(t *testing.T) {
 	is := is.New(t)
 	var s Service
-	is.True(s.ProbeDue("a", start))
+	is.True(s.ProbeDue("a", false, start))
 	now := record(&s, start, answers{"b", "r", 100 * ms, 4}, answers{"a", "r", 400 * ms, 4})
-	is.True(!s.ProbeDue("a", now))
-	is.True(s.ProbeDue("a", now.Add(probeAge)))
+	is.True(!s.ProbeDue("a", true, now))
+	is.True(s.ProbeDue("a", true, now.Add(idleProbeAge)))
+	is.True(!s.ProbeDue("a", false, now.Add(idleProbeAge)))
+	is.True(s.ProbeDue("a", false, now.Add(probeAge)))
 	now = record(&s, now, answers{"a", "r", 100 * ms, 1})
-	is.True(s.ProbeDue("a", now))
+	is.True(s.ProbeDue("a", false, now))
 }
 
 // Each change is returned once, changes are at least a second apart, and a server that is
