--- a/entry/gateway/waiting.go
+++ b/entry/gateway/waiting.go
@@ -179,7 +179,10 @@
 		d.AssumedServiceTime *= defaultStreamOccupancy
 		d.HoldThreshold = q.holdThreshold(now)
 	}
-	d.MaxWait = q.maxQueueWait(r)
+	if q.learnsSpeed {
+		d.ServerSpeed, d.Route = true, q.route.Name
+	}
+	d.MaxWait, d.Slack = q.maxQueueWait(r), max(0, r.Slack())
 	return d
 }
 
