--- a/entry/concurrency/concurrency.go
+++ b/entry/concurrency/concurrency.go
@@ -69,6 +69,7 @@
 	loads   float64 // sum of the loads at the gaps
 	factors [windows]observation
 	next    int // index of the oldest factor
+	relief  relief
 }
 
 // observation is the cost factor of one window.
@@ -109,6 +110,14 @@
 	l.since, l.gaps, l.loads = now, l.gaps[:0], 0
 }
 
+// Decided records that a stream which could be on time got a slot, or was refused for lack of
+// one.
+func (l *Limiter) Decided(refused bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.relief.decided(refused, now)
+}
+
 // Limit is a decision about the batch of a service's engines.
 type Limit struct {
 	// Requests is the mean number of requests that a server may have in flight, 0 = no limit.
@@ -122,21 +131,22 @@
 	if !e.known() || target <= 0 {
 		return Limit{}
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	factor := l.costFactor(now)
 	if factor <= 0 {
 		return Limit{}
 	}
-	requests := e.batch(time.Duration(margin*float64(target)), factor)
+	requests := max(minBatch*float64(e.Slots), e.batch(time.Duration(margin*float64(target)), factor))
+	requests += l.relief.part * max(0, float64(e.Slots)-requests)
 	if requests >= float64(e.Slots) {
 		return Limit{CostFactor: factor}
 	}
-	return Limit{Requests: max(minBatch*float64(e.Slots), requests), CostFactor: factor}
+	return Limit{Requests: requests, CostFactor: factor}
 }
 
 // costFactor returns the highest cost factor that still counts, 0 if there is none.
 func (l *Limiter) costFactor(now time.Time) float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	highest := 0.0
 	for _, o := range l.factors {
 		if now.Sub(o.at) < windows*window {
--- a/entry/concurrency/concurrency_test.go
+++ b/entry/concurrency/concurrency_test.go
@@ -97,6 +97,28 @@
 	is.Equal(l.Limit(engine, 120*ms, now).Requests, 0.0)
 }
 
+// Demand that stays above the limited batch must not have callers refused that could be
+// served late. A surge of two seconds is cut.
+func TestLimitRisesWhileTooManyAreRefused(t *testing.T) {
+	is := is.New(t)
+	var l Limiter
+	now := observe(&l, 8, 3, time.Unix(100, 0), 2*time.Second)
+	decide := func(refused int, length time.Duration) float64 { // refused of every ten requests
+		for until := now.Add(length); now.Before(until); now = now.Add(50 * ms) {
+			for i := range 10 {
+				l.Decided(i < refused, now)
+			}
+			l.Observe(engine, pass(8, 3), 8, now)
+		}
+		return l.Limit(engine, 120*ms, now).Requests
+	}
+	limit := l.Limit(engine, 120*ms, now).Requests
+	is.True(limit > 0)
+	is.True(decide(4, 2*time.Second) < 8.5)
+	is.Equal(decide(4, 4*time.Second), 0.0) // no limit
+	is.Equal(decide(1, 6*time.Second), limit)
+}
+
 // Whatever is observed, a limit is between the least batch and the slots.
 func TestLimitIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/entry/concurrency/doc.go
+++ b/entry/concurrency/doc.go
@@ -21,6 +21,9 @@
 // takes the target. The factor is learned from all streams of a service together, since
 // its groups serve the same demand.
 //
+// If demand exceeds the limited batch for some seconds, more and more callers are refused. As
+// a late stream is worth more than none, the limit then rises until few enough are refused.
+//
 // # Limits
 //
 // Prompts and copies of experts lengthen passes too; they are part of the learned factor.
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -147,6 +147,7 @@
 	}
 	if r.Reason == contract.ReasonOverload && r.Outcome == contract.NotRun {
 		q.rememberRefusal()
+		q.decidedOnSlot(true, clock.Now())
 	}
 	after := q.retryAfter(r)
 	if status == http.StatusServiceUnavailable {
--- a/entry/gateway/concurrency.go
+++ b/entry/gateway/concurrency.go
@@ -45,6 +45,13 @@
 	q.state.concurrency.limiter.Observe(concurrencyEngine(q.snapshot.Service(q.service)), gap, q.g.registry.MeanInFlight(q.service), now)
 }
 
+// decidedOnSlot records that a stream that can be on time got a slot or was refused.
+func (q *request) decidedOnSlot(refused bool, now time.Time) {
+	if q.g.settings.Scheduling.ConcurrencyLimit && q.route.Kind == catalog.KindStream && !q.interrupted && !q.repeated {
+		q.state.concurrency.limiter.Decided(refused, now)
+	}
+}
+
 // concurrencyLimit returns how many requests a server may have in flight on average for the
 // request to be sent, 0 = no limit. An interrupted stream has none, as it loses more than
 // the others would lose by one more sequence.
--- a/entry/gateway/waiting.go
+++ b/entry/gateway/waiting.go
@@ -299,6 +299,7 @@
 	choice, found := q.g.registry.Pick(d, now)
 	if found == balance.Available {
 		q.tookSlot(now)
+		q.decidedOnSlot(false, now)
 	}
 	q.atLimit, q.backingOff = choice.Load.AtLimit, choice.Load.InBackoff
 	serviceDown := found == balance.Stalled || found == balance.Unavailable && len(q.excluded) == 0 && !q.rejected
