--- a/entry/concurrency/concurrency.go
+++ b/entry/concurrency/concurrency.go
@@ -10,9 +10,11 @@
 	// window is the time over which gaps are collected into one observation: several passes
 	// of an engine, and less than it takes to replace an expert map.
 	window = 500 * time.Millisecond
-	// windows is the number of windows whose highest cost factor applies: demand changes
-	// every few seconds.
+	// windows is the number of windows with enough load whose highest cost factor applies:
+	// six seconds, as demand changes every few seconds.
 	windows = 12
+	// maxAge is how long a cost factor counts at most. It covers a lull between two surges.
+	maxAge = 30 * time.Second
 	// quantile of the gaps of a window that counts, so that single slow connections do not.
 	quantile = 0.75
 	// minGaps is the least number of gaps in a window for the quantile to be meaningful.
@@ -149,7 +151,7 @@
 func (l *Limiter) costFactor(now time.Time) float64 {
 	highest := 0.0
 	for _, o := range l.factors {
-		if now.Sub(o.at) < windows*window {
+		if now.Sub(o.at) < maxAge {
 			highest = max(highest, o.factor)
 		}
 	}
--- a/entry/concurrency/concurrency_test.go
+++ b/entry/concurrency/concurrency_test.go
@@ -70,7 +70,8 @@
 		{"no published engine", Engine{}, 8, 3, 120 * ms, 0, false},
 		{"no gap target", engine, 8, 3, 0, 0, false},
 		{"small batch", engine, 1, 3, 120 * ms, 0, false},
-		{"long ago", engine, 8, 3, 120 * ms, windows*window + window, false},
+		{"long ago", engine, 8, 3, 120 * ms, maxAge, false},
+		{"after a lull", engine, 8, 3, 120 * ms, 10 * time.Second, true},
 		{"stall", engine, 8, 30, 120 * ms, 0, false},
 	}
 	for _, c := range cases {
