--- a/entry/balance/speedfleet_test.go
+++ b/entry/balance/speedfleet_test.go
@@ -36,7 +36,6 @@
 }
 
 type simServer struct {
-	key     uint32
 	time    time.Duration
 	running []*simRequest
 	queue   []*simRequest
