Bound the concurrency limit by the throughput that it keeps

The least limit now is the batch with four fifths of the throughput of a full one, by the published engine.

--- a/entry/concurrency/concurrency.go
+++ b/entry/concurrency/concurrency.go
@@ -31,9 +31,10 @@
 	// slots, from which gaps tell the cost of a sequence: in smaller batches prompts
 	// dominate the pass.
 	minLoad = 0.25
-	// minBatch is the least limit, as a fraction of the slots. With smaller batches the fixed
-	// part of a step dominates: the group serves fewer streams than are late in larger ones.
-	minBatch = 0.5
+	// minThroughput is the throughput, as a fraction of that of a full batch, that a limited
+	// batch has at least by the published engine: the smaller the part of a step that grows
+	// with the batch, the less a limit shortens passes and the more streams it has refused.
+	minThroughput = 0.8
 )
 
 // Engine holds the published parameters of a service's engines.
@@ -56,6 +57,14 @@
 	return (step - float64(e.StepTime)) / (float64(e.SequenceTime) * load)
 }
 
+// minBatch returns the batch with minThroughput. The throughput of a batch is its size over
+// the time of a step.
+func (e Engine) minBatch() float64 {
+	full := float64(e.Slots) / float64(e.StepTime+time.Duration(e.Slots)*e.SequenceTime)
+	needed := minThroughput * full
+	return needed * float64(e.StepTime) / (1 - needed*float64(e.SequenceTime))
+}
+
 // batch returns the number of sequences with which a pass takes the given time.
 func (e Engine) batch(pass time.Duration, factor float64) float64 {
 	step := float64(pass) / float64(e.StepsPerPass)
@@ -139,7 +148,7 @@
 	if factor <= 0 {
 		return Limit{}
 	}
-	requests := max(minBatch*float64(e.Slots), e.batch(time.Duration(margin*float64(target)), factor))
+	requests := max(e.minBatch(), e.batch(time.Duration(margin*float64(target)), factor))
 	requests += l.relief.part * max(0, float64(e.Slots)-requests)
 	if requests >= float64(e.Slots) {
 		return Limit{CostFactor: factor}
