Queue for slots: order by deadline, no busy wait, no blocked free slots; cheaper reports

Also: services without slot counts and engines with one slot, heartbeats without demand, selective requests that are due, the scan of all refusals for each heartbeat, a log event built for each pick.

--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -84,6 +84,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := r.refresh(s, now)
+	load.Free = max(0, d.capacity(load)-load.InFlight)
 	s.candidates = s.candidates[:0]
 	busy, known, stalled, rampUp := false, 0, 0, 0
 	if d.GapTarget > 0 {
@@ -226,14 +227,14 @@
 	if d.Concurrency <= 0 {
 		return load.Slots
 	}
-	return min(load.Slots, int(d.Concurrency*float64(load.Servers)))
+	return min(load.Slots, max(1, int(d.Concurrency*float64(load.Servers))))
 }
 
 // fits reports whether the service has a slot for the request besides those that are left
 // to others. It does not decide where nothing is limited: a request may then queue at a
 // server.
 func (d Demand) fits(load Load) bool {
-	if load.Servers == 0 || d.Concurrency <= 0 && d.Reserved == 0 {
+	if load.Slots == 0 || d.Concurrency <= 0 && d.Reserved == 0 {
 		return true
 	}
 	return load.InFlight+d.Reserved < d.capacity(load)
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -252,6 +252,7 @@
 	Slots     int // total of Servers
 	InFlight  int // requests of all gateways to Servers
 	Own       int // part of InFlight that is from this gateway
+	Free      int // slots that the demand leaves free; set by Pick only
 }
 
 // Choice is a picked server with the load that the pick was based on.
--- a/entry/fairshare/standing.go
+++ b/entry/fairshare/standing.go
@@ -19,14 +19,6 @@
 	Over   bool // over its share
 }
 
-// Used returns the used fraction of the share.
-func (s Standing) Used() float64 {
-	if s.Share <= 0 {
-		return 0
-	}
-	return s.Use / s.Share
-}
-
 // Standings returns the standings of all known teams, of all gateways together. The number of
 // slots is that of the service, and waiting tells whether requests of the service wait for
 // one at any gateway.
--- a/entry/gateway/concurrency.go
+++ b/entry/gateway/concurrency.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"baywall.example/entry/catalog"
 	"baywall.example/entry/concurrency"
 )
@@ -60,23 +58,24 @@
 		return 0
 	}
 	limit := q.state.concurrency.limiter.Limit(concurrencyEngine(q.snapshot.Service(q.service)), q.route.GapTarget, now)
-	q.state.concurrency.record(limit, now, q.log.Info().Str("service", q.service).Dur("gap_target", q.route.GapTarget))
+	if before, changed := q.state.concurrency.record(limit, now); changed {
+		q.log.Info().Str("service", q.service).Dur("gap_target", q.route.GapTarget).Float64("limit", limit.Requests).
+			Float64("before", before).Float64("cost_factor", limit.CostFactor).Msg("concurrency limit changed")
+	}
 	return limit.Requests
 }
 
-// record stores a limit and logs it if it differs from the latest one logged by a request or
-// more.
-func (c *concurrencyState) record(limit concurrency.Limit, now time.Time, event *zerolog.Event) {
+// record stores a limit. If it differs from the latest one logged by a request or more and
+// may be logged now, it returns that one and true.
+func (c *concurrencyState) record(limit concurrency.Limit, now time.Time) (before float64, changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.latest = limit
-	if math.Abs(limit.Requests-c.logged) < 1 || now.Sub(c.loggedAt) < limitLogInterval {
-		event.Discard()
-		return
+	c.latest, before = limit, c.logged
+	if math.Abs(limit.Requests-before) < 1 || now.Sub(c.loggedAt) < limitLogInterval {
+		return before, false
 	}
-	event.Float64("limit", limit.Requests).Float64("before", c.logged).Float64("cost_factor", limit.CostFactor).
-		Msg("concurrency limit changed")
 	c.logged, c.loggedAt = limit.Requests, now
+	return before, true
 }
 
 // current returns the latest limit.
--- a/entry/gateway/slotqueue.go
+++ b/entry/gateway/slotqueue.go
@@ -99,6 +99,10 @@
 		reports = append(reports, slotqueue.Report{Service: w.GetService(), Level: slotqueue.Level(w.GetLevel()), Requests: int(w.GetRequests())})
 	}
 	now := clock.Now()
+	if demand == nil { // the heartbeat states no demand
+		s.each(func(slots *slotQueue) { slots.heartbeatReceived(now) })
+		return
+	}
 	s.refused.Receive(demand.GetRefused(), now)
 	s.g.receiveTeamUse(from, demand.GetTeamUse())
 	s.mu.Lock()
@@ -226,7 +230,7 @@
 	if w.slots.queue.Turn(w.entry, others).Look {
 		return waitPollInterval
 	}
-	return min(maxTurnWait, max(0, w.entry.Until.Sub(now)))
+	return min(maxTurnWait, max(waitPollInterval, w.entry.Until.Sub(now)))
 }
 
 // refusal returns why the queue removed the request, or nil.
@@ -268,9 +272,8 @@
 
 // newSlotEntry returns the entry with which the request joins the queue for slots.
 func (q *request) newSlotEntry(now time.Time) *slotqueue.Entry {
-	standing := q.standing(now)
 	return &slotqueue.Entry{
-		Level: q.level(standing), Team: q.team, Used: standing.Used(), Until: now.Add(q.admissionRequest(now).PermitWait()),
+		Level: q.level(q.standing(now)), Until: now.Add(q.admissionRequest(now).PermitWait()),
 		Selective: len(q.excluded) > 0 || q.rejected,
 	}
 }
@@ -298,6 +301,16 @@
 		q.admissionRequest(now).Urgency() == admission.OnTime
 }
 
+// setSelective records whether the request found no server although there are free slots.
+func (w *slotWait) setSelective(selective bool) {
+	if w == nil {
+		return
+	}
+	w.slots.mu.Lock()
+	defer w.slots.mu.Unlock()
+	w.entry.Selective = selective
+}
+
 // awaitTurn waits in the queue for slots until the request may look for one. It returns
 // false if the request is refused or the context has ended.
 func (q *request) awaitTurn(ctx context.Context, now time.Time) bool {
--- a/entry/gateway/waiting.go
+++ b/entry/gateway/waiting.go
@@ -301,6 +301,7 @@
 		q.tookSlot(now)
 		q.decidedOnSlot(false, now)
 	}
+	q.slotWait.setSelective(len(q.excluded) > 0 || q.rejected || choice.Load.Free > turn.Reserved)
 	q.atLimit, q.backingOff = choice.Load.AtLimit, choice.Load.InBackoff
 	serviceDown := found == balance.Stalled || found == balance.Unavailable && len(q.excluded) == 0 && !q.rejected
 	if serviceDown && q.state.serviceDown(now) {
--- a/entry/retried/retried.go
+++ b/entry/retried/retried.go
@@ -18,8 +18,6 @@
 package retried
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 )
@@ -46,12 +44,18 @@
 	mu       sync.Mutex
 	refusals map[ID]*refusal
 	arrivals map[ID]arrivals // that did not count as retries
+	own      []own           // in order
 	swept    time.Time
 }
 
+// own is a refusal by this gateway that is reported.
+type own struct {
+	id ID
+	at time.Time
+}
+
 type refusal struct {
-	at  time.Time
-	own bool // refused by this gateway
+	at time.Time
 	// returned is set once the request was sent again. The entry is kept, so that late
 	// reports of the same refusal do not count.
 	returned bool
@@ -66,18 +70,23 @@
 }
 
 // Refused records that this gateway refused a request.
-func (t *Table) Refused(id ID, now time.Time) { t.add(id, true, now) }
+func (t *Table) Refused(id ID, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.add(id, true, now)
+	t.own = append(t.latestOwn(now), own{id, now})
+}
 
 // Receive records refusals that another gateway reported.
 func (t *Table) Receive(ids []uint64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, id := range ids {
 		t.add(ID(id), false, now)
 	}
 }
 
 func (t *Table) add(id ID, own bool, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.expire(now)
 	old := t.refusals[id]
 	switch {
@@ -92,7 +101,7 @@
 	if own {
 		equal--
 	}
-	t.refusals[id] = &refusal{at: now, own: own, ambiguous: equal > 0 || old != nil && old.ambiguous}
+	t.refusals[id] = &refusal{at: now, ambiguous: equal > 0 || old != nil && old.ambiguous}
 }
 
 // Returned reports whether an arriving request was refused before, and uses the refusal up.
@@ -128,23 +137,23 @@
 func (t *Table) Report(now time.Time) []uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.expire(now)
-	var ids []ID
-	for id, r := range t.refusals {
-		if r.own && now.Sub(r.at) < reportTime {
-			ids = append(ids, id)
-		}
-	}
-	slices.SortFunc(ids, func(a, b ID) int {
-		return cmp.Or(t.refusals[b].at.Compare(t.refusals[a].at), cmp.Compare(a, b))
-	})
-	out := make([]uint64, 0, min(len(ids), maxReported))
-	for _, id := range ids[:min(len(ids), maxReported)] {
-		out = append(out, uint64(id))
+	t.own = t.latestOwn(now)
+	out := make([]uint64, 0, len(t.own))
+	for _, o := range t.own {
+		out = append(out, uint64(o.id))
 	}
 	return out
 }
 
+// latestOwn returns the refusals of this gateway that are reported.
+func (t *Table) latestOwn(now time.Time) []own {
+	first := max(0, len(t.own)-maxReported)
+	for first < len(t.own) && now.Sub(t.own[first].at) >= reportTime {
+		first++
+	}
+	return append(t.own[:0], t.own[first:]...)
+}
+
 // Size returns the number of refusals that are remembered.
 func (t *Table) Size() int {
 	t.mu.Lock()
--- a/entry/slotqueue/doc.go
+++ b/entry/slotqueue/doc.go
@@ -6,10 +6,10 @@
 // # Queue
 //
 // A Queue holds the requests of one service at one gateway that can still be on time and
-// found no free slot. They are ordered by level, then by how much of its share their team
-// has used, then by the latest time at which they can be sent and still be on time. Only
-// the first one looks for a slot. A request that excludes servers, because an attempt at
-// them failed, also lets the next one look, which may be able to use a slot that it cannot.
+// found no free slot. They are ordered by level, then by the latest time at which they can
+// be sent and still be on time. Only the first one looks for a slot. A selective request
+// also lets the next one look: it excludes servers, because an attempt at them failed, or
+// found none although there are free slots.
 //
 // A request joins only if it is expected to get a slot in time. The expected wait is the
 // number of requests ahead of it, here and at other gateways, divided by the rate at which
--- a/entry/slotqueue/queue.go
+++ b/entry/slotqueue/queue.go
@@ -11,9 +11,6 @@
 // Entry is a request in a queue.
 type Entry struct {
 	Level Level
-	Team  string
-	// Used is the fraction of its share that the team has used.
-	Used float64
 	// Until is the latest time at which the request can be sent and be on time.
 	Until time.Time
 	// Selective is set if the request excludes servers, so that it may be unable to use a
@@ -47,8 +44,6 @@
 	switch {
 	case e.Level != o.Level:
 		return e.Level < o.Level
-	case e.Used != o.Used:
-		return e.Used < o.Used
 	case !e.Until.Equal(o.Until):
 		return e.Until.Before(o.Until)
 	default:
@@ -83,7 +78,7 @@
 		return slices.Index(q.entries, e)
 	}
 	at, _ := slices.BinarySearchFunc(q.entries, e, func(o, e *Entry) int {
-		if o.before(e) || o.Level == e.Level && o.Used == e.Used && o.Until.Equal(e.Until) {
+		if o.before(e) || o.Level == e.Level && o.Until.Equal(e.Until) {
 			return -1
 		}
 		return 1
@@ -142,19 +137,6 @@
 	q.entries = slices.DeleteFunc(q.entries, func(o *Entry) bool { return o == e })
 }
 
-// Reorder sets the used fraction of each team's share and sorts the queue by it.
-func (q *Queue) Reorder(used func(team string) float64) {
-	for _, e := range q.entries {
-		e.Used = used(e.Team)
-	}
-	slices.SortFunc(q.entries, func(a, b *Entry) int {
-		if a.before(b) {
-			return -1
-		}
-		return 1
-	})
-}
-
 // Turn is whether a request may look for a slot, and which slots it may take.
 type Turn struct {
 	// Look is set if the request may look for a slot.
--- a/entry/slotqueue/queue_test.go
+++ b/entry/slotqueue/queue_test.go
@@ -176,7 +176,7 @@
 			if rapid.Bool().Draw(t, "join") {
 				e := &Entry{
 					Level: Level(rapid.IntRange(0, 5).Draw(t, "level")), Selective: rapid.Bool().Draw(t, "selective"),
-					Used: float64(rapid.IntRange(0, 2).Draw(t, "used")), Until: now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "until")) * ms),
+					Until: now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "until")) * ms),
 				}
 				_, refused := q.Join(e, others, busy, now)
 				for _, r := range refused {
--- a/entry/slotqueue/starvation.go
+++ b/entry/slotqueue/starvation.go
@@ -68,7 +68,7 @@
 	var first, found *Entry // first of the level in hand, and of the level found so far
 	var since time.Time
 	for _, e := range q.entries {
-		if e.Level <= mostUrgent {
+		if e.Level <= mostUrgent || e.Selective {
 			continue
 		}
 		if first == nil || first.Level != e.Level {
