Check promises of the scheduling parts in the soak

The gateways run with all scheduling settings on. Surges of the least urgent streams above the capacity are a kind of fault, and each run ends with one. Refused requests must be answered within half of the callers' deadline, and requests of each kind must be served again 5 s after a surge.

--- a/standin/soak/cmd/soak/config.go
+++ b/standin/soak/cmd/soak/config.go
@@ -13,6 +13,7 @@
 	safePath   = "/safe/"
 	unsafePath = "/unsafe/"
 	streamPath = "/stream/"
+	surgePath  = "/surge/"
 )
 
 // config publishes the configuration. Each version adds a route of its own and removes
@@ -50,11 +51,14 @@
 		route(streamPath, standin.KindStream, modelService, 2),
 		route(versionPath(c.version), standin.KindSafe, plainService, 2),
 	}
+	surge := route(surgePath, standin.KindStream, modelService, 2)
+	surge.Priority = surgePriority
+	routes = append(routes, surge)
 	if c.version > 1 {
 		routes = append(routes, route(versionPath(c.version-1), standin.KindSafe, plainService, 2))
 	}
 	services := []standin.Service{{Name: plainService, ColdS: c.cold.ColdS, ColdPerS: c.cold.ColdPerS}, {Name: modelService, Slots: slots, Shape: &shape}}
-	c.reconciler.Put(standin.ConfigKey, standin.EncodeConfig(c.version, routes, services, map[string]string{"team": teamKey}))
+	c.reconciler.Put(standin.ConfigKey, standin.EncodeConfig(c.version, routes, services, map[string]string{"team": teamKey, "surge": surgeKey}))
 	c.at = time.Now()
 }
 
--- a/standin/soak/cmd/soak/faults.go
+++ b/standin/soak/cmd/soak/faults.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +30,10 @@
 	impaired    map[*relay][]span      // while bytes sent through the relay were delayed or lost
 
 	evacuated map[string]bool // availability zones
+
+	others  []span // while a fault other than a surge was in force
+	surges  []span // while a surge was sent, without the requests after it
+	surging atomic.Bool
 }
 
 // span is a period during which a fault was in force.
@@ -86,6 +91,7 @@
 	{"rest asked by all of a service", true, (*faults).askForBackoffOfService},
 	{"leaving told in answers", true, (*faults).leaveByAnswer},
 	{"requests of a service failed", false, (*faults).failRequests},
+	{surgeName, true, (*faults).surge},
 }
 
 // focused returns the kinds whose names contain one of the words.
@@ -146,12 +152,14 @@
 	}
 	f.mu.Unlock()
 	kind.run(f, ctx, d)
-	if kind.planned {
-		return
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.disruptions = append(f.disruptions, span{from, time.Now()})
+	if kind.name != surgeName {
+		f.others = append(f.others, span{from, time.Now()})
+	}
+	if !kind.planned {
+		f.disruptions = append(f.disruptions, span{from, time.Now()})
+	}
 }
 
 // disruptedBetween reports whether a fault that callers may notice was in force between
@@ -159,12 +167,12 @@
 func (f *faults) disruptedBetween(from, to time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, s := range f.disruptions {
-		if s.from.Before(to) && s.to.After(from) {
-			return true
-		}
-	}
-	return false
+	return overlaps(f.disruptions, from, to)
+}
+
+// overlaps reports whether one of the periods overlaps the one between two times.
+func overlaps(periods []span, from, to time.Time) bool {
+	return slices.ContainsFunc(periods, func(s span) bool { return s.from.Before(to) && s.to.After(from) })
 }
 
 // heal ends all faults that are still in force.
--- a/standin/soak/cmd/soak/main.go
+++ b/standin/soak/cmd/soak/main.go
@@ -112,7 +112,11 @@
 	f.injectAll(ctx, o)
 	f.heal(ctx)
 	healedAt := time.Now()
-	wait.Sleep(ctx, recovery)
+	if o.kinds == 0 || o.kinds >= surgeKinds {
+		f.inject(ctx, fault{surgeName, true, (*faults).surge}, draw{duration: lastSurge})
+		healedAt = f.surges[len(f.surges)-1].to
+	}
+	wait.Sleep(ctx, time.Until(healedAt.Add(recovery)))
 	stopLoad()
 	load.wait()
 	r.check(w, load, f, watcher, healedAt)
--- a/standin/soak/cmd/soak/report.go
+++ b/standin/soak/cmd/soak/report.go
@@ -19,10 +19,12 @@
 	switches  uint64 // largest map version in use at the end
 	// quarantined counts the lethal requests that ended at least three backend servers.
 	quarantined  int
-	limits       int // announced by backend servers
-	backoffs     int // backoffs that backend servers asked for
-	retries      int // arrivals at backend servers beyond the first of their request
-	leaveNotices int // gateways informed by a response that a backend server leaves
+	limits       int           // announced by backend servers
+	backoffs     int           // backoffs that backend servers asked for
+	retries      int           // arrivals at backend servers beyond the first of their request
+	surgeRefused int           // requests of surges that were refused for lack of capacity
+	slowest      time.Duration // refusal of a request through an undisturbed gateway
+	leaveNotices int           // gateways informed by a response that a backend server leaves
 	violations   []string
 	logs         string
 }
@@ -69,6 +71,7 @@
 	r.checkLimits(w, l, f, probes)
 	r.checkNotices(w, l, f, probes)
 	r.checkRetries(w, sentBy(l, f, probes))
+	r.checkSurges(w, l, f)
 	r.checkCold(w)
 	r.checkProcesses(w)
 	r.checkConfig(w, l)
@@ -199,6 +202,7 @@
 		}
 	}
 	fmt.Fprintf(&b, ", %d lethal, %d limits, %d rests, %d leavings, %d repeats", r.quarantined, r.limits, r.backoffs, r.leaveNotices, r.retries)
+	fmt.Fprintf(&b, ", %d of surges refused, slowest refusal %v", r.surgeRefused, r.slowest.Round(time.Millisecond))
 	names := make([]string, 0, len(r.injected))
 	total := 0
 	for name, n := range r.injected {
--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -40,6 +40,8 @@
 	backoffSeed = 11
 	// retrySeed has all requests of a service fail while gateways stop and are killed.
 	retrySeed = 13
+	// surgeSeed has surges of demand while gateways are killed.
+	surgeSeed = 17
 )
 
 // Runs the real programs as processes for a short time, with the same faults each time.
@@ -53,7 +55,7 @@
 	}
 	defer clean()
 	o := options{length: 6 * time.Second, size: size{gateways: 3, plain: 3, groups: 1, ranks: 2, rate: 30}, keep: t.TempDir()}
-	runOne := func(t *testing.T, seed uint64, o options) {
+	runOne := func(t *testing.T, seed uint64, o options) *report {
 		r, err := runSeed(t.Context(), b, o, seed)
 		if err != nil {
 			t.Fatal(err)
@@ -62,8 +64,13 @@
 		if len(r.violations) > 0 {
 			t.Fail()
 		}
+		return r
 	}
-	o.focus = "failed,told to stop,killed"
+	o.focus = "surge,killed"
+	if r := runOne(t, surgeSeed, o); r.surgeRefused == 0 {
+		t.Error("no surge exceeded the capacity")
+	}
+	o.focus, o.kinds = "failed,told to stop,killed", 25
 	runOne(t, retrySeed, o)
 	o.focus, o.kinds = "rest asked,answers,crashed", 24
 	runOne(t, backoffSeed, o)
--- a/standin/soak/cmd/soak/world.go
+++ b/standin/soak/cmd/soak/world.go
@@ -26,6 +26,9 @@
 	slots        = 16
 )
 
+// scheduling has all scheduling settings of the gateways, as deploy/gateway.yaml has them.
+const scheduling = "scheduling:\n  queue: true\n  fair_share: true\n  server_speed: true\n  concurrency_limit: true\n"
+
 // shape is the shape of the groups' expert maps.
 var shape = standin.Shape{Sets: 2, Experts: 12, Places: 6, Spare: 2}
 
@@ -310,8 +313,8 @@
 		if g.store, err = newRelay(w.vmAddress(0, i, 7001), store); err != nil {
 			return err
 		}
-		text := fmt.Sprintf("vm: %s\nzone: %s\nlisten:\n  front: %s\n  ready: %s\n  directory: %s\n  peers: %s\nseeds:%s\nstore: %s\nretry:\n  ratio: 0.2\n  slack: 60\n  window: 10s\ndrain:\n  grace: 8s\n",
-			g.vm, zone(i), g.front, g.ready, g.directory, w.vmAddress(0, i, 8003), seeds, w.vmAddress(0, i, 7001))
+		text := fmt.Sprintf("vm: %s\nzone: %s\nlisten:\n  front: %s\n  ready: %s\n  directory: %s\n  peers: %s\nseeds:%s\nstore: %s\nretry:\n  ratio: 0.2\n  slack: 60\n  window: 10s\ndrain:\n  grace: 8s\n%s",
+			g.vm, zone(i), g.front, g.ready, g.directory, w.vmAddress(0, i, 8003), seeds, w.vmAddress(0, i, 7001), scheduling)
 		if err := startWith(g.process, text); err != nil {
 			return err
 		}
