--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -179,7 +179,7 @@
 		Dur("elapsed", clock.Since(q.began)).Int("attempts", q.sequence.Attempts())
 	if q.route != nil {
 		e = e.Str("route", q.route.Name).Str("service", q.service).Str("team", q.team).
-			Dur("limit", q.timeout).Bool("interrupted", q.interrupted).Dur("waited", q.waited)
+			Dur("limit", q.timeout).Bool("interrupted", q.interrupted).Bool("repeated", q.repeated).Dur("waited", q.waited)
 	} else {
 		e = e.Str("host", q.r.Host).Str("path", q.r.URL.Path)
 	}
