--- a/entry/gateway/fairshare.go
+++ b/entry/gateway/fairshare.go
@@ -54,7 +54,7 @@
 	// slots returns the number of slots of a service. waiting reports whether requests of it
 	// wait for one at any gateway; if it is nil, none waits. It must be set before the start.
 	// Both are called without any lock: slots locks the node of the gateway, under whose lock
-	// teamUse is called, and waiting may lock a queue, under whose lock overShare is called.
+	// teamUse is called, and waiting may lock a queue, under whose lock standing is called.
 	slots   func(service string, now time.Time) int
 	waiting func(service string, now time.Time) bool
 
@@ -91,8 +91,9 @@
 	return f
 }
 
-// shareServiceKey and teamKey return the keys under which gateways exchange claims.
-func shareServiceKey(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
+// serviceKey and teamKey return the keys under which gateways exchange what waits and what
+// teams claim.
+func serviceKey(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
 
 func teamKey(team string) fairshare.Team { return fairshare.Team(xxhash.Sum64String(team)) }
 
@@ -115,7 +116,7 @@
 
 // ofService is like of for a service that gets requests.
 func (f *fairShares) ofService(service string) *shareAccount {
-	a := f.of(shareServiceKey(service))
+	a := f.of(serviceKey(service))
 	if a != nil && a.service == "" {
 		a.service = service
 		f.watch(a)
@@ -207,12 +208,6 @@
 	return v != verdictNotSent && v != verdictRejected && !v.withheld()
 }
 
-// overShare reports whether the request's team is over its share of the slots of the service
-// while requests wait for them. It may be called under any lock but that of the accounts.
-func (q *request) overShare(now time.Time) bool {
-	return q.standing(now).Over
-}
-
 // standing returns what the request's team uses of the service, and its share.
 func (q *request) standing(now time.Time) fairshare.Standing {
 	f := q.g.fairShares
@@ -221,7 +216,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	a := f.accounts[shareServiceKey(q.service)]
+	a := f.accounts[serviceKey(q.service)]
 	if a == nil {
 		return fairshare.Standing{}
 	}
--- a/entry/gateway/fairshare_test.go
+++ b/entry/gateway/fairshare_test.go
@@ -45,7 +45,7 @@
 	return status
 }
 
-// teamRequest is a request of the team for which overShare is asked.
+// teamRequest is a request of the team for which standing is asked.
 func (w *testGateway) teamRequest() *request {
 	return &request{g: w.gateway, service: "s", team: "team"}
 }
@@ -81,7 +81,7 @@
 	is.Equal(<-tokens, "812,64") // passed through
 	now := clock.Now()
 	is.Equal(len(w.gateway.teamUse(now)), 0) // nothing waits
-	is.True(!w.teamRequest().overShare(now))
+	is.True(!w.teamRequest().standing(now).Over)
 
 	w.gateway.fairShares.mu.Lock()
 	learned := w.gateway.fairShares.costs.Estimate("once", cost.Tokens{Prompt: 812, Output: 64}, time.Hour)
@@ -101,12 +101,12 @@
 	})
 	later := clock.Now().Add(2 * standingsInterval)
 	w.gateway.fairShares.maintain(later)
-	is.True(w.teamRequest().overShare(later))
+	is.True(w.teamRequest().standing(later).Over)
 	other := &request{g: w.gateway, service: "s", team: "other"}
-	is.True(!other.overShare(later))
+	is.True(!other.standing(later).Over)
 	later = later.Add(3 * time.Second)
 	w.gateway.fairShares.maintain(later)
-	is.True(!w.teamRequest().overShare(later)) // the report has expired
+	is.True(!w.teamRequest().standing(later).Over) // the report has expired
 }
 
 // A request that a server refused uses no slot, but its team needs one.
@@ -126,7 +126,7 @@
 	is := is.New(t)
 	w := fairGateway(t, false, func(http.ResponseWriter, *http.Request) {})
 	is.Equal(w.send(t, 1, "3000"), http.StatusOK)
-	w.gateway.receiveTeamUse("vm2", []*wire.TeamUse{{Service: shareServiceKey("s"), Team: 1, Use: 500, Demand: 1000}})
+	w.gateway.receiveTeamUse("vm2", []*wire.TeamUse{{Service: serviceKey("s"), Team: 1, Use: 500, Demand: 1000}})
 	is.Equal(w.gateway.teamUse(clock.Now()), nil)
-	is.True(!w.teamRequest().overShare(clock.Now()))
+	is.True(!w.teamRequest().standing(clock.Now()).Over)
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -142,7 +142,8 @@
 		},
 	}
 	if g.slots != nil {
-		self.Demand = g.slots.report
+		interval := g.node.Staleness() // the node calls Demand under its lock
+		self.Demand = func(now time.Time) *wire.Demand { return g.slots.report(interval, now) }
 	}
 	return self
 }
--- a/entry/gateway/slotqueue.go
+++ b/entry/gateway/slotqueue.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	return &slotQueue{
-		all: s, service: service, key: uint32(rendezvous.Hash(service)), wakes: make(map[*slotqueue.Entry]chan struct{}),
+		all: s, service: service, key: serviceKey(service), wakes: make(map[*slotqueue.Entry]chan struct{}),
 	}
 }
 
@@ -78,9 +78,10 @@
 	})
 }
 
-// report returns what waits at this gateway, and what it refused lately.
-func (s *slotQueues) report(now time.Time) *wire.Demand {
-	out := &wire.Demand{Refused: s.refused.Report(now), TeamUse: s.g.teamUse(now)}
+// report returns what waits at this gateway, and what it refused lately. It reports at an
+// interval.
+func (s *slotQueues) report(interval time.Duration, now time.Time) *wire.Demand {
+	out := &wire.Demand{Refused: s.refused.Report(interval, now), TeamUse: s.g.teamUse(now)}
 	s.each(func(slots *slotQueue) {
 		for level, n := range slots.counts() {
 			if n > 0 {
@@ -103,10 +104,11 @@
 		s.each(func(slots *slotQueue) { slots.heartbeatReceived(now) })
 		return
 	}
+	interval := s.g.node.Staleness()
 	s.refused.Receive(demand.GetRefused(), now)
 	s.g.receiveTeamUse(from, demand.GetTeamUse())
 	s.mu.Lock()
-	s.reports.Receive(string(from), reports, now)
+	s.reports.Receive(string(from), reports, interval, now)
 	s.mu.Unlock()
 	s.each(func(slots *slotQueue) { slots.heartbeatReceived(now) })
 }
--- a/entry/gateway/waiting.go
+++ b/entry/gateway/waiting.go
@@ -71,11 +71,11 @@
 	}
 	s, loaded := g.serviceStates.LoadOrStore(service, &serviceState{slots: g.slots.newQueue(service)})
 	state := s.(*serviceState)
-	if !loaded {
+	if !loaded && g.settings.Scheduling.ConcurrencyLimit {
 		g.inst.watchConcurrency(service, &state.concurrency)
-		if state.slots != nil {
-			g.inst.watchSlotQueue(service, state.slots.length)
-		}
+	}
+	if !loaded && state.slots != nil {
+		g.inst.watchSlotQueue(service, state.slots.length)
 	}
 	return state
 }
--- a/entry/limits/doc.go
+++ b/entry/limits/doc.go
@@ -24,8 +24,8 @@
 // While a team's grantor does not answer, the second VM in rendezvous order renews the
 // leases that holders have, and grants nothing beyond them.
 //
-// Bound: the sum of all shares, and of the requests that run under them, exceeds the limit by at most one per entry VM if the limit is
-// less than four times their number. While entry VMs disagree about which of them are usable,
+// Bound: the sum of all shares, and of the requests that run under them, exceeds the limit by
+// at most one per entry VM if the limit is less than four times their number. While entry VMs disagree about which of them are usable,
 // and for at most one lease time after they agree again, it exceeds the limit by at most the
 // pool. Requests that run at a holder which reaches no grantor for longer than its lease are no
 // longer counted.
--- a/entry/retried/retried.go
+++ b/entry/retried/retried.go
@@ -26,9 +26,11 @@
 	// lifetime is how long a refusal is remembered: callers come back within a third of the
 	// time that they have left.
 	lifetime = 10 * time.Second
-	// reportTime is how long a refusal is reported to other gateways. Callers come back
-	// later than the first of these reports, and lost datagrams are made up for.
+	// reportTime is how long a refusal is reported to other gateways at least, and
+	// minReports how many times. Callers come back later than the first of these reports,
+	// and lost datagrams are made up for.
 	reportTime = 600 * time.Millisecond
+	minReports = 3
 	// maxReported bounds the refusals in a report, the newest first.
 	maxReported = 64
 	// maxRefusals bounds the refusals that are remembered.
@@ -45,7 +47,9 @@
 	refusals map[ID]*refusal
 	arrivals map[ID]arrivals // that did not count as retries
 	own      []own           // in order
-	swept    time.Time
+	// reportTime is for how long own refusals are reported, as of the latest report.
+	reportTime time.Duration
+	swept      time.Time
 }
 
 // own is a refusal by this gateway that is reported.
@@ -133,10 +137,11 @@
 	}
 }
 
-// Report returns the latest refusals of this gateway.
-func (t *Table) Report(now time.Time) []uint64 {
+// Report returns the latest refusals of this gateway, which reports at an interval.
+func (t *Table) Report(interval time.Duration, now time.Time) []uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reportTime = max(reportTime, minReports*interval)
 	t.own = t.latestOwn(now)
 	out := make([]uint64, 0, len(t.own))
 	for _, o := range t.own {
@@ -148,7 +153,7 @@
 // latestOwn returns the refusals of this gateway that are reported.
 func (t *Table) latestOwn(now time.Time) []own {
 	first := max(0, len(t.own)-maxReported)
-	for first < len(t.own) && now.Sub(t.own[first].at) >= reportTime {
+	for first < len(t.own) && now.Sub(t.own[first].at) >= max(reportTime, t.reportTime) {
 		first++
 	}
 	return append(t.own[:0], t.own[first:]...)
--- a/entry/retried/retried_test.go
+++ b/entry/retried/retried_test.go
@@ -14,11 +14,11 @@
 	var refusing, other Table
 	now := time.Unix(100, 0)
 	refusing.Refused(7, now)
-	other.Receive(refusing.Report(now), now.Add(100*time.Millisecond))
+	other.Receive(refusing.Report(0, now), now.Add(100*time.Millisecond))
 	is.True(!other.Returned(8, now.Add(time.Second)))
 	is.True(other.Returned(7, now.Add(time.Second)))
 	is.True(refusing.Returned(7, now.Add(2*time.Second)))
-	is.Equal(len(refusing.Report(now.Add(reportTime))), 0)
+	is.Equal(len(refusing.Report(0, now.Add(reportTime))), 0)
 }
 
 // Equal requests of other callers must not all count as sent again after one refusal.
@@ -69,7 +69,7 @@
 		table.Refused(id, now)
 	}
 	is.Equal(table.Size(), maxRefusals)
-	is.Equal(len(table.Report(now)), maxReported)
+	is.Equal(len(table.Report(0, now)), maxReported)
 	now = now.Add(lifetime)
 	is.True(!table.Returned(1, now))
 	table.Refused(1, now)
--- a/entry/slotqueue/queue_test.go
+++ b/entry/slotqueue/queue_test.go
@@ -146,11 +146,11 @@
 func TestReportsExpire(t *testing.T) {
 	is := is.New(t)
 	var r Reports
-	r.Receive("a", []Report{{7, 2, 3}, {7, 99, 1}, {8, 0, 5}}, start)
-	r.Receive("b", []Report{{7, 2, 4}}, start.Add(300*ms))
+	r.Receive("a", []Report{{7, 2, 3}, {7, 99, 1}, {8, 0, 5}}, 0, start)
+	r.Receive("b", []Report{{7, 2, 4}}, 0, start.Add(300*ms))
 	is.Equal(r.Waiting(7, start.Add(300*ms)), Counts{2: 7, levels - 1: 1})
 	is.Equal(r.Waiting(7, start.Add(reportLifetime)), Counts{2: 4})
-	r.Receive("b", nil, start.Add(600*ms)) // nothing waits there now
+	r.Receive("b", nil, 0, start.Add(600*ms)) // nothing waits there now
 	is.Equal(r.Waiting(7, start.Add(600*ms)), Counts{})
 }
 
--- a/entry/slotqueue/replay_test.go
+++ b/entry/slotqueue/replay_test.go
@@ -108,7 +108,7 @@
 		reports = append(reports, Report{0, Level(l), n})
 	}
 	for i := range r.gateways {
-		r.gateways[i].reports.Receive(string(rune('a'+from)), reports, r.now)
+		r.gateways[i].reports.Receive(string(rune('a'+from)), reports, 0, r.now)
 		r.gateways[i].reported[from] = r.gateways[from].inFlight
 	}
 }
--- a/entry/slotqueue/reports.go
+++ b/entry/slotqueue/reports.go
@@ -2,9 +2,13 @@
 
 import "time"
 
-// reportLifetime is how long a report counts if no later one arrives. It exceeds the
-// interval between heartbeats, so that single lost ones do not matter.
-const reportLifetime = 500 * time.Millisecond
+const (
+	// reportLifetime is how long a report counts at least if no later one arrives.
+	reportLifetime = 500 * time.Millisecond
+	// lifetimeFactor is how long a report counts, in multiples of the interval between
+	// reports, so that a single lost one does not matter.
+	lifetimeFactor = 2.5
+)
 
 // Report is the number of waiting requests of one level of a service at another gateway.
 type Report struct {
@@ -18,12 +22,13 @@
 type Reports struct{ gateways map[string]gatewayReport }
 
 type gatewayReport struct {
-	at       time.Time
+	until    time.Time // until when it counts
 	services map[uint32]*Counts
 }
 
-// Receive replaces the reports of a gateway. An empty list says that nothing waits there.
-func (r *Reports) Receive(from string, reports []Report, now time.Time) {
+// Receive replaces the reports of a gateway, which sends them at an interval. An empty list
+// says that nothing waits there.
+func (r *Reports) Receive(from string, reports []Report, interval time.Duration, now time.Time) {
 	r.expire(now)
 	if len(reports) == 0 {
 		delete(r.gateways, from)
@@ -42,12 +47,13 @@
 	if r.gateways == nil {
 		r.gateways = make(map[string]gatewayReport)
 	}
-	r.gateways[from] = gatewayReport{now, services}
+	lifetime := max(reportLifetime, time.Duration(lifetimeFactor*float64(interval)))
+	r.gateways[from] = gatewayReport{now.Add(lifetime), services}
 }
 
 func (r *Reports) expire(now time.Time) {
 	for from, report := range r.gateways {
-		if now.Sub(report.at) >= reportLifetime {
+		if !now.Before(report.until) {
 			delete(r.gateways, from)
 		}
 	}
@@ -58,7 +64,7 @@
 	var sum Counts
 	for _, report := range r.gateways {
 		counts := report.services[service]
-		if counts == nil || now.Sub(report.at) >= reportLifetime {
+		if counts == nil || !now.Before(report.until) {
 			continue
 		}
 		for l, n := range counts {
