--- a/entry/fairshare/doc.go
+++ b/entry/fairshare/doc.go
@@ -29,8 +29,8 @@
 // # Over its share
 //
 // A team is over its share if requests of the service wait at any gateway, its demand
-// exceeds its share, and its use reaches the share less a margin. The margin keeps a team that is held at
-// its share over it: otherwise its use would have to exceed the share before the others go
-// first again. A team whose demand is met is never over its share, nor is the only team of a
+// exceeds its share, and its use reaches the share less a margin. The margin keeps a team
+// that is held at its share over it: otherwise its use would have to exceed the share before
+// the others go first again. A team whose demand is met is never over its share, nor is the only team of a
 // service. The answer only orders requests, so that no slot stays idle because of it.
 package fairshare
