Names and pages of the scheduling parts, after a newcomer's reading

Renames: slotqueue.Urgency -> LevelCriteria, Lookers -> Eligible, retried.Returned -> Recognize, speed.Slowest -> MaxSlowness, queues -> waitsTooLong, Node.OnDemand -> OnPeerDemand. Pages: what differed from the code.

--- a/core/cluster/node.go
+++ b/core/cluster/node.go
@@ -47,7 +47,9 @@
 	// onLimits is called with the limits of backend servers that a member reports. If it
 	// is nil, they are ignored.
 	onLimits func(from vm.ID, limits []*wire.ServerLimit)
-	onDemand func(from vm.ID, demand *wire.Demand)
+	// onPeerDemand is called after each heartbeat with the demand that the member reports. If
+	// it is nil, demand is ignored.
+	onPeerDemand func(from vm.ID, demand *wire.Demand)
 
 	stall stall
 	mu    sync.Mutex
@@ -157,8 +159,8 @@
 		changes := n.table.Receive(&hb, clock.Now())
 		n.mu.Unlock()
 		n.handleChanges(changes)
-		if n.onDemand != nil && hb.GetAddress() != "" && !n.stall.mayHaveWaited(clock.Now()) {
-			n.onDemand(vm.ID(hb.GetVm()), hb.GetDemand())
+		if n.onPeerDemand != nil && hb.GetAddress() != "" && !n.stall.mayHaveWaited(clock.Now()) {
+			n.onPeerDemand(vm.ID(hb.GetVm()), hb.GetDemand())
 		}
 	}
 }
@@ -193,11 +195,11 @@
 // member reports. It must be called before Run.
 func (n *Node) OnLimits(f func(from vm.ID, limits []*wire.ServerLimit)) { n.onLimits = f }
 
-// OnDemand sets the function that is called after each heartbeat of a member with what
-// waits for slots there and what teams use there. The member's load is up to date then. It
-// must be called before Run.
-func (n *Node) OnDemand(f func(from vm.ID, demand *wire.Demand)) {
-	n.onDemand = f
+// OnPeerDemand sets the function that is called after each heartbeat of a member with the
+// demand for slots that it reports, nil if the heartbeat is brief. The member's load is up to
+// date then. It must be called before Run.
+func (n *Node) OnPeerDemand(f func(from vm.ID, demand *wire.Demand)) {
+	n.onPeerDemand = f
 }
 
 // OnPeerUp sets the function that is called with each member that joined or was regained.
--- a/entry/balance/demand.go
+++ b/entry/balance/demand.go
@@ -91,7 +91,7 @@
 		s.maxGap = s.longestGap(now)
 	}
 	if d.ServerSpeed {
-		s.fastest = s.fastestSpeed(d, now)
+		s.leastSlowness = s.minSlowness(d, now)
 	}
 	for i, server := range s.usable {
 		if server.rampUp.full() {
@@ -202,7 +202,7 @@
 	if d.HoldThreshold > 0 && s.usable[i].passes.holds(s.expectedGap(i, now) >= d.HoldThreshold, now) {
 		return true
 	}
-	return s.queues(i, d, now)
+	return s.waitsTooLong(i, d, now)
 }
 
 // serviceTime returns the expected time for which a request of the demand occupies a
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -65,7 +65,7 @@
 	meanServiceTime time.Duration
 	meanInFlight    float64       // requests of all gateways per usable server, as of the latest refresh
 	speeds          speed.Service // of servers without engines
-	fastest         float64       // least slowness of the servers that the current demand may use
+	leastSlowness   float64       // least slowness of the servers that the current demand may use
 	probes          probeBudget
 	probationSince  time.Time // zero = not on probation
 }
@@ -252,7 +252,7 @@
 	Slots     int // total of Servers
 	InFlight  int // requests of all gateways to Servers
 	Own       int // part of InFlight that is from this gateway
-	Free      int // slots that the demand leaves free; set by Pick only
+	Free      int // free slots within the capacity for the demand; set by Pick only
 }
 
 // Choice is a picked server with the load that the pick was based on.
--- a/entry/balance/speed.go
+++ b/entry/balance/speed.go
@@ -45,18 +45,18 @@
 		Dur("service_time", c.ServiceTime).Msg(message)
 }
 
-// SlowestSpeed returns how much longer than the median server the slowest server of the
+// MaxSlowness returns how much longer than the median server the slowest server of the
 // service takes for an answer, 1 = not longer.
-func (r *Registry) SlowestSpeed(service string, now time.Time) float64 {
+func (r *Registry) MaxSlowness(service string, now time.Time) float64 {
 	s := r.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.speeds.Slowest(now)
+	return s.speeds.MaxSlowness(now)
 }
 
-// fastestSpeed returns the least slowness of the usable servers that the demand does not
+// minSlowness returns the least slowness of the usable servers that the demand does not
 // exclude.
-func (s *shard) fastestSpeed(d Demand, now time.Time) float64 {
+func (s *shard) minSlowness(d Demand, now time.Time) float64 {
 	fastest := 0.0
 	for _, server := range s.usable {
 		if d.Exclude[server.ID] {
@@ -82,9 +82,9 @@
 	}
 }
 
-// queues reports whether a request would queue at a usable server for too long, or its
+// waitsTooLong reports whether a request would queue at a usable server for too long, or its
 // answer would be late because the server is slow.
-func (s *shard) queues(i int, d Demand, now time.Time) bool {
+func (s *shard) waitsTooLong(i int, d Demand, now time.Time) bool {
 	if d.ServerSpeed && s.tooLate(i, d, now) {
 		return !s.probesSpeed(i, now)
 	}
@@ -113,7 +113,7 @@
 	if d.Late || d.Slack <= 0 {
 		return false
 	}
-	longer := s.speeds.Slowness(s.usable[i].ID, now) - s.fastest
+	longer := s.speeds.Slowness(s.usable[i].ID, now) - s.leastSlowness
 	if longer <= 0 {
 		return false
 	}
--- a/entry/balance/speed_test.go
+++ b/entry/balance/speed_test.go
@@ -85,14 +85,14 @@
 func TestRestartedServerHasUnknownSpeed(t *testing.T) {
 	is := is.New(t)
 	r := speedRegistry(12, "a", "b")
-	is.True(r.SlowestSpeed("s", start) > 3)
+	is.True(r.MaxSlowness("s", start) > 3)
 	old := r.shard("s").servers["a"]
 	list := infos("a", "b")
 	list[0].Started = 7
 	r.Update(list, at(2), 0, start)
-	is.Equal(r.SlowestSpeed("s", start), 1.0)
+	is.Equal(r.MaxSlowness("s", start), 1.0)
 	for range 3 {
 		r.RecordSpeed(Choice{Server: old}, "route", 400*time.Millisecond, start)
 	}
-	is.Equal(r.SlowestSpeed("s", start), 1.0)
+	is.Equal(r.MaxSlowness("s", start), 1.0)
 }
--- a/entry/concurrency/concurrency.go
+++ b/entry/concurrency/concurrency.go
@@ -15,7 +15,8 @@
 	windows = 12
 	// maxAge is how long a cost factor counts at most. It covers a lull between two surges.
 	maxAge = 30 * time.Second
-	// quantile of the gaps of a window that counts, so that single slow connections do not.
+	// quantile is the quantile of a window's gaps that counts, so that single slow
+	// connections have no effect.
 	quantile = 0.75
 	// minGaps is the least number of gaps in a window for the quantile to be meaningful.
 	minGaps = 8
@@ -33,7 +34,7 @@
 	minLoad = 0.25
 	// minThroughput is the throughput, as a fraction of that of a full batch, that a limited
 	// batch has at least by the published engine: the smaller the part of a step that grows
-	// with the batch, the less a limit shortens passes and the more streams it has refused.
+	// with the batch, the less a limit shortens passes and the more streams it causes to be refused.
 	minThroughput = 0.8
 )
 
@@ -121,8 +122,8 @@
 	l.since, l.gaps, l.loads = now, l.gaps[:0], 0
 }
 
-// Decided records that a stream which could be on time got a slot, or was refused for lack of
-// one.
+// Decided records that a stream got a slot, or was refused for lack of one. The fraction of
+// refusals raises the limit (see relief).
 func (l *Limiter) Decided(refused bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -149,7 +150,7 @@
 		return Limit{}
 	}
 	requests := max(e.minBatch(), e.batch(time.Duration(margin*float64(target)), factor))
-	requests += l.relief.part * max(0, float64(e.Slots)-requests)
+	requests += l.relief.raised * max(0, float64(e.Slots)-requests)
 	if requests >= float64(e.Slots) {
 		return Limit{CostFactor: factor}
 	}
--- a/entry/concurrency/doc.go
+++ b/entry/concurrency/doc.go
@@ -9,8 +9,8 @@
 // change, the load of one rank rises to a multiple of the mean until a new expert map is in
 // use, about a second later. If the batch is full at that moment, every stream in it gets an
 // event late. Streams that run cannot be taken back, so the batch has to be small enough
-// before the change. Long batches gain little: as the time of a step has a fixed part, a
-// batch of half the slots serves about four fifths of the streams of a full one.
+// before the change. A smaller batch costs throughput, as
+// a step has a fixed part.
 //
 // # The decision
 //
--- a/entry/concurrency/relief.go
+++ b/entry/concurrency/relief.go
@@ -10,15 +10,15 @@
 	// refusedWeight is the weight of the newest request in the smoothed part that is refused.
 	refusedWeight = 0.02
 	// reliefTime is how long the part has to exceed maxRefused until there is no limit any
-	// more, and how long it has to stay below until the whole limit applies again. Surges
-	// that are shorter are better cut.
+	// more, and how long it has to stay below until the whole limit applies again. The
+	// limit stays in force during shorter surges.
 	reliefTime = 4 * time.Second
 )
 
 // relief raises the limit towards the slots while too many requests are refused.
 type relief struct {
-	refused float64 // smoothed part of the requests
-	part    float64 // of the way from the limit to the slots, 0 to 1
+	refused float64 // smoothed fraction of the requests
+	raised  float64 // fraction of the way from the limit to the slots, 0 to 1
 	at      time.Time
 }
 
@@ -32,7 +32,7 @@
 	r.refused += refusedWeight * (newest - r.refused)
 }
 
-// advance moves the part by the time passed.
+// advance moves the limit by the time passed.
 func (r *relief) advance(now time.Time) {
 	passed := float64(now.Sub(r.at)) / float64(reliefTime)
 	r.at = now
@@ -40,8 +40,8 @@
 	case passed >= 1: // no requests meanwhile
 		*r = relief{at: now}
 	case r.refused > maxRefused:
-		r.part = min(1, r.part+passed)
+		r.raised = min(1, r.raised+passed)
 	default:
-		r.part = max(0, r.part-passed)
+		r.raised = max(0, r.raised-passed)
 	}
 }
--- a/entry/cost/cost.go
+++ b/entry/cost/cost.go
@@ -64,7 +64,7 @@
 	return magnitude{prompt: bits.Len(uint(t.Prompt)), output: bits.Len(uint(t.Output))}
 }
 
-// mean is a mean that follows changes.
+// mean is an exponentially smoothed mean. The first 20 requests have equal weight.
 type mean struct {
 	requests int
 	seconds  float64
--- a/entry/gateway/concurrency.go
+++ b/entry/gateway/concurrency.go
@@ -43,7 +43,8 @@
 	q.state.concurrency.limiter.Observe(concurrencyEngine(q.snapshot.Service(q.service)), gap, q.g.registry.MeanInFlight(q.service), now)
 }
 
-// decidedOnSlot records that a stream that can be on time got a slot or was refused.
+// decidedOnSlot records that a stream got a slot, or was refused for lack of one.
+// Interrupted and repeated streams are not counted; other late ones are.
 func (q *request) decidedOnSlot(refused bool, now time.Time) {
 	if q.g.settings.Scheduling.ConcurrencyLimit && q.route.Kind == catalog.KindStream && !q.interrupted && !q.repeated {
 		q.state.concurrency.limiter.Decided(refused, now)
--- a/entry/gateway/fairshare.go
+++ b/entry/gateway/fairshare.go
@@ -34,15 +34,15 @@
 	// maxShareServices bounds the services with an account. Keys of services come from other
 	// gateways too.
 	maxShareServices = 256
-	// maxTeamUse bounds the claims of all services in one heartbeat, which must fit into one
-	// datagram together with everything else.
+	// maxTeamUse is the number of claims in a heartbeat from which no further service is
+	// reported. The heartbeat must fit into one datagram together with everything else.
 	maxTeamUse = 256
 	// shareLogInterval is the least time between two log lines about teams of a service.
 	shareLogInterval = time.Second
 	// maxLoggedOver bounds the teams of a service that are logged as over their share.
 	maxLoggedOver = 64
-	// thousandths is the number of units of TeamUse in a slot.
-	thousandths = 1000
+	// unitsPerSlot is the number of units of TeamUse in a slot.
+	unitsPerSlot = 1000
 )
 
 // fairShares holds the accounts of all services. It is safe for concurrent use. A nil
@@ -53,8 +53,8 @@
 	weights map[fairshare.Team]float64
 	// slots returns the number of slots of a service. waiting reports whether requests of it
 	// wait for one at any gateway; if it is nil, none waits. It must be set before the start.
-	// Both are called without any lock: slots locks the node of the gateway, under whose lock
-	// teamUse is called, and waiting may lock a queue, under whose lock standing is called.
+	// Both are called without mu held: slots locks the node, and the node calls teamUse, which
+	// locks mu, under its own lock. waiting locks the queue of the service.
 	slots   func(service string, now time.Time) int
 	waiting func(service string, now time.Time) bool
 
@@ -208,7 +208,8 @@
 	return v != verdictNotSent && v != verdictRejected && !v.withheld()
 }
 
-// standing returns what the request's team uses of the service, and its share.
+// standing returns the team's use of the service compared with its share, as of the latest
+// computation. If the team has gone over its share, it logs that.
 func (q *request) standing(now time.Time) fairshare.Standing {
 	f := q.g.fairShares
 	if f == nil {
@@ -314,13 +315,14 @@
 			continue
 		}
 		for _, u := range a.account.Report(now) {
-			out = append(out, &wire.TeamUse{Service: key, Team: uint32(u.Team), Use: toThousandths(u.Use), Demand: toThousandths(u.Demand)})
+			out = append(out, &wire.TeamUse{Service: key, Team: uint32(u.Team), Use: toUnits(u.Use), Demand: toUnits(u.Demand)})
 		}
 	}
 	return out
 }
 
-func toThousandths(slots float64) uint32 { return uint32(min(slots*thousandths, 1<<31)) }
+// toUnits converts slots to the unit of TeamUse, a thousandth of a slot.
+func toUnits(slots float64) uint32 { return uint32(min(slots*unitsPerSlot, 1<<31)) }
 
 // receiveTeamUse takes in the claims that another gateway reported.
 func (g *Gateway) receiveTeamUse(from vm.ID, use []*wire.TeamUse) {
@@ -331,7 +333,7 @@
 	byService := make(map[uint32][]fairshare.Use)
 	for _, u := range use {
 		byService[u.GetService()] = append(byService[u.GetService()], fairshare.Use{
-			Team: fairshare.Team(u.GetTeam()), Use: float64(u.GetUse()) / thousandths, Demand: float64(u.GetDemand()) / thousandths,
+			Team: fairshare.Team(u.GetTeam()), Use: float64(u.GetUse()) / unitsPerSlot, Demand: float64(u.GetDemand()) / unitsPerSlot,
 		})
 	}
 	now := clock.Now()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -103,7 +103,7 @@
 	node.OnLimits(g.limits.receiveReports)
 	if s.Scheduling.Queue {
 		g.slots = &slotQueues{g: g}
-		node.OnDemand(g.slots.receive)
+		node.OnPeerDemand(g.slots.receive)
 	}
 	g.peering = newPeering(g)
 	node.OnPeerUp(g.peering.peerUp)
--- a/entry/gateway/protocol.go
+++ b/entry/gateway/protocol.go
@@ -25,8 +25,8 @@
 	Priority      string // set for backend servers, never accepted from callers
 	ExpectVersion string // set by gateways only, never accepted from callers
 	ResumeAfter   string // id of the last event that the caller has received
-	Prompt        string // parts of the prompt, which a request has in common with its retries
-	TokenCounts   string // prompt tokens and most output tokens of the request, comma-separated, passed through
+	Prompt        string // parts of the prompt; tells apart requests whose bodies are equal
+	TokenCounts   string // "prompt,output": prompt tokens and largest number of output tokens, passed through
 }
 
 // Adapter connects a gateway to the platform that it runs on.
--- a/entry/gateway/slotqueue.go
+++ b/entry/gateway/slotqueue.go
@@ -78,8 +78,9 @@
 	})
 }
 
-// report returns what waits at this gateway, and what it refused lately. It reports at an
-// interval.
+// report returns the demand for slots to send in a heartbeat: the requests that wait here,
+// the claims of teams and the latest refusals. The interval is the maximum time between two
+// reports.
 func (s *slotQueues) report(interval time.Duration, now time.Time) *wire.Demand {
 	out := &wire.Demand{Refused: s.refused.Report(interval, now), TeamUse: s.g.teamUse(now)}
 	s.each(func(slots *slotQueue) {
@@ -140,9 +141,9 @@
 	return float64(s.queue.Len())
 }
 
-// wakeLookers wakes the requests that may look for a slot. The caller holds the lock.
-func (s *slotQueue) wakeLookers(others *slotqueue.Counts) {
-	for _, e := range s.queue.Lookers(others) {
+// wakeEligible wakes the requests that may look for a slot. The caller holds the lock.
+func (s *slotQueue) wakeEligible(others *slotqueue.Counts) {
+	for _, e := range s.queue.Eligible(others) {
 		s.wake(e)
 	}
 }
@@ -161,7 +162,7 @@
 	defer s.mu.Unlock()
 	if now.Sub(s.woken) >= minWakeInterval {
 		s.woken = now
-		s.wakeLookers(others)
+		s.wakeEligible(others)
 	}
 }
 
@@ -174,7 +175,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.Released(others, now)
-	s.wakeLookers(others)
+	s.wakeEligible(others)
 }
 
 // turn returns the turn of a request, which may not have joined.
@@ -242,10 +243,10 @@
 	return w.entry.Refusal()
 }
 
-// level returns the urgency of the request among those that wait for slots. The standing is
+// level returns the level of the request among those that wait for slots. The standing is
 // that of its team.
 func (q *request) level(standing fairshare.Standing) slotqueue.Level {
-	return slotqueue.Urgency{
+	return slotqueue.LevelCriteria{
 		Repeated: q.repeated, Priority: q.priority, RoutePriority: q.route.Priority, OverShare: standing.Over,
 	}.Level()
 }
@@ -260,7 +261,7 @@
 // recognizeRetry finds out whether the request was refused before.
 func (q *request) recognizeRetry() {
 	if q.g.slots != nil && len(q.body) > 0 && !q.interrupted && q.g.slots.refused.Size() > 0 {
-		q.repeated = q.g.slots.refused.Returned(q.retryID(), q.began)
+		q.repeated = q.g.slots.refused.Recognize(q.retryID(), q.began)
 	}
 }
 
@@ -377,5 +378,5 @@
 	defer w.slots.mu.Unlock()
 	w.slots.queue.Leave(w.entry)
 	delete(w.slots.wakes, w.entry)
-	w.slots.wakeLookers(others)
+	w.slots.wakeEligible(others)
 }
--- a/entry/gateway/speed.go
+++ b/entry/gateway/speed.go
@@ -29,5 +29,5 @@
 	received := q.began.Add(q.firstAnswer) // forwarding to the caller does not count
 	registry, service := q.g.registry, q.service
 	registry.RecordSpeed(c, q.route.Name, received.Sub(sent), clock.Now())
-	q.g.inst.watchSpeed(service, func() float64 { return registry.SlowestSpeed(service, clock.Now()) })
+	q.g.inst.watchSpeed(service, func() float64 { return registry.MaxSlowness(service, clock.Now()) })
 }
--- a/entry/gateway/speed_test.go
+++ b/entry/gateway/speed_test.go
@@ -38,7 +38,7 @@
 				_, _ = io.WriteString(rw, "answer")
 			})
 			getAll(t, w, c.path, 24) // to learn the speeds
-			is.Equal(w.gateway.registry.SlowestSpeed("s", clock.Now()) > 2, c.learns)
+			is.Equal(w.gateway.registry.MaxSlowness("s", clock.Now()) > 2, c.learns)
 			metrics := httptest.NewRecorder()
 			w.gateway.inst.ServeHTTP(metrics, nil)
 			is.Equal(strings.Contains(metrics.Body.String(), `baywall_slowest_server_slowness{service="s"}`), c.learns)
--- a/entry/retried/retried.go
+++ b/entry/retried/retried.go
@@ -4,10 +4,10 @@
 // # The load it is designed for
 //
 // During an overload a refused caller comes back later and competes with new requests for
-// the same slots, although it can no longer be on time. If a part x of the demand exceeds the
-// capacity, the share of attempts that are refused grows to the square root of x, since
-// everyone who is refused comes back once. Of 110% demand a third would be late or not
-// served. So repeated requests get slots after those that can still be on time.
+// the same slots, although it can no longer be on time. If a fraction x of the demand exceeds the
+// capacity, a fraction p of the attempts is refused with p*p = x, since each refused caller
+// retries once. At a demand of 110% of the capacity, three in ten callers are refused at
+// first. So repeated requests get slots after those that can still be on time.
 //
 // # How they are recognized
 //
@@ -33,7 +33,7 @@
 	minReports = 3
 	// maxReported bounds the refusals in a report, the newest first.
 	maxReported = 64
-	// maxRefusals bounds the refusals that are remembered.
+	// maxRefusals bounds the refusals that are remembered, and the digests of other arrivals.
 	maxRefusals = 16384
 )
 
@@ -108,8 +108,9 @@
 	t.refusals[id] = &refusal{at: now, ambiguous: equal > 0 || old != nil && old.ambiguous}
 }
 
-// Returned reports whether an arriving request was refused before, and uses the refusal up.
-func (t *Table) Returned(id ID, now time.Time) bool {
+// Recognize records the arrival of a request and reports whether it is a retry of a refused
+// one. Each refusal counts for one retry.
+func (t *Table) Recognize(id ID, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.refusals) == 0 {
--- a/entry/retried/retried_test.go
+++ b/entry/retried/retried_test.go
@@ -15,9 +15,9 @@
 	now := time.Unix(100, 0)
 	refusing.Refused(7, now)
 	other.Receive(refusing.Report(0, now), now.Add(100*time.Millisecond))
-	is.True(!other.Returned(8, now.Add(time.Second)))
-	is.True(other.Returned(7, now.Add(time.Second)))
-	is.True(refusing.Returned(7, now.Add(2*time.Second)))
+	is.True(!other.Recognize(8, now.Add(time.Second)))
+	is.True(other.Recognize(7, now.Add(time.Second)))
+	is.True(refusing.Recognize(7, now.Add(2*time.Second)))
 	is.Equal(len(refusing.Report(0, now.Add(reportTime))), 0)
 }
 
@@ -27,13 +27,13 @@
 	var table Table
 	now := time.Unix(100, 0)
 	table.Receive([]uint64{7}, now)
-	is.True(table.Returned(7, now))
+	is.True(table.Recognize(7, now))
 	table.Receive([]uint64{7}, now) // the same report once more
-	is.True(!table.Returned(7, now))
+	is.True(!table.Recognize(7, now))
 	table.Receive([]uint64{8}, now)
-	is.True(table.Returned(8, now))
+	is.True(table.Recognize(8, now))
 	table.Refused(8, now) // a retry is refused
-	is.True(table.Returned(8, now))
+	is.True(table.Recognize(8, now))
 }
 
 // After one refusal, equal requests of other callers must not be put last at all gateways:
@@ -46,7 +46,7 @@
 	for i := range 700 {
 		now = now.Add(10 * time.Millisecond)
 		table := &tables[i%len(tables)]
-		if table.Returned(7, now) {
+		if table.Recognize(7, now) {
 			taken++
 		}
 		if i%2 == 0 { // half of them are refused
@@ -71,7 +71,7 @@
 	is.Equal(table.Size(), maxRefusals)
 	is.Equal(len(table.Report(0, now)), maxReported)
 	now = now.Add(lifetime)
-	is.True(!table.Returned(1, now))
+	is.True(!table.Recognize(1, now))
 	table.Refused(1, now)
 	is.Equal(table.Size(), 1)
 }
@@ -94,7 +94,7 @@
 				fresh = append(fresh, next)
 			}
 			for _, id := range returning[round] {
-				if table.Returned(id, now) {
+				if table.Recognize(id, now) {
 					repeated = append(repeated, id)
 				}
 			}
--- a/entry/slotqueue/doc.go
+++ b/entry/slotqueue/doc.go
@@ -28,7 +28,7 @@
 //
 // Of the slots that a gateway could assign while more urgent requests wait at any gateway,
 // one in eight goes to the less urgent level that has waited longest there. Slots are
-// counted when the gateway's own requests release them, and at least one in each mean
-// service time or 250 ms, so that a gateway without requests in flight does not wait
-// forever.
+// counted when the gateway's own requests release them. If none is released for a mean
+// service time, or 250 ms if that is longer, one is counted anyway, so that a gateway without
+// requests in flight does not wait forever.
 package slotqueue
--- a/entry/slotqueue/level.go
+++ b/entry/slotqueue/level.go
@@ -1,6 +1,6 @@
 package slotqueue
 
-// Level is the urgency of a request, 0 is the most urgent.
+// Level is the priority class of a waiting request, 0 to 36. 0 is the most urgent.
 type Level int
 
 const (
@@ -12,8 +12,8 @@
 	levels              = int(repeatedLevel) + 1
 )
 
-// Urgency is what the level of a request follows from, the most significant first.
-type Urgency struct {
+// LevelCriteria are what the level of a request follows from, the most significant first.
+type LevelCriteria struct {
 	// Repeated is set if the caller sent the request before and was refused, so that it can
 	// no longer be on time.
 	Repeated bool
@@ -26,7 +26,7 @@
 }
 
 // Level returns the level of a request.
-func (u Urgency) Level() Level {
+func (u LevelCriteria) Level() Level {
 	if u.Repeated {
 		return repeatedLevel
 	}
--- a/entry/slotqueue/queue.go
+++ b/entry/slotqueue/queue.go
@@ -33,7 +33,8 @@
 // Refusal describes a request that is refused because it cannot be on time.
 type Refusal struct {
 	Level Level
-	// Position is the number of requests ahead at this gateway, Others that at others.
+	// Position is the number of requests ahead at this gateway, Others that of requests at
+	// other gateways of its level or a more urgent one.
 	Position, Others int
 	// Wait is the expected time until the request would get a slot.
 	Wait time.Duration
@@ -99,8 +100,8 @@
 }
 
 // Join adds a request if it is expected to get a slot in time, and reports whether it did.
-// It removes requests behind it that can no longer be on time and returns them. Both have
-// a Refusal.
+// It removes requests behind it that can no longer be on time and returns them. A
+// request that does not join or is removed has a Refusal.
 func (q *Queue) Join(e *Entry, others *Counts, c Capacity, now time.Time) (joined bool, refused []*Entry) {
 	at := q.position(e)
 	if e.refusal = refusal(e, at, others, c, now); e.refusal != nil {
@@ -168,8 +169,8 @@
 	return t
 }
 
-// Lookers returns the requests that may look for a slot.
-func (q *Queue) Lookers(others *Counts) []*Entry {
+// Eligible returns the requests that may look for a slot.
+func (q *Queue) Eligible(others *Counts) []*Entry {
 	var out []*Entry
 	if due := q.Due(others); due != nil {
 		out = append(out, due)
--- a/entry/slotqueue/queue_test.go
+++ b/entry/slotqueue/queue_test.go
@@ -186,9 +186,9 @@
 				}
 			} else {
 				q.Released(others, now)
-				if lookers := q.Lookers(others); len(lookers) > 0 {
-					q.Took(lookers[0], others)
-					q.Leave(lookers[0])
+				if eligible := q.Eligible(others); len(eligible) > 0 {
+					q.Took(eligible[0], others)
+					q.Leave(eligible[0])
 				}
 			}
 			if err := q.check(others); err != nil {
@@ -208,7 +208,7 @@
 			return fmt.Errorf("%d overtakes requests elsewhere", i)
 		}
 	}
-	if lookers := q.Lookers(others); len(q.entries) > 0 && len(lookers) == 0 {
+	if eligible := q.Eligible(others); len(q.entries) > 0 && len(eligible) == 0 {
 		return fmt.Errorf("%d requests wait and none may look", len(q.entries))
 	}
 	return nil
--- a/entry/slotqueue/replay_test.go
+++ b/entry/slotqueue/replay_test.go
@@ -136,7 +136,7 @@
 	others := g.reports.Waiting(0, r.now)
 	g.queue.Advance(&others, replayService, r.now)
 	for g.queue.Len() > 0 {
-		e := g.queue.Lookers(&others)[0]
+		e := g.queue.Eligible(&others)[0]
 		c := r.capacity(i)
 		switch turn := g.queue.Turn(e, &others); {
 		case e.Until.Before(r.now):
--- a/entry/speed/speed.go
+++ b/entry/speed/speed.go
@@ -239,8 +239,8 @@
 	return seconds(s.all.time)
 }
 
-// Slowest returns the slowness of the slowest server.
-func (s *Service) Slowest(now time.Time) float64 {
+// MaxSlowness returns the slowness of the slowest server.
+func (s *Service) MaxSlowness(now time.Time) float64 {
 	slowest := 1.0
 	for id := range s.servers {
 		slowest = max(slowest, s.Slowness(id, now))
--- a/entry/speed/speed_test.go
+++ b/entry/speed/speed_test.go
@@ -86,7 +86,7 @@
 	}
 	is.True(s.ServiceTime("a", now) > 390*ms && s.ServiceTime("a", now) < 410*ms)
 	is.True(s.ServiceTime("b", now) > 98*ms && s.ServiceTime("b", now) < 102*ms)
-	is.True(s.Slowest(now) > 3.9)
+	is.True(s.MaxSlowness(now) > 3.9)
 	is.Equal(s.Slowness("a", now.Add(lifetime)), 1.0)
 	s.Forget("a")
 	is.Equal(s.Slowness("a", now), 1.0)
