--- a/standin/soak/cmd/soak/world.go
+++ b/standin/soak/cmd/soak/world.go
@@ -26,7 +26,7 @@
 	slots        = 16
 )
 
-// scheduling has all scheduling settings of the gateways, as deploy/gateway.yaml has them.
+// scheduling turns all scheduling settings of the gateways on.
 const scheduling = "scheduling:\n  queue: true\n  fair_share: true\n  server_speed: true\n  concurrency_limit: true\n"
 
 // shape is the shape of the groups' expert maps.
