--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -209,6 +209,9 @@
 		q.g.inst.gap(q.route.Name, q.longestGap)
 		e = e.Int("events", q.events).Dur("longest_gap", q.longestGap)
 	}
+	if q.unframed {
+		e = e.Bool("unframed", true)
+	}
 	e.Uint32("attempt", number).Str("punctuality", q.timeliness()).Msg("request answered")
 }
 
@@ -235,7 +238,11 @@
 		e = e.Dur("rest", a.backoff)
 	}
 	if a.liveness != 0 {
-		e = e.Str("liveness", a.liveness.String()).Stringer("fingerprint", q.fingerprint())
+		e = e.Str("liveness", a.liveness.String()).Stringer("fingerprint", q.fingerprint()).
+			Str("method", q.r.Method).Str("target", q.r.RequestURI).Int("body_bytes", len(q.body))
+	}
+	if q.unframed {
+		e = e.Bool("unframed", true)
 	}
 	e.AnErr("cause", a.err).Int("service_load", c.Load.InFlight).Int("service_slots", c.Load.Slots).Msg("attempt ended")
 }
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -183,6 +183,7 @@
 	defer c.Release()
 	q.server, q.serverLoad, q.serverEventGap, q.sent = c.Server.ID, c.InFlight, c.StreamGap, q.g.applied()
 	q.serverLimit = q.g.limits.limitOf(c.Server)
+	q.unframed = false
 	began := clock.Now()
 	q.quarantineAttempt.Send(quarantine.ServerKey(c.Server.Incarnation()), began)
 	if q.route.Kind == catalog.KindStream {
@@ -216,6 +217,7 @@
 		return q.classify(ctx, c, a)
 	}
 	q.g.registry.Accepted(c.Server, clock.Now())
+	q.unframed = !answer.Framed()
 	q.g.suspects.Answered(quarantine.ServerKey(c.Server.Incarnation()), answer.Opened, began)
 	var a attempt
 	if q.route.Kind == catalog.KindStream && answer.Status == http.StatusOK {
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -232,12 +232,18 @@
 	a.pool.put(a.conn)
 }
 
+// Framed reports whether the answer's body has a length or comes in chunks. A body without
+// either ends with its connection, so its end looks the same as that of the backend
+// server's process.
+func (a *Answer) Framed() bool {
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+}
+
 func (a *Answer) reusable() bool {
 	if a.resp == nil || !a.ended || !a.written.Load() || a.resp.Close {
 		return false
 	}
-	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
-	return framed && a.conn.reader.Buffered() == 0
+	return a.Framed() && a.conn.reader.Buffered() == 0
 }
 
 // idleTime returns how long the backend server keeps an idle connection open,
