--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -98,6 +99,17 @@
 	return n
 }
 
+// serverOf returns the server that got a request.
+func (w *crashFleet) serverOf(r *http.Request) *crashableServer {
+	local := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	for _, m := range w.servers {
+		if m.address == local.String() {
+			return m
+		}
+	}
+	return nil
+}
+
 func startCrashFleet(t *testing.T, servers, gateways int, answer http.HandlerFunc) *crashFleet {
 	t.Helper()
 	w := &crashFleet{store: fixedStore{item(t, "catalog", catalog.Content{
@@ -106,7 +118,8 @@
 	for i := range servers {
 		m := &crashableServer{t: t, address: freeAddress(t)}
 		m.answer = http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body) // a closed connection is only detected after the body was read
+			body, _ := io.ReadAll(r.Body) // a closed connection is only detected after the body was read
+			r.Body = io.NopCloser(bytes.NewReader(body))
 			rw.Header().Set("T-Id", r.Header.Get("T-Id"))
 			if r.URL.Path == lethalPath {
 				w.arrivals.Add(1)
@@ -206,6 +219,37 @@
 	is.Equal(w.arrivals.Load(), before) // none reached a server
 }
 
+// A caller sent the same body to several targets, and it ended servers on each of them: three
+// for each target.
+func TestLethalBodyIsQuarantinedOnEveryTarget(t *testing.T) {
+	is := is.New(t)
+	const lethalBody = "a body that ends its server"
+	var w *crashFleet
+	w = startCrashFleet(t, 8, 3, func(rw http.ResponseWriter, r *http.Request) {
+		if body, _ := io.ReadAll(r.Body); string(body) != lethalBody {
+			ok(0, rw, r)
+			return
+		}
+		w.arrivals.Add(1)
+		w.serverOf(r).crash()
+		panic(http.ErrAbortHandler)
+	})
+	targets := []string{"/many/a", "/once/b", "/stream/c", "/many/d"}
+	for i := 0; w.crashed() < 3 && i < 9; i++ {
+		w.post(t, i%3, targets[i%4], lethalBody)
+		time.Sleep(restartTime)
+	}
+	time.Sleep(propagationTime)
+	before := w.arrivals.Load()
+	for i, target := range targets {
+		resp := w.send(t, i%3, target, lethalBody)
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(resp.Header.Get(headerReason), "quarantined")
+		is.Equal(w.send(t, i%3, target, "another body").StatusCode, http.StatusOK)
+	}
+	is.Equal(w.arrivals.Load(), before)
+}
+
 // Other requests that were on a crashed server are retried and served, even if many of them
 // are equal and even if all servers fail several times.
 func TestOtherRequestsAreServedOn(t *testing.T) {
--- a/entry/quarantine/table_test.go
+++ b/entry/quarantine/table_test.go
@@ -124,6 +124,49 @@
 	is.Equal(table.Judge(fingerprint(2), now).Status, Quarantined)
 }
 
+// Three requests end servers in the same moments. Each acquitted the other two, because two
+// unrelated servers had ended at the same moment.
+func TestLethalRequestsDoNotAcquitEachOther(t *testing.T) {
+	is := is.New(t)
+	table := newTable("a")
+	now := start
+	for round := range 5 {
+		end(table, fingerprint(1), ServerKey(10*round+1), now)
+		if round >= 2 {
+			end(table, fingerprint(2), ServerKey(10*round+2), now.Add(time.Millisecond))
+			end(table, fingerprint(3), ServerKey(10*round+3), now.Add(2*time.Millisecond))
+		}
+		now = now.Add(3 * time.Second)
+	}
+	for request := 1; request <= 3; request++ {
+		is.Equal(table.Judge(fingerprint(request), now).Status, Quarantined)
+	}
+}
+
+// Copies of a request that were in progress together count as one end. After it, all
+// gateways sent copies at the same time again.
+func TestCopiesAreTriedOneAtATimeAfterTwoServersHaveEnded(t *testing.T) {
+	is := is.New(t)
+	f := fingerprint(1)
+	a, b := newTable("a"), newTable("b")
+	a.Ended(f, End{Server: 1, Round: 1, At: start})
+	b.Ended(f, End{Server: 2, Round: 1, At: start.Add(time.Second)})
+	now := start.Add(2 * time.Second)
+	exchange(now, a, b)
+	granted := 0
+	for range 20 {
+		for _, table := range []*Table{a, b} {
+			if attempt, permission := table.Admit(f, now); permission == Granted {
+				granted++
+				attempt.Send(77, now)
+			}
+		}
+		now = now.Add(40 * time.Millisecond)
+		exchange(now, a, b)
+	}
+	is.Equal(granted, 1)
+}
+
 func TestSuccessfulRunClearsEqualRequests(t *testing.T) {
 	is := is.New(t)
 	f := fingerprint(1)
