Do not take the end of a server for the end of an unframed answer

Cause: an answer with neither a length nor chunks ends with its connection. The gateway read the crash as io.EOF, counted the attempt as answered, did not look at the server, and cleared the request's earlier ends for ten seconds at all gateways. The same stood in the agents' client of their engine, so entry VMs did not learn of the end either.

Change: such an answer counts as whole only if its server still accepts connections; the connection that shows it is used for a later request. Otherwise the attempt is lost or cut, and the end counts. Ruled out: that the first event or a length could tell, as a server may end between two events.

--- a/agent/engine/ended.go
+++ b/agent/engine/ended.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -73,6 +74,31 @@
 	return eris.Wrapf(ErrFailed, "%v", cause)
 }
 
+// errUnproven means that an answer without a length or chunks ended, and the process with it.
+var errUnproven = errors.New("answer ended with its connection, nothing listens any more")
+
+// provenBody is the body of an answer that ends with its connection. Its end counts only if
+// the process still listens, as the end of the process looks the same.
+type provenBody struct {
+	io.ReadCloser
+	client *Client
+	ctx    context.Context
+}
+
+// Read implements io.Reader. It returns an *EndedError in place of io.EOF if the process has
+// ended.
+func (b provenBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	var ended *EndedError
+	if failure := b.client.ClassifyFailure(b.ctx, errUnproven); errors.As(failure, &ended) {
+		return n, ended
+	}
+	return n, err
+}
+
 // RefusesConnections reports whether the backend server's host refuses connections, which
 // means that the process has ended.
 func (c *Client) RefusesConnections(ctx context.Context) bool {
--- a/agent/engine/ended_test.go
+++ b/agent/engine/ended_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -39,3 +40,32 @@
 		is.Equal(ended.Number, want)
 	}
 }
+
+// The end of an engine under an answer that ends with its connection was taken for the end of
+// the answer, so that no entry VM learned of it.
+func TestEndUnderAnUnframedAnswerIsNoEndOfTheAnswer(t *testing.T) {
+	for _, ends := range []bool{true, false} {
+		is := is.New(t)
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		is.NoErr(err)
+		t.Cleanup(func() { ln.Close() })
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			if ends {
+				ln.Close()
+			}
+			conn.Close()
+		}()
+		resp, err := New(ln.Addr().String()).Do(t.Context(), Request{ID: "r", Method: http.MethodPost, Path: "/", Body: []byte("body")})
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.Equal(string(body), "part")
+		var ended *EndedError
+		is.Equal(errors.As(err, &ended), ends)
+	}
+}
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -140,6 +140,9 @@
 		resp.Body.Close()
 		return nil, eris.Wrapf(ErrWrongRequest, "sent %s, got %s", r.ID, echo)
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		resp.Body = provenBody{resp.Body, c, ctx}
+	}
 	return resp, nil
 }
 
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"baywall.example/core/clock"
@@ -28,13 +30,16 @@
 const maxBuffered = 256 << 10
 
 // forwardAnswer forwards an answer that is not a stream.
-func (q *request) forwardAnswer(answer *upstream.Answer, stream *streamState) attempt {
+func (q *request) forwardAnswer(ctx context.Context, answer *upstream.Answer, server *balance.Server, stream *streamState) attempt {
 	var body bytes.Buffer
 	n, err := io.Copy(&body, io.LimitReader(answer.Body, maxBuffered))
 	if err != nil {
 		return attempt{verdict: verdictLost, err: err}
 	}
 	whole := n < maxBuffered
+	if whole && !provenWhole(ctx, answer, server) {
+		return attempt{verdict: verdictLost, err: errUnproven}
+	}
 	if answer.Status >= http.StatusInternalServerError && whole {
 		return attempt{verdict: verdictFailed, status: answer.Status, header: answer.Header, body: body.Bytes()}
 	}
@@ -58,9 +63,23 @@
 	if _, err := io.Copy(q.w, answer.Body); err != nil {
 		return attempt{verdict: verdictCut, err: err}
 	}
+	if !provenWhole(ctx, answer, server) {
+		return attempt{verdict: verdictCut, err: errUnproven}
+	}
 	return attempt{verdict: verdictAnswered, status: answer.Status}
 }
 
+// errUnproven means that an answer ended with its connection, and that the backend server
+// may have ended too.
+var errUnproven = eris.New("gateway: answer ended with its connection, backend server does not listen")
+
+// provenWhole reports whether an answer that was read to its end is whole. Without a length
+// or chunks, the end of the server's process looks like the end of the answer, so the server
+// must still accept connections. The connection that shows it is used for a later request.
+func provenWhole(ctx context.Context, answer *upstream.Answer, server *balance.Server) bool {
+	return answer.Framed() || checkLiveness(ctx, server) == upstream.Listening
+}
+
 // copyHeader copies the backend server's header fields to the answer.
 func (q *request) copyHeader(from http.Header) {
 	h := q.w.Header()
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -223,7 +223,7 @@
 	if q.route.Kind == catalog.KindStream && answer.Status == http.StatusOK {
 		a = q.forwardStream(ctx, answer, c.Server, stream)
 	} else {
-		a = q.forwardAnswer(answer, stream)
+		a = q.forwardAnswer(ctx, answer, c.Server, stream)
 	}
 	if a.verdict == verdictAnswered && c.InFlight < c.Server.Slots {
 		q.g.registry.RecordServiceTime(q.service, clock.Since(began))
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -103,6 +103,10 @@
 	if v != verdictLost && v != verdictCut || ctx.Err() != nil {
 		return 0
 	}
+	return checkLiveness(ctx, server)
+}
+
+func checkLiveness(ctx context.Context, server *balance.Server) upstream.Liveness {
 	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
 	defer cancel()
 	return server.Pool.Liveness(ctx)
