Quarantine the body of requests that end servers, whatever their target

Callers saw: repeats that went on after three servers had ended. The logs show one body, sent by one team to a path of each of three routes.

Cause: evidence was kept for equal requests only, and equal meant the same target. Each target ended three servers of its own. Class: evidence is kept for one key, while what crashes is a property that requests share.

Change: a request has several fingerprints, that of the whole request and that of its body; each has its own record, and the worst one decides. The order in which processes try a request is the same for all fingerprints, as two could wait for each other otherwise. Heartbeats report suspects in turn, as there are twice as many. Ruled out: leaving the target out of the request's fingerprint, as a short body that succeeds on one target would clear it on the lethal one.

--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -39,8 +39,9 @@
 	sequence retry.Sequence
 	budget   *retry.Budget // nil if the request is only resumed
 	tried    []*backend.Backend
-	digest   *quarantine.Fingerprint // computed on first use
-	suspect  quarantine.Attempt      // of the current attempt
+	suspect  quarantine.Attempt // the current attempt, as package quarantine tracks it
+	// fingerprintCache holds the request's fingerprints once they were needed.
+	fingerprintCache []quarantine.Fingerprint
 	// backoff is why and until when a server refuses requests for a rate limit or a backoff,
 	// or the first such period to end if all servers refuse them.
 	backoff backend.Backoff
--- a/entry/dispatch/quarantine.go
+++ b/entry/dispatch/quarantine.go
@@ -20,15 +20,14 @@
 // one is being tried.
 const trialPollInterval = 15 * time.Millisecond
 
-// fingerprint returns the fingerprint of the request, which equal requests share.
-func (x *exchange) fingerprint() quarantine.Fingerprint {
-	if x.digest == nil {
-		f := quarantine.Identity{
+// fingerprints returns the fingerprints of the request, first that of all equal requests.
+func (x *exchange) fingerprints() []quarantine.Fingerprint {
+	if x.fingerprintCache == nil {
+		x.fingerprintCache = quarantine.Identity{
 			Team: x.contract.Team, Method: x.request.Method, Host: x.contract.Service, Target: x.request.Path, Body: x.request.Body,
-		}.Fingerprint()
-		x.digest = &f
+		}.Fingerprints()
 	}
-	return *x.digest
+	return x.fingerprintCache
 }
 
 // serverKey identifies the engine behind the current agent up to its end with the given
@@ -39,12 +38,12 @@
 
 // waitAdmitted waits until the request may be tried, and reports whether it may.
 func (x *exchange) waitAdmitted(ctx context.Context) bool {
-	x.suspect = quarantine.Attempt{Round: 1}
+	x.suspect = quarantine.Attempt{}
 	if x.d.suspects.Empty() {
 		return true
 	}
 	for {
-		attempt, permission := x.d.suspects.Admit(x.fingerprint(), clock.Now())
+		attempt, permission := x.d.suspects.Admit(x.fingerprints(), clock.Now())
 		x.suspect = attempt
 		if permission == quarantine.Refused || permission == quarantine.Wait && !wait.Sleep(ctx, trialPollInterval) {
 			return false
@@ -58,10 +57,11 @@
 // refuseQuarantined refuses a quarantined request. For a request with a ticket the outcome is
 // unknown, because the ticket may have been presented before.
 func (x *exchange) refuseQuarantined() error {
-	judgement := x.d.suspects.Judge(x.fingerprint(), clock.Now())
+	judgement := x.d.suspects.Judge(x.fingerprints(), clock.Now())
 	x.d.recorder.Record(timeline.Event{
 		Kind: timeline.KindRefused, Request: string(x.contract.Request), Choice: judgement.Status.String(),
-		Reason: fmt.Sprintf("%d backend servers ended under equal requests, the latest %s ago", judgement.Ends, judgement.Since.Round(time.Millisecond)),
+		Reason: fmt.Sprintf("%d backend servers ended under requests with fingerprint %s, the latest %s ago",
+			judgement.Ends, judgement.Fingerprint, judgement.Since.Round(time.Millisecond)),
 	})
 	x.sequence.Deadline = time.Time{} // prevents a retry
 	refusal := contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonQuarantined, RetryAfter: judgement.Remaining}
@@ -79,12 +79,12 @@
 
 // recordEnd records that the agent's engine ended while it was running the current attempt.
 func (x *exchange) recordEnd(end uint64) {
-	x.d.suspects.Ended(x.fingerprint(), quarantine.End{Server: x.serverKey(end), Round: x.suspect.Round, At: clock.Now()})
+	x.d.suspects.Ended(x.fingerprints(), &x.suspect, x.serverKey(end), clock.Now())
 }
 
 // recordSuccess records that the request succeeded, if err is nil.
 func (x *exchange) recordSuccess(err error) {
 	if err == nil && x.status < http.StatusMultipleChoices && !x.d.suspects.Empty() {
-		x.d.suspects.Succeeded(x.fingerprint(), clock.Now())
+		x.d.suspects.Succeeded(x.fingerprints(), clock.Now())
 	}
 }
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -178,7 +178,7 @@
 	})
 	e := q.addLogFields(q.log.Info())
 	if j := q.quarantined; j != nil {
-		e = e.Stringer("fingerprint", q.fingerprint()).Int("ends", j.Ends).Dur("latest_end", j.Since)
+		e = e.Stringer("suspect", j.Fingerprint).Int("ends", j.Ends).Dur("latest_end", j.Since)
 	}
 	if s := q.refusalSituation; s != nil {
 		e = e.Dur("back", s.RecoversIn).Int("late_waiting", s.Waiting).Int("late_served", s.Taken).Float64("late_room", s.Quota)
@@ -257,7 +257,7 @@
 		e = e.Dur("rest", a.backoff)
 	}
 	if a.liveness != 0 {
-		e = e.Str("liveness", a.liveness.String()).Stringer("fingerprint", q.fingerprint()).
+		e = e.Str("liveness", a.liveness.String()).Stringer("fingerprint", q.fingerprints()[0]).
 			Str("method", q.r.Method).Str("target", q.r.RequestURI).Int("body_bytes", len(q.body))
 	}
 	if q.unframed {
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -28,15 +28,14 @@
 	suspectPullWindow = 2 * time.Second
 )
 
-// fingerprint returns a digest of what equal requests have in common.
-func (q *request) fingerprint() quarantine.Fingerprint {
+// fingerprints returns the fingerprints of the request, first that of all equal requests.
+func (q *request) fingerprints() []quarantine.Fingerprint {
 	if q.fingerprintCache == nil {
-		f := quarantine.Identity{
+		q.fingerprintCache = quarantine.Identity{
 			Team: q.team, Method: q.r.Method, Host: hostOf(q.r.Host), Target: q.r.RequestURI, Body: q.body,
-		}.Fingerprint()
-		q.fingerprintCache = &f
+		}.Fingerprints()
 	}
-	return *q.fingerprintCache
+	return q.fingerprintCache
 }
 
 // pickIfAdmitted picks a server if the request may be attempted now.
@@ -54,14 +53,14 @@
 
 // admit asks the quarantine table whether the request may be attempted.
 func (q *request) admit(now time.Time) quarantine.Permission {
-	q.quarantineAttempt = quarantine.Attempt{Round: 1}
+	q.quarantineAttempt = quarantine.Attempt{}
 	if q.g.suspects.Empty() {
 		return quarantine.Granted
 	}
-	attempt, permission := q.g.suspects.Admit(q.fingerprint(), now)
+	attempt, permission := q.g.suspects.Admit(q.fingerprints(), now)
 	q.quarantineAttempt = attempt
 	if permission == quarantine.Refused {
-		judgement := q.g.suspects.Judge(q.fingerprint(), now)
+		judgement := q.g.suspects.Judge(q.fingerprints(), now)
 		q.quarantined = &judgement
 	}
 	return permission
@@ -73,7 +72,7 @@
 	if q.g.suspects.Empty() {
 		return nil
 	}
-	servers := q.g.suspects.Avoid(q.fingerprint(), now)
+	servers := q.g.suspects.Avoid(q.fingerprints(), now)
 	if len(servers) == 0 {
 		return nil
 	}
@@ -83,7 +82,7 @@
 // recordOutcome records what the end of an attempt proves about the request.
 func (q *request) recordOutcome(ctx context.Context, server *balance.Server, a *attempt) {
 	if a.verdict == verdictAnswered && a.status < http.StatusMultipleChoices && !q.g.suspects.Empty() {
-		q.g.suspects.Succeeded(q.fingerprint(), clock.Now())
+		q.g.suspects.Succeeded(q.fingerprints(), clock.Now())
 		return
 	}
 	a.liveness = q.livenessAfter(ctx, server, a.verdict)
@@ -91,9 +90,7 @@
 		return
 	}
 	q.g.registry.Ended(server, clock.Now())
-	q.g.suspects.Ended(q.fingerprint(), quarantine.End{
-		Server: quarantine.ServerKey(server.Incarnation()), Round: q.quarantineAttempt.Round, At: clock.Now(),
-	})
+	q.g.suspects.Ended(q.fingerprints(), &q.quarantineAttempt, quarantine.ServerKey(server.Incarnation()), clock.Now())
 }
 
 // livenessAfter checks whether the backend server of a lost attempt has ended. A server
--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -227,7 +227,7 @@
 	var w *crashFleet
 	w = startCrashFleet(t, 8, 3, func(rw http.ResponseWriter, r *http.Request) {
 		if body, _ := io.ReadAll(r.Body); string(body) != lethalBody {
-			ok(0, rw, r)
+			_, _ = io.WriteString(rw, "data: one event\n\n")
 			return
 		}
 		w.arrivals.Add(1)
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -62,13 +62,13 @@
 	refusalSituation  *admission.Situation // nil unless it was refused for lack of a slot
 	sequence          retry.Sequence
 	budget            retryBudget
-	excluded          map[string]bool         // servers, by id, that an attempt failed at or was moved away from
-	rejected          bool                    // a server rejected it
-	moveTo            *balance.Choice         // server at which the stream is resumed, nil = not picked yet
-	waited            time.Duration           // time spent waiting for a server
-	fingerprintCache  *quarantine.Fingerprint // nil = not computed yet
-	quarantineAttempt quarantine.Attempt      // the current attempt, as package quarantine tracks it
-	quarantined       *quarantine.Judgement   // nil unless it is refused as quarantined
+	excluded          map[string]bool          // servers, by id, that an attempt failed at or was moved away from
+	rejected          bool                     // a server rejected it
+	moveTo            *balance.Choice          // server at which the stream is resumed, nil = not picked yet
+	waited            time.Duration            // time spent waiting for a server
+	fingerprintCache  []quarantine.Fingerprint // nil = not computed yet
+	quarantineAttempt quarantine.Attempt       // the current attempt, as package quarantine tracks it
+	quarantined       *quarantine.Judgement    // nil unless it is refused as quarantined
 
 	permitWait *admission.QueueEntry // entry in the queue for a permit or for the end of a backoff, nil = not queued
 	atLimit    int                   // servers excluded at the latest pick because they are at their limits
@@ -174,7 +174,6 @@
 	}
 	q.budget.Request()
 	q.excluded = make(map[string]bool)
-	q.quarantineAttempt = quarantine.Attempt{Round: 1}
 	h := q.g.headers
 	q.header = make(http.Header, len(q.r.Header)+3)
 	named := connectionFields(q.r.Header)
--- a/entry/gateway/slotqueue.go
+++ b/entry/gateway/slotqueue.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"sync"
 	"time"
 
@@ -254,8 +253,7 @@
 // retryID returns the digest by which the request is recognized when it is sent again. The
 // parts of a prompt tell requests apart whose bodies are alike.
 func (q *request) retryID() retried.ID {
-	digest := q.fingerprint()
-	return retried.ID(binary.BigEndian.Uint64(digest[:]) ^ rendezvous.Hash(q.r.Header.Get(q.g.headers.Prompt)))
+	return retried.ID(q.fingerprints()[0].Uint64() ^ rendezvous.Hash(q.r.Header.Get(q.g.headers.Prompt)))
 }
 
 // recognizeRetry finds out whether the request was refused before.
--- a/entry/quarantine/attempt.go
+++ b/entry/quarantine/attempt.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,47 +19,78 @@
 	Refused            // the request is quarantined
 )
 
-// Attempt is one attempt at a suspected request. The zero value is for a request about
-// which nothing is known.
+// Attempt is one attempt at a request. The zero value is for a request about which nothing
+// is known.
 type Attempt struct {
-	// Round is one more than the round of the latest end that was known when the attempt
-	// was admitted.
-	Round int
+	table    *Table
+	admitted []admission
+	server   ServerKey
+	sent     bool
+}
 
-	table       *Table
+// admission is the admission of an attempt with regard to one of the request's suspected
+// fingerprints.
+type admission struct {
 	fingerprint Fingerprint
-	server      ServerKey
-	sent        bool
+	// round is one more than the round of the latest end that was known.
+	round int
+}
+
+// Round returns one more than the round of the latest end under requests with the
+// fingerprint that was known when the attempt was admitted.
+func (a *Attempt) Round(f Fingerprint) int {
+	for _, admitted := range a.admitted {
+		if admitted.fingerprint == f {
+			return admitted.round
+		}
+	}
+	return 1
 }
 
-// Admit decides whether a request may be tried. The caller must release a granted
-// attempt.
-func (t *Table) Admit(f Fingerprint, now time.Time) (Attempt, Permission) {
+// Admit decides whether a request with the given fingerprints may be tried. The caller must
+// release a granted attempt.
+func (t *Table) Admit(fingerprints []Fingerprint, now time.Time) (Attempt, Permission) {
 	if t.Empty() {
-		return Attempt{Round: 1}, Granted
+		return Attempt{}, Granted
 	}
 	interval := t.interval() // acquires the lock under which the heartbeat's report is built
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[f]
-	j := t.judge(r, now)
-	switch {
-	case j.Status == Quarantined:
+	if t.worst(fingerprints, now).Status == Quarantined {
 		return Attempt{}, Refused
-	case j.Status == Unsuspected:
-		return Attempt{Round: 1}, Granted
-	case j.Status == OnTrial && !t.mayTry(f, r, interval, now):
+	}
+	permission := Granted
+	for _, f := range fingerprints {
+		r := t.records[f]
+		if t.judge(r, now).Status == OnTrial && !t.mayTry(r, interval, now) {
+			permission = Wait
+		}
+	}
+	if permission == Wait {
 		return Attempt{}, Wait
 	}
-	r.admitted++
-	r.announcedUntil = time.Time{}
-	return Attempt{Round: r.nextRound(), table: t, fingerprint: f}, Granted
+	return t.admit(fingerprints, now), Granted
+}
+
+// admit returns an attempt that is in progress with regard to all suspected fingerprints.
+func (t *Table) admit(fingerprints []Fingerprint, now time.Time) Attempt {
+	out := Attempt{table: t}
+	for _, f := range fingerprints {
+		r := t.records[f]
+		if t.judge(r, now).Status == Unsuspected {
+			continue
+		}
+		r.admitted++
+		r.announcedUntil = time.Time{}
+		out.admitted = append(out.admitted, admission{f, r.nextRound()})
+	}
+	return out
 }
 
 // mayTry reports whether a request on trial may be tried: no other attempt is in progress,
 // this process has announced its intent for long enough, and no process that precedes it
 // has announced the same.
-func (t *Table) mayTry(f Fingerprint, r *record, interval time.Duration, now time.Time) bool {
+func (t *Table) mayTry(r *record, interval time.Duration, now time.Time) bool {
 	if r.admitted > 0 || len(r.running) > 0 {
 		return false
 	}
@@ -66,7 +98,7 @@
 		if now.Sub(report.at) >= peerReportTTL(interval) {
 			continue
 		}
-		if len(report.running) > 0 || report.announced && precedes(f, peer, t.self) {
+		if len(report.running) > 0 || report.announced && precedes(peer, t.self) {
 			return false
 		}
 	}
@@ -78,51 +110,57 @@
 	return now.Sub(r.announced) >= pause
 }
 
-// precedes reports whether process a has precedence over process b in trying a request.
-func precedes(f Fingerprint, a, b vm.ID) bool {
-	weight := func(id vm.ID) uint64 { return xxhash.Sum64String(string(f[:]) + string(id)) }
-	return weight(a) < weight(b)
-}
+// precedes reports whether process a has precedence over process b in trying a request. The
+// order is the same for all fingerprints: otherwise two processes could wait for each other,
+// as a request may be on trial with regard to several of them.
+func precedes(a, b vm.ID) bool { return xxhash.Sum64String(string(a)) < xxhash.Sum64String(string(b)) }
 
 // Send records the server to which the attempt is sent.
 func (a *Attempt) Send(server ServerKey, now time.Time) {
-	if a.table == nil {
+	if len(a.admitted) == 0 {
 		return
 	}
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
 	a.server, a.sent = server, true
-	if r := a.table.records[a.fingerprint]; r != nil {
-		r.running[server]++
-		r.changed = now
+	for _, admitted := range a.admitted {
+		if r := a.table.records[admitted.fingerprint]; r != nil {
+			r.running[server]++
+			r.changed = now
+		}
 	}
 }
 
 // Release ends the attempt.
 func (a *Attempt) Release() {
-	if a.table == nil {
+	if len(a.admitted) == 0 {
 		return
 	}
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
-	r := a.table.records[a.fingerprint]
-	a.table = nil
-	if r == nil {
-		return // evicted in the meantime
+	for _, admitted := range a.admitted {
+		if r := a.table.records[admitted.fingerprint]; r != nil { // else evicted in the meantime
+			r.release(a.server, a.sent)
+		}
 	}
+	a.admitted = nil
+}
+
+// release records that an attempt has ended, which was sent to the server if sent is true.
+func (r *record) release(server ServerKey, sent bool) {
 	r.admitted = max(0, r.admitted-1)
-	if !a.sent {
+	if !sent {
 		return
 	}
-	if r.running[a.server]--; r.running[a.server] <= 0 {
-		delete(r.running, a.server)
+	if r.running[server]--; r.running[server] <= 0 {
+		delete(r.running, server)
 	}
 }
 
 // Avoid returns the servers that a request should not be sent to if there are others: a
 // request on trial may bring down its server, and two suspects on one server could not be
 // told apart. The result is nil if there are no such servers.
-func (t *Table) Avoid(f Fingerprint, now time.Time) map[ServerKey]bool {
+func (t *Table) Avoid(fingerprints []Fingerprint, now time.Time) map[ServerKey]bool {
 	if t.Empty() {
 		return nil
 	}
@@ -130,10 +168,10 @@
 	fresh := peerReportTTL(t.interval())
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	suspected := t.judge(t.records[f], now).Status != Unsuspected
+	suspected := t.worst(fingerprints, now).Status != Unsuspected
 	var out map[ServerKey]bool
 	for other, r := range t.records {
-		if other == f || len(r.running) == 0 && len(r.peerReports) == 0 {
+		if slices.Contains(fingerprints, other) || len(r.running) == 0 && len(r.peerReports) == 0 {
 			continue
 		}
 		if !suspected && t.judge(r, now).Status < OnTrial {
--- a/entry/quarantine/bench_test.go
+++ b/entry/quarantine/bench_test.go
@@ -20,7 +20,7 @@
 		identity := Identity{Team: "team", Method: "POST", Host: "host", Target: "/path", Body: make([]byte, size)}
 		b.Run(fmt.Sprintf("%d B", size), func(b *testing.B) {
 			for b.Loop() {
-				_ = identity.Fingerprint()
+				_ = identity.Fingerprints()
 			}
 		})
 	}
@@ -28,7 +28,7 @@
 
 func BenchmarkAdmitUnsuspected(b *testing.B) {
 	for _, suspects := range []int{0, 30, maxRecords} {
-		table, f := full(suspects), fingerprint(-1)
+		table, f := full(suspects), one(fingerprint(-1))
 		b.Run(fmt.Sprintf("%d suspects", suspects), func(b *testing.B) {
 			for b.Loop() {
 				_, _ = table.Admit(f, start)
--- a/entry/quarantine/fingerprint.go
+++ b/entry/quarantine/fingerprint.go
@@ -7,15 +7,36 @@
 	"hash"
 )
 
-// Fingerprint identifies equal requests: those of one team with the same method, host,
-// target and body. It is a truncated SHA-256 sum, because it must be infeasible to
-// construct a request that has the fingerprint of another one.
-type Fingerprint [16]byte
+// Kind is what the requests with a fingerprint have in common.
+type Kind uint8
 
-// String returns the fingerprint in hexadecimal.
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+// Kinds of fingerprints.
+const (
+	KindRequest Kind = iota // they are equal, see Identity
+	KindBody                // they have the same body, whatever their team and target
+)
+
+// String returns the name of the kind.
+func (k Kind) String() string { return [...]string{"request", "body"}[k] }
+
+// digest is a truncated SHA-256 sum, because it must be infeasible to construct a request
+// that has a fingerprint of another one.
+type digest [16]byte
+
+// Fingerprint identifies all requests that have something in common.
+type Fingerprint struct {
+	Kind   Kind
+	digest digest
+}
+
+// String returns the kind and the digest in hexadecimal.
+func (f Fingerprint) String() string { return f.Kind.String() + ":" + hex.EncodeToString(f.digest[:]) }
 
-// Identity holds the properties in which equal requests agree.
+// Uint64 returns a part of the digest.
+func (f Fingerprint) Uint64() uint64 { return binary.BigEndian.Uint64(f.digest[:]) }
+
+// Identity holds the properties of a request that may be the reason why it brings down
+// backend servers.
 type Identity struct {
 	Team   string
 	Method string
@@ -24,14 +45,27 @@
 	Body   []byte
 }
 
-// Fingerprint returns the fingerprint of all requests with this identity.
-func (i Identity) Fingerprint() Fingerprint {
-	sum := sha256.New()
-	for _, part := range []string{i.Team, i.Method, i.Host, i.Target} {
-		addPart(sum, []byte(part))
+// Fingerprints returns the fingerprints of the request, that of KindRequest first.
+func (i Identity) Fingerprints() []Fingerprint {
+	if len(i.Body) == 0 {
+		return []Fingerprint{i.request(digest{})}
+	}
+	body := sum(i.Body)
+	return []Fingerprint{i.request(body), {Kind: KindBody, digest: body}}
+}
+
+func (i Identity) request(body digest) Fingerprint {
+	return Fingerprint{Kind: KindRequest, digest: sum([]byte(i.Team), []byte(i.Method), []byte(i.Host), []byte(i.Target), body[:])}
+}
+
+// sum returns the digest of a list of parts.
+func sum(parts ...[]byte) (out digest) {
+	h := sha256.New()
+	for _, part := range parts {
+		addPart(h, part)
 	}
-	addPart(sum, i.Body)
-	return Fingerprint(sum.Sum(nil)[:len(Fingerprint{})])
+	copy(out[:], h.Sum(nil))
+	return out
 }
 
 // addPart adds the part prefixed with its length, so that different lists of parts never
--- a/entry/quarantine/fuzz_test.go
+++ b/entry/quarantine/fuzz_test.go
@@ -15,9 +15,9 @@
 	fp := fingerprint(1)
 	seeds := []*wire.Suspects{
 		{},
-		{Suspects: []*wire.Suspect{{Fingerprint: fp[:], Ends: []*wire.ServerEnd{{Server: 1, Round: 1, AgeMs: 5}}}}},
-		{Suspects: []*wire.Suspect{{Fingerprint: fp[:], ClearedMs: 1 << 31, Running: []uint64{1, 2}, Intent: true}}},
-		{Suspects: []*wire.Suspect{{Fingerprint: fp[:], Ends: []*wire.ServerEnd{
+		{Suspects: []*wire.Suspect{{Fingerprint: fp.digest[:], Ends: []*wire.ServerEnd{{Server: 1, Round: 1, AgeMs: 5}}}}},
+		{Suspects: []*wire.Suspect{{Fingerprint: fp.digest[:], ClearedMs: 1 << 31, Running: []uint64{1, 2}, Intent: true}}},
+		{Suspects: []*wire.Suspect{{Fingerprint: fp.digest[:], Ends: []*wire.ServerEnd{
 			{Server: 1, Round: 1 << 31}, {Server: 2, Round: 2, AgeMs: 3000}, {Server: 3, Round: 3, AgeMs: 1000},
 		}}}},
 	}
@@ -36,15 +36,15 @@
 		table := newTable("a")
 		table.Receive("b", report.GetSuspects(), start)
 		for _, w := range report.GetSuspects() {
-			if len(w.GetFingerprint()) == len(Fingerprint{}) {
-				attempt, _ := table.Admit(Fingerprint(w.GetFingerprint()), start)
+			if f, ok := fingerprintFromWire(w); ok {
+				attempt, _ := table.Admit(one(f), start)
 				attempt.Send(1, start)
 				attempt.Release()
 			}
 		}
 		table.Receive("c", table.FullReport(start.Add(time.Second)), start.Add(time.Second))
 		_ = table.Report(start)
-		if _, permission := table.Admit(fingerprint(-7), start); permission != Granted {
+		if _, permission := table.Admit(one(fingerprint(-7)), start); permission != Granted {
 			t.Fatal("a request about which nothing is known was refused")
 		}
 		table.Expire(start.Add(24 * time.Hour))
--- a/entry/quarantine/record.go
+++ b/entry/quarantine/record.go
@@ -57,6 +57,7 @@
 	cleared        time.Time // when a run last ended well; zero if never
 	ownRun         bool      // whether that run was in this process
 	changed        time.Time
+	reported       uint64            // number of the report in which it was last sent
 	count          int               // number of rounds that count against the request
 	lastEnd        time.Time         // time of the latest end that counts
 	countedVersion uint64            // version of the outages for which count is valid; 0 if none
--- a/entry/quarantine/spread.go
+++ b/entry/quarantine/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 	"time"
 
@@ -30,29 +31,33 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reports++
 	fresh, old := t.reportable(now)
-	slices.SortFunc(fresh, func(a, b Fingerprint) int { return t.records[b].changed.Compare(t.records[a].changed) })
-	slices.SortFunc(old, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	t.sortForReport(fresh)
+	t.sortForReport(old)
 	fresh = fresh[:min(len(fresh), maxReported-min(minRotated, len(old)))]
 	var out []*wire.Suspect
 	ends := 0
-	for _, f := range fresh {
-		if ends += len(t.records[f].ends); ends > maxReportedEnds {
-			return out
-		}
-		out = append(out, t.records[f].wire(f, now, false))
-	}
-	for range min(len(old), maxReported-len(fresh)) {
-		t.rotated = (t.rotated + 1) % len(old)
-		f := old[t.rotated]
-		if ends += len(t.records[f].ends); ends > maxReportedEnds {
+	for _, f := range append(fresh, old[:min(len(old), maxReported-len(fresh))]...) {
+		r := t.records[f]
+		if ends += len(r.ends); ends > maxReportedEnds {
 			break
 		}
-		out = append(out, t.records[f].wire(f, now, false))
+		r.reported = t.reports
+		out = append(out, r.wire(f, now, false))
 	}
 	return out
 }
 
+// sortForReport sorts fingerprints by how long ago they were reported, so that all of them
+// are in turn. Those under which several servers ended come first the first time.
+func (t *Table) sortForReport(fingerprints []Fingerprint) {
+	slices.SortFunc(fingerprints, func(a, b Fingerprint) int {
+		ra, rb := t.records[a], t.records[b]
+		return cmp.Or(cmp.Compare(ra.reported, rb.reported), cmp.Compare(len(rb.ends), len(ra.ends)), bytes.Compare(a.digest[:], b.digest[:]))
+	})
+}
+
 // reportable returns the records to report to other processes: those that changed recently,
 // even if nothing counts against the request, because their ends make outages known, and
 // older ones of requests that are suspected.
@@ -83,7 +88,7 @@
 // a run that ended well reports it, because transmission delays make its age appear smaller
 // with each hop. If relayed is true, other processes report it as well.
 func (r *record) wire(f Fingerprint, now time.Time, relayed bool) *wire.Suspect {
-	out := &wire.Suspect{Fingerprint: f[:], Intent: now.Before(r.announcedUntil)}
+	out := &wire.Suspect{Fingerprint: f.digest[:], Kind: wire.SuspectKind(f.Kind), Intent: now.Before(r.announcedUntil)}
 	for _, e := range r.ends {
 		out.Ends = append(out.Ends, &wire.ServerEnd{Server: uint64(e.Server), Round: uint32(e.Round), AgeMs: ageMs(e.At, now)})
 	}
@@ -106,12 +111,23 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, w := range suspects {
-		if len(w.GetFingerprint()) != len(Fingerprint{}) {
-			t.log.Warn().Str("peer", string(from)).Hex("fingerprint", w.GetFingerprint()).Msg("suspect not understood")
+		f, ok := fingerprintFromWire(w)
+		if !ok {
+			t.log.Warn().Str("peer", string(from)).Stringer("kind", w.GetKind()).Hex("fingerprint", w.GetFingerprint()).Msg("suspect not understood")
 			continue
 		}
-		t.receive(from, Fingerprint(w.GetFingerprint()), w, now)
+		t.receive(from, f, w, now)
+	}
+}
+
+// fingerprintFromWire returns the fingerprint of a reported suspect. It returns false if this
+// process does not know its kind.
+func fingerprintFromWire(w *wire.Suspect) (Fingerprint, bool) {
+	_, known := wire.SuspectKind_name[int32(w.GetKind())]
+	if !known || len(w.GetFingerprint()) != len(digest{}) {
+		return Fingerprint{}, false
 	}
+	return Fingerprint{Kind: Kind(w.GetKind()), digest: digest(w.GetFingerprint())}, true
 }
 
 func (t *Table) receive(from vm.ID, f Fingerprint, w *wire.Suspect, now time.Time) {
--- a/entry/quarantine/table.go
+++ b/entry/quarantine/table.go
@@ -45,7 +45,7 @@
 	records   map[Fingerprint]*record
 	outages   outages
 	withdrawn map[ServerKey]time.Time // servers that answered after their reported end
-	rotated   int                     // index of the last record reported in rotation
+	reports   uint64                  // number of reports built
 }
 
 // NewTable returns the empty table of a process. The interval function returns the time
@@ -74,22 +74,33 @@
 	return max(minPeerReportTTL, receiveIntervals*interval)
 }
 
-// Judgement is the assessment of a request at one moment.
+// Judgement is the assessment of the requests with a fingerprint at one moment.
 type Judgement struct {
-	Status    Status
-	Ends      int           // number of rounds of ends that count against the request
-	Remaining time.Duration // remaining time of the quarantine
-	Since     time.Duration // time since the latest end
+	Fingerprint Fingerprint
+	Status      Status
+	Ends        int           // number of rounds of ends that count against the requests
+	Remaining   time.Duration // remaining time of the quarantine
+	Since       time.Duration // time since the latest end
 }
 
-// Judge returns the assessment of a request.
-func (t *Table) Judge(f Fingerprint, now time.Time) Judgement {
+// Judge returns the worst assessment of the fingerprints of a request.
+func (t *Table) Judge(fingerprints []Fingerprint, now time.Time) Judgement {
 	if t.Empty() {
 		return Judgement{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.judge(t.records[f], now)
+	return t.worst(fingerprints, now)
+}
+
+func (t *Table) worst(fingerprints []Fingerprint, now time.Time) (out Judgement) {
+	for _, f := range fingerprints {
+		if j := t.judge(t.records[f], now); j.Status > out.Status || j.Status == out.Status && j.Remaining > out.Remaining {
+			out = j
+			out.Fingerprint = f
+		}
+	}
+	return out
 }
 
 func (t *Table) judge(r *record, now time.Time) Judgement {
@@ -113,13 +124,14 @@
 	return j
 }
 
-// Ended records that a server ended while it was running an attempt, and returns the
-// resulting assessment of the request.
-func (t *Table) Ended(f Fingerprint, e End) Judgement {
+// Ended records that a server ended while it was running an attempt at a request with the
+// given fingerprints.
+func (t *Table) Ended(fingerprints []Fingerprint, a *Attempt, server ServerKey, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addEnd(f, e, ownAttempt)
-	return t.judge(t.records[f], e.At)
+	for _, f := range fingerprints {
+		t.addEnd(f, End{Server: server, Round: a.Round(f), At: at}, ownAttempt)
+	}
 }
 
 // ownAttempt is logged as the source of observations of this process. For reports of
@@ -142,20 +154,22 @@
 	if after.Status == Quarantined && before.Status != Quarantined {
 		event = t.log.Warn()
 	}
-	event.Stringer("fingerprint", f).Uint64("server_incarnation", uint64(e.Server)).Int("round", e.Round).Str("source", source).
+	event.Stringer("suspect", f).Uint64("server_incarnation", uint64(e.Server)).Int("round", e.Round).Str("source", source).
 		Int("ends", after.Ends).Stringer("before", before.Status).Stringer("standing", after.Status).
 		Dur("quarantine", after.Remaining).Msg("backend server ended under a request")
 }
 
-// Succeeded records that a run ended well.
-func (t *Table) Succeeded(f Fingerprint, now time.Time) {
+// Succeeded records that a run of a request with the given fingerprints ended well.
+func (t *Table) Succeeded(fingerprints []Fingerprint, now time.Time) {
 	if t.Empty() {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.records[f]; r != nil {
-		t.clear(f, r, now, ownAttempt)
+	for _, f := range fingerprints {
+		if r := t.records[f]; r != nil {
+			t.clear(f, r, now, ownAttempt)
+		}
 	}
 }
 
@@ -164,7 +178,7 @@
 		return
 	}
 	r.changed = at
-	t.log.Info().Stringer("fingerprint", f).Str("source", source).Msg("request cleared: a run of it ended well")
+	t.log.Info().Stringer("suspect", f).Str("source", source).Msg("request cleared: a run of it ended well")
 }
 
 // Answered records that a server answered a request, given when the connection was opened
@@ -216,7 +230,7 @@
 		}
 	}
 	delete(t.records, victim)
-	t.log.Warn().Stringer("fingerprint", victim).Int("ends", least).Msg("suspect forgotten for lack of room")
+	t.log.Warn().Stringer("suspect", victim).Int("ends", least).Msg("suspect forgotten for lack of room")
 }
 
 // Expire drops state that no longer affects any decision.
--- a/entry/quarantine/table_test.go
+++ b/entry/quarantine/table_test.go
@@ -17,7 +17,18 @@
 var start = time.Unix(1_700_000_000, 0)
 
 func fingerprint(n int) Fingerprint {
-	return Identity{Target: fmt.Sprint(n)}.Fingerprint()
+	return Identity{Target: fmt.Sprint(n)}.Fingerprints()[0]
+}
+
+// one returns the fingerprints of a request that has only one.
+func one(f Fingerprint) []Fingerprint { return []Fingerprint{f} }
+
+// add records an end with a given round, and returns the resulting assessment.
+func (t *Table) add(f Fingerprint, e End) Judgement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addEnd(f, e, ownAttempt)
+	return t.judge(t.records[f], e.At)
 }
 
 func newTable(id vm.ID) *Table {
@@ -30,7 +41,7 @@
 	if r := t.records[f]; r != nil {
 		round = r.nextRound()
 	}
-	return t.Ended(f, End{Server: server, Round: round, At: at})
+	return t.add(f, End{Server: server, Round: round, At: at})
 }
 
 // quarantined returns a table in which the request is quarantined, and the time of the
@@ -47,13 +58,13 @@
 	is := is.New(t)
 	table, f := newTable("a"), fingerprint(1)
 	is.True(table.Empty())
-	is.Equal(table.Judge(f, start).Status, Unsuspected)
+	is.Equal(table.Judge(one(f), start).Status, Unsuspected)
 	is.Equal(end(table, f, 1, start).Status, Suspected)
 	is.Equal(end(table, f, 1, start.Add(time.Second)).Status, Suspected) // the same server
 	is.Equal(end(table, f, 2, start.Add(2*time.Second)).Status, OnTrial)
 	is.Equal(end(table, f, 3, start.Add(4*time.Second)).Status, Quarantined)
-	is.Equal(table.Judge(fingerprint(2), start).Status, Unsuspected)
-	_, permission := table.Admit(f, start.Add(5*time.Second))
+	is.Equal(table.Judge(one(fingerprint(2)), start).Status, Unsuspected)
+	_, permission := table.Admit(one(f), start.Add(5*time.Second))
 	is.Equal(permission, Refused)
 }
 
@@ -63,11 +74,11 @@
 	is := is.New(t)
 	f := fingerprint(1)
 	table, last := quarantined(f)
-	is.Equal(table.Judge(f, last).Remaining, firstQuarantine)
+	is.Equal(table.Judge(one(f), last).Remaining, firstQuarantine)
 	over := last.Add(firstQuarantine)
-	is.Equal(table.Judge(f, over).Status, OnTrial)
+	is.Equal(table.Judge(one(f), over).Status, OnTrial)
 	is.Equal(end(table, f, 9, over).Remaining, 2*firstQuarantine)
-	is.Equal(table.Judge(f, over.Add(recordTTL(4))).Status, Unsuspected)
+	is.Equal(table.Judge(one(f), over.Add(recordTTL(4))).Status, Unsuspected)
 	table.Expire(over.Add(recordTTL(4)))
 	is.True(table.Empty())
 }
@@ -78,7 +89,7 @@
 	end(table, f, 1, start)
 	end(table, f, 2, start.Add(time.Second))
 	table.Expire(start.Add(suspectTTL))
-	is.Equal(table.Judge(f, start.Add(suspectTTL)).Ends, 2)
+	is.Equal(table.Judge(one(f), start.Add(suspectTTL)).Ends, 2)
 	table.Expire(start.Add(time.Second + suspectTTL))
 	is.True(table.Empty())
 }
@@ -88,9 +99,9 @@
 	is := is.New(t)
 	table, f := newTable("a"), fingerprint(1)
 	for i := range 12 {
-		table.Ended(f, End{Server: ServerKey(i), Round: 1, At: start.Add(time.Duration(i) * time.Second)})
+		table.add(f, End{Server: ServerKey(i), Round: 1, At: start.Add(time.Duration(i) * time.Second)})
 	}
-	is.Equal(table.Judge(f, start.Add(12*time.Second)).Ends, 1)
+	is.Equal(table.Judge(one(f), start.Add(12*time.Second)).Ends, 1)
 }
 
 // When a rack, a zone or everything fails repeatedly while running the same requests, none
@@ -105,7 +116,7 @@
 		}
 		now = now.Add(5 * time.Second)
 		for server := range 6 {
-			is.Equal(table.Judge(fingerprint(server), now).Status, Unsuspected)
+			is.Equal(table.Judge(one(fingerprint(server)), now).Status, Unsuspected)
 		}
 	}
 }
@@ -120,8 +131,8 @@
 		end(table, fingerprint(2), ServerKey(10*round+2), now.Add(time.Millisecond))
 		now = now.Add(3 * time.Second)
 	}
-	is.Equal(table.Judge(fingerprint(1), now).Status, Quarantined)
-	is.Equal(table.Judge(fingerprint(2), now).Status, Quarantined)
+	is.Equal(table.Judge(one(fingerprint(1)), now).Status, Quarantined)
+	is.Equal(table.Judge(one(fingerprint(2)), now).Status, Quarantined)
 }
 
 // Three requests end servers in the same moments. Each acquitted the other two, because two
@@ -139,7 +150,7 @@
 		now = now.Add(3 * time.Second)
 	}
 	for request := 1; request <= 3; request++ {
-		is.Equal(table.Judge(fingerprint(request), now).Status, Quarantined)
+		is.Equal(table.Judge(one(fingerprint(request)), now).Status, Quarantined)
 	}
 }
 
@@ -149,14 +160,14 @@
 	is := is.New(t)
 	f := fingerprint(1)
 	a, b := newTable("a"), newTable("b")
-	a.Ended(f, End{Server: 1, Round: 1, At: start})
-	b.Ended(f, End{Server: 2, Round: 1, At: start.Add(time.Second)})
+	a.add(f, End{Server: 1, Round: 1, At: start})
+	b.add(f, End{Server: 2, Round: 1, At: start.Add(time.Second)})
 	now := start.Add(2 * time.Second)
 	exchange(now, a, b)
 	granted := 0
 	for range 20 {
 		for _, table := range []*Table{a, b} {
-			if attempt, permission := table.Admit(f, now); permission == Granted {
+			if attempt, permission := table.Admit(one(f), now); permission == Granted {
 				granted++
 				attempt.Send(77, now)
 			}
@@ -171,15 +182,15 @@
 	is := is.New(t)
 	f := fingerprint(1)
 	table, last := quarantined(f)
-	table.Succeeded(fingerprint(2), last)
-	is.Equal(table.Judge(f, last).Status, Quarantined)
+	table.Succeeded(one(fingerprint(2)), last)
+	is.Equal(table.Judge(one(f), last).Status, Quarantined)
 	well := last.Add(time.Second)
-	table.Succeeded(f, well)
-	is.Equal(table.Judge(f, well).Status, Unsuspected)
+	table.Succeeded(one(f), well)
+	is.Equal(table.Judge(one(f), well).Status, Unsuspected)
 	// The end is disregarded, because it follows the successful run within clearedTTL.
 	is.Equal(end(table, f, 7, well.Add(time.Second)).Status, Unsuspected)
 	is.Equal(end(table, f, 8, well.Add(clearedTTL)).Status, Suspected)
-	is.Equal(table.Judge(f, well.Add(clearedTTL)).Ends, 1)
+	is.Equal(table.Judge(one(f), well.Add(clearedTTL)).Ends, 1)
 }
 
 func TestEndOfServerThatStillAnswersIsWithdrawn(t *testing.T) {
@@ -188,11 +199,11 @@
 	table, last := quarantined(f)
 	table.Answered(2, last.Add(-time.Hour), last)                        // sent before the end
 	table.Answered(2, last.Add(time.Millisecond), last.Add(time.Second)) // the server was restarted
-	is.Equal(table.Judge(f, last).Status, Quarantined)
+	is.Equal(table.Judge(one(f), last).Status, Quarantined)
 	table.Answered(2, last.Add(-time.Hour), last.Add(time.Second))
-	is.Equal(table.Judge(f, last).Status, OnTrial)
-	table.Ended(f, End{Server: 2, Round: 3, At: last}) // as other processes still report
-	is.Equal(table.Judge(f, last).Status, OnTrial)
+	is.Equal(table.Judge(one(f), last).Status, OnTrial)
+	table.add(f, End{Server: 2, Round: 3, At: last}) // as other processes still report
+	is.Equal(table.Judge(one(f), last).Status, OnTrial)
 }
 
 // exchange sends the heartbeat report of each table to all others.
@@ -218,10 +229,10 @@
 	granted := 0
 	for range 20 { // more than half a second
 		for _, table := range []*Table{a, b} {
-			attempt, permission := table.Admit(f, now)
+			attempt, permission := table.Admit(one(f), now)
 			if permission == Granted {
 				granted++
-				is.Equal(attempt.Round, 3)
+				is.Equal(attempt.Round(f), 3)
 				attempt.Send(77, now)
 			}
 		}
@@ -229,9 +240,9 @@
 		exchange(now, a, b)
 	}
 	is.Equal(granted, 1) // that attempt is still in progress
-	is.True(a.Avoid(fingerprint(2), now)[77])
-	is.True(b.Avoid(fingerprint(2), now)[77])
-	is.Equal(len(a.Avoid(f, now)), 0)
+	is.True(a.Avoid(one(fingerprint(2)), now)[77])
+	is.True(b.Avoid(one(fingerprint(2)), now)[77])
+	is.Equal(len(a.Avoid(one(f), now)), 0)
 }
 
 // In a large fleet, heartbeats arrive at long intervals. If a process has to announce a
@@ -246,7 +257,7 @@
 		permission := Wait
 		now := start.Add(2 * time.Second)
 		for until := now.Add(4 * receiveIntervals * interval).Add(time.Second); permission == Wait && now.Before(until); now = now.Add(15 * time.Millisecond) {
-			_, permission = table.Admit(f, now)
+			_, permission = table.Admit(one(f), now)
 		}
 		is.Equal(permission, Granted)
 	}
@@ -257,13 +268,13 @@
 	table := newTable("a")
 	end(table, fingerprint(1), 1, start)
 	end(table, fingerprint(2), 1, start)
-	attempt, permission := table.Admit(fingerprint(1), start)
+	attempt, permission := table.Admit(one(fingerprint(1)), start)
 	is.Equal(permission, Granted)
 	attempt.Send(5, start)
-	is.True(table.Avoid(fingerprint(2), start)[5])
-	is.True(!table.Avoid(fingerprint(3), start)[5]) // not suspected
+	is.True(table.Avoid(one(fingerprint(2)), start)[5])
+	is.True(!table.Avoid(one(fingerprint(3)), start)[5]) // not suspected
 	attempt.Release()
-	is.Equal(len(table.Avoid(fingerprint(2), start)), 0)
+	is.Equal(len(table.Avoid(one(fingerprint(2)), start)), 0)
 }
 
 // A process that starts gets the complete state from any other process, including one that
@@ -290,7 +301,7 @@
 	}
 	for _, table := range []*Table{b, c, d} {
 		is.Equal(table.Size(), suspects)
-		is.Equal(table.Judge(fingerprint(suspects-1), now).Status, Quarantined)
+		is.Equal(table.Judge(one(fingerprint(suspects-1)), now).Status, Quarantined)
 	}
 }
 
@@ -309,7 +320,7 @@
 	is.True(table.Size() <= maxRecords)
 	is.True(len(table.outages.at) <= maxOutages)
 	// The records with the most ends are retained.
-	is.Equal(table.Judge(retained, start).Status, Quarantined)
+	is.Equal(table.Judge(one(retained), start).Status, Quarantined)
 	size := 0
 	for _, w := range table.Report(start.Add(time.Second)) {
 		size += proto.Size(w)
@@ -328,9 +339,9 @@
 	table.Receive("b", []*wire.Suspect{
 		nil,
 		{Fingerprint: []byte("short"), Ends: []*wire.ServerEnd{{Server: 1, Round: 1}}},
-		{Fingerprint: f[:], Ends: []*wire.ServerEnd{nil, {AgeMs: 1 << 31}}},
+		{Fingerprint: f.digest[:], Ends: []*wire.ServerEnd{nil, {AgeMs: 1 << 31}}},
 	}, start)
-	is.Equal(table.Judge(f, start).Status, Unsuspected)
+	is.Equal(table.Judge(one(f), start).Status, Unsuspected)
 	is.Equal(table.Size(), 0)
 }
 
@@ -360,7 +371,7 @@
 					note(other, rapid.IntRange(0, 2).Draw(t, "other request"))
 				}
 			case 2:
-				table.Succeeded(fingerprint(request), now)
+				table.Succeeded(one(fingerprint(request)), now)
 			default:
 				other := tables[rapid.IntRange(0, 2).Draw(t, "other")]
 				if other != table {
@@ -379,9 +390,9 @@
 		}
 		later := now.Add(clearedTTL)
 		for i := range 3 {
-			first := tables[0].Judge(fingerprint(i), later)
+			first := tables[0].Judge(one(fingerprint(i)), later)
 			for _, table := range tables[1:] {
-				if j := table.Judge(fingerprint(i), later); j.Status != first.Status || j.Ends != first.Ends {
+				if j := table.Judge(one(fingerprint(i)), later); j.Status != first.Status || j.Ends != first.Ends {
 					t.Fatalf("request %d: %+v at a, %+v at %s", i, first, j, table.self)
 				}
 			}
