Try a request one at a time once two servers have ended under copies of it

Callers saw: as before, repeats that went on after three servers had ended.

Cause: copies that were in progress together count as one end, whatever the number of servers that ended, and that count also decided when a request is tried one at a time. After a first round that ended several servers, all gateways sent copies together again, and each round ended as many.

Change: a request is tried one at a time as soon as two servers have ended under it; only the quarantine counts rounds. Trying equal requests one at a time harms none of them: one that ends well clears all.

--- a/entry/quarantine/outage.go
+++ b/entry/quarantine/outage.go
@@ -78,12 +78,13 @@
 	if r.countedVersion == o.version {
 		return
 	}
-	r.countedVersion, r.count, r.lastEnd = o.version, 0, time.Time{}
+	r.countedVersion, r.count, r.servers, r.lastEnd = o.version, 0, 0, time.Time{}
 	round := 0 // the last round counted
 	for _, e := range r.uncleared() {
 		if o.coincides(e, r.ends) {
 			continue
 		}
+		r.servers++
 		if e.Round != round {
 			round = e.Round
 			r.count++
--- a/entry/quarantine/record.go
+++ b/entry/quarantine/record.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// onTrialFrom is the number of ends from which a request is tried one at a time, and
-	// quarantinedFrom the number from which it is no longer tried: two servers in a row
-	// occasionally end for other reasons, and a request may bring down three at most.
+	// onTrialFrom is the number of servers that ended from which a request is tried one at a
+	// time, and quarantinedFrom the number of rounds from which it is no longer tried: two
+	// servers in a row occasionally end for other reasons, and a request may bring down three
+	// at most. Copies that were in progress together count once for the quarantine only, as
+	// trying them one at a time harms nobody.
 	onTrialFrom     = 2
 	quarantinedFrom = 3
 	// suspectTTL is how long ends count if there are too few of them for a quarantine.
@@ -59,6 +61,7 @@
 	changed        time.Time
 	reported       uint64            // number of the report in which it was last sent
 	count          int               // number of rounds that count against the request
+	servers        int               // number of servers whose ends count
 	lastEnd        time.Time         // time of the latest end that counts
 	countedVersion uint64            // version of the outages for which count is valid; 0 if none
 	running        map[ServerKey]int // attempts of this process, by server
--- a/entry/quarantine/table.go
+++ b/entry/quarantine/table.go
@@ -116,7 +116,7 @@
 	switch {
 	case j.Remaining > 0:
 		j.Status = Quarantined
-	case j.Ends >= onTrialFrom:
+	case r.servers >= onTrialFrom:
 		j.Status = OnTrial
 	default:
 		j.Status = Suspected
