Let ends that a suspect explains acquit nobody

Cause: an end counts for nothing if two other servers ended within 250 ms. Several lethal requests in a group end their servers in the same pass, so each acquitted the others.

Change: servers on which a request was running that is on trial or quarantined don't count as others. The result is a function of the recorded ends, so processes still agree; ends are kept in order of time, with the number of their neighbours, so that most ends are judged by one look-up. Ruled out: half a count for ends that coincide, as five failures of a rack in a row would then make suspects of the requests on it (TestNoRequestIsSuspectedWhenManyServersEnd, unchanged).

--- a/entry/quarantine/doc.go
+++ b/entry/quarantine/doc.go
@@ -14,23 +14,27 @@
 //   - No connection to the server has outlived the supposed end: a server that refuses new
 //     connections because it has too many keeps answering over the existing ones.
 //   - At most one other server on which no such request was running ended at the same
-//     moment: when a rack, a zone or everything fails, requests are not the cause.
+//     moment: when a rack, a zone or everything fails, requests are not the cause. Servers
+//     on which a request was running that is tried one at a time are not counted, as that
+//     request explains their end.
 //   - The attempt was sent when the ends counted so far were known. Copies of a request
 //     that were in progress together count once, however many servers ended under them.
 //     For this purpose each end carries the number of its round; rounds are counted, not
 //     servers.
 //
-// Equal requests (see Fingerprint) share their evidence. All requests that were on the
-// same server have its end counted against them; later ends tell them apart. A run that
-// ends well is evidence to the contrary: it clears all equal requests for clearedTTL,
-// regardless of which servers end meanwhile.
+// Requests with a common fingerprint share their evidence: equal requests, and those with
+// the same body. All requests that were on the same server have its end counted against
+// them; later ends tell them apart. A run that ends well is evidence to the contrary: it
+// clears the request's fingerprints for clearedTTL, regardless of which servers end
+// meanwhile. An answer that ends with its connection ends well only if its server still
+// accepts connections.
 //
 // # Consequences
 //
 // After one end, the request is still tried, on servers that run no other suspect if
-// there are any. After two, it is tried once at a time in the whole fleet (see
-// minAnnounceTime), and other requests avoid its server. After three, it is refused
-// immediately. When the quarantine is over, it is tried once more; each further end
+// there are any. After two servers have ended, it is tried once at a time in the whole
+// fleet (see minAnnounceTime), and other requests avoid its server. After three rounds, it
+// is refused immediately. When the quarantine is over, it is tried once more; each further end
 // doubles the duration of the quarantine.
 //
 // # Propagation
--- a/entry/quarantine/outage.go
+++ b/entry/quarantine/outage.go
@@ -18,79 +18,100 @@
 	maxOutages = 512
 )
 
-// outages holds the known ends of servers, by incarnation.
+// outage is the end of a server.
+type outage struct {
+	server ServerKey
+	at     time.Time
+	near   int // number of other servers that ended at the same moment
+}
+
+// outages holds the known ends of servers, by incarnation and in the order of their times.
 type outages struct {
-	at      map[ServerKey]time.Time
-	version uint64 // incremented with each change of the ends, starting at 1
+	known  map[ServerKey]*outage
+	sorted []*outage
 }
 
-func newOutages() outages { return outages{at: make(map[ServerKey]time.Time), version: 1} }
+func newOutages() outages { return outages{known: make(map[ServerKey]*outage)} }
 
-// add records an end. It drops the oldest one if the limit is reached.
-func (o *outages) add(server ServerKey, at time.Time) {
-	if _, known := o.at[server]; known {
-		return
+// from returns the index of the first end that is not before the time.
+func (o *outages) from(at time.Time) int {
+	i, _ := slices.BinarySearchFunc(o.sorted, at, func(out *outage, at time.Time) int { return out.at.Compare(at) })
+	return i
+}
+
+// around returns the ends at the same moment as the given time.
+func (o *outages) around(at time.Time) []*outage {
+	return o.sorted[o.from(at.Add(-simultaneousWithin)):o.from(at.Add(simultaneousWithin+1))]
+}
+
+// add records an end and reports whether it was unknown. It drops the oldest one if the
+// limit is reached.
+func (o *outages) add(server ServerKey, at time.Time) bool {
+	if o.known[server] != nil {
+		return false
 	}
-	if len(o.at) >= maxOutages {
-		delete(o.at, o.oldest())
+	if len(o.sorted) >= maxOutages {
+		o.remove(o.sorted[0].server)
 	}
-	o.at[server] = at
-	o.version++
+	added := &outage{server: server, at: at}
+	for _, other := range o.around(at) {
+		other.near++
+		added.near++
+	}
+	o.known[server] = added
+	o.sorted = slices.Insert(o.sorted, o.from(at), added)
+	return true
 }
 
 func (o *outages) remove(server ServerKey) {
-	delete(o.at, server)
-	o.version++
-}
-
-func (o *outages) oldest() ServerKey {
-	var oldest ServerKey
-	var first time.Time
-	for server, at := range o.at {
-		if first.IsZero() || at.Before(first) {
-			oldest, first = server, at
-		}
+	removed := o.known[server]
+	if removed == nil {
+		return
+	}
+	delete(o.known, server)
+	o.sorted = slices.DeleteFunc(o.sorted, func(out *outage) bool { return out == removed })
+	for _, other := range o.around(removed.at) {
+		other.near--
 	}
-	return oldest
 }
 
-// coincides reports whether several servers that are not among the ends of the request
-// ended at the same moment as e, so that the request is not the cause of e.
-func (o *outages) coincides(e End, own []End) bool {
-	others := 0
-	for server, at := range o.at {
-		if at.Sub(e.At).Abs() <= simultaneousWithin && !hasServer(own, server) {
-			if others++; others >= minUnrelatedEnds {
-				return true
-			}
-		}
+// expire removes the ends before the given time, and reports whether there were any.
+func (o *outages) expire(before time.Time) (removed bool) {
+	for len(o.sorted) > 0 && o.sorted[0].at.Before(before) {
+		o.remove(o.sorted[0].server)
+		removed = true
 	}
-	return false
+	return removed
 }
 
-func hasServer(ends []End, server ServerKey) bool {
-	return slices.ContainsFunc(ends, func(e End) bool { return e.Server == server })
+// accompanied reports whether another server ended at the same moment as one of the ends.
+func (o *outages) accompanied(ends []End) bool {
+	return slices.ContainsFunc(ends, func(e End) bool {
+		end := o.known[e.Server]
+		return end != nil && end.near > 0
+	})
 }
 
-// count updates the number of rounds whose ends count against a request. It does nothing
-// if the ends have not changed since the last call.
-func (o *outages) count(r *record) {
-	if r.countedVersion == o.version {
-		return
+// coincides reports whether several servers that are not among the ends of a request ended
+// at the same moment as the given server, so that the request is not the cause of its end.
+// Servers whose ends other requests explain show nothing about this one.
+func (o *outages) coincides(server ServerKey, own []End, explained map[ServerKey]bool) bool {
+	end := o.known[server]
+	if end == nil || end.near < minUnrelatedEnds {
+		return false
 	}
-	r.countedVersion, r.count, r.servers, r.lastEnd = o.version, 0, 0, time.Time{}
-	round := 0 // the last round counted
-	for _, e := range r.uncleared() {
-		if o.coincides(e, r.ends) {
+	others := 0
+	for _, other := range o.around(end.at) {
+		if explained[other.server] || hasServer(own, other.server) {
 			continue
 		}
-		r.servers++
-		if e.Round != round {
-			round = e.Round
-			r.count++
-		}
-		if e.At.After(r.lastEnd) {
-			r.lastEnd = e.At
+		if others++; others >= minUnrelatedEnds {
+			return true
 		}
 	}
+	return false
+}
+
+func hasServer(ends []End, server ServerKey) bool {
+	return slices.ContainsFunc(ends, func(e End) bool { return e.Server == server })
 }
--- a/entry/quarantine/record.go
+++ b/entry/quarantine/record.go
@@ -55,18 +55,16 @@
 
 // record holds what is known about one fingerprint.
 type record struct {
-	ends           []End     // one per server
-	cleared        time.Time // when a run last ended well; zero if never
-	ownRun         bool      // whether that run was in this process
-	changed        time.Time
-	reported       uint64            // number of the report in which it was last sent
-	count          int               // number of rounds that count against the request
-	servers        int               // number of servers whose ends count
-	lastEnd        time.Time         // time of the latest end that counts
-	countedVersion uint64            // version of the outages for which count is valid; 0 if none
-	running        map[ServerKey]int // attempts of this process, by server
-	admitted       int               // attempts of this process that are not released yet
-	announced      time.Time         // when this process announced that it intends to try the request
+	ends      []End     // one per server
+	cleared   time.Time // when a run last ended well; zero if never
+	ownRun    bool      // whether that run was in this process
+	changed   time.Time
+	reported  uint64            // number of the report in which it was last sent
+	logged    Status            // as of the latest end
+	evidence  evidence          // as of the latest judgement
+	running   map[ServerKey]int // attempts of this process, by server
+	admitted  int               // attempts of this process that are not released yet
+	announced time.Time         // when this process announced that it intends to try the request
 	// announcedUntil is when the announcement expires; zero if there is none.
 	announcedUntil time.Time
 	peerReports    map[vm.ID]peerReport // by process
@@ -91,7 +89,6 @@
 	default:
 		return false
 	}
-	r.countedVersion = 0
 	slices.SortStableFunc(r.ends, func(a, b End) int { return a.Round - b.Round })
 	if len(r.ends) > maxEnds {
 		r.ends = r.ends[1:]
@@ -105,23 +102,16 @@
 	if !at.After(r.cleared) {
 		return false
 	}
-	before := len(r.uncleared())
-	r.cleared, r.ownRun, r.countedVersion = at, ownRun, 0
-	return len(r.uncleared()) < before
+	before := r.cleared
+	r.cleared, r.ownRun = at, ownRun
+	return slices.ContainsFunc(r.ends, func(e End) bool {
+		return r.isCleared(e) && (before.IsZero() || !e.At.Before(before.Add(clearedTTL)))
+	})
 }
 
-// uncleared returns the ends that are not cleared by a run that ended well.
-func (r *record) uncleared() []End {
-	if r.cleared.IsZero() {
-		return r.ends
-	}
-	var out []End
-	for _, e := range r.ends {
-		if !e.At.Before(r.cleared.Add(clearedTTL)) {
-			out = append(out, e)
-		}
-	}
-	return out
+// isCleared reports whether an end is disregarded because of a run that ended well.
+func (r *record) isCleared(e End) bool {
+	return !r.cleared.IsZero() && e.At.Before(r.cleared.Add(clearedTTL))
 }
 
 // nextRound returns the round of an attempt that is admitted now.
--- a/entry/quarantine/table.go
+++ b/entry/quarantine/table.go
@@ -44,6 +44,9 @@
 	mu        sync.Mutex
 	records   map[Fingerprint]*record
 	outages   outages
+	version   uint64                  // incremented with each change of the ends and of what clears them
+	settled   uint64                  // version of which explained is a result, 0 = none
+	explained map[ServerKey]bool      // servers whose ends a request on trial explains
 	withdrawn map[ServerKey]time.Time // servers that answered after their reported end
 	reports   uint64                  // number of reports built
 }
@@ -54,7 +57,7 @@
 func NewTable(self vm.ID, interval func() time.Duration, log zerolog.Logger) *Table {
 	return &Table{
 		self: self, log: log, interval: interval,
-		records: make(map[Fingerprint]*record), outages: newOutages(), withdrawn: make(map[ServerKey]time.Time),
+		version: 1, records: make(map[Fingerprint]*record), outages: newOutages(), withdrawn: make(map[ServerKey]time.Time),
 	}
 }
 
@@ -107,8 +110,8 @@
 	if r == nil {
 		return Judgement{}
 	}
-	t.outages.count(r)
-	j := Judgement{Ends: r.count, Since: now.Sub(r.lastEnd)}
+	proof := t.evidenceOf(r)
+	j := Judgement{Ends: proof.rounds, Since: now.Sub(proof.latest)}
 	if j.Ends == 0 || j.Since >= recordTTL(j.Ends) {
 		return Judgement{}
 	}
@@ -116,7 +119,7 @@
 	switch {
 	case j.Remaining > 0:
 		j.Status = Quarantined
-	case r.servers >= onTrialFrom:
+	case proof.servers >= onTrialFrom:
 		j.Status = OnTrial
 	default:
 		j.Status = Suspected
@@ -142,20 +145,23 @@
 	if _, isWithdrawn := t.withdrawn[e.Server]; isWithdrawn {
 		return
 	}
-	t.outages.add(e.Server, e.At)
+	if t.outages.add(e.Server, e.At) {
+		t.version++
+	}
 	r := t.record(f, e.At)
-	before := t.judge(r, e.At)
 	if !r.add(e) {
 		return
 	}
+	t.version++
 	r.changed = e.At
-	after := t.judge(r, e.At)
+	before, after := r.logged, t.judge(r, e.At)
+	r.logged = after.Status
 	event := t.log.Info()
-	if after.Status == Quarantined && before.Status != Quarantined {
+	if after.Status == Quarantined && before != Quarantined {
 		event = t.log.Warn()
 	}
 	event.Stringer("suspect", f).Uint64("server_incarnation", uint64(e.Server)).Int("round", e.Round).Str("source", source).
-		Int("ends", after.Ends).Stringer("before", before.Status).Stringer("standing", after.Status).
+		Int("ends", after.Ends).Stringer("before", before).Stringer("standing", after.Status).
 		Dur("quarantine", after.Remaining).Msg("backend server ended under a request")
 }
 
@@ -174,7 +180,9 @@
 }
 
 func (t *Table) clear(f Fingerprint, r *record, at time.Time, source string) {
-	if !r.clear(at, source == ownAttempt) {
+	changed := r.clear(at, source == ownAttempt)
+	t.version++
+	if !changed {
 		return
 	}
 	r.changed = at
@@ -192,12 +200,13 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	ended, known := t.outages.at[server]
-	if !known || !sent.After(ended) || !opened.Before(ended) {
+	ended := t.outages.known[server]
+	if ended == nil || !sent.After(ended.at) || !opened.Before(ended.at) {
 		return
 	}
 	t.outages.remove(server)
 	t.withdrawn[server] = sent
+	t.version++
 	for _, r := range t.records {
 		r.ends = slices.DeleteFunc(r.ends, func(e End) bool { return e.Server == server })
 	}
@@ -230,6 +239,7 @@
 		}
 	}
 	delete(t.records, victim)
+	t.version++
 	t.log.Warn().Stringer("suspect", victim).Int("ends", least).Msg("suspect forgotten for lack of room")
 }
 
@@ -246,6 +256,7 @@
 		expired := now.Sub(r.changed) >= suspectTTL
 		if idle && status == Unsuspected && expired {
 			delete(t.records, f)
+			t.version++
 		}
 	}
 	for server, at := range t.withdrawn {
@@ -253,10 +264,8 @@
 			delete(t.withdrawn, server)
 		}
 	}
-	for server, at := range t.outages.at {
-		if now.Sub(at) >= recordTTL(maxEnds) {
-			t.outages.remove(server)
-		}
+	if t.outages.expire(now.Add(-recordTTL(maxEnds))) {
+		t.version++
 	}
 	t.nonEmpty.Store(len(t.records) > 0)
 }
--- a/entry/quarantine/table_test.go
+++ b/entry/quarantine/table_test.go
@@ -318,7 +318,7 @@
 		}
 	}
 	is.True(table.Size() <= maxRecords)
-	is.True(len(table.outages.at) <= maxOutages)
+	is.True(len(table.outages.sorted) <= maxOutages)
 	// The records with the most ends are retained.
 	is.Equal(table.Judge(one(retained), start).Status, Quarantined)
 	size := 0
@@ -329,7 +329,7 @@
 	is.True(size <= 1500)
 	table.Expire(start.Add(24 * time.Hour))
 	is.Equal(table.Size(), 0)
-	is.Equal(len(table.outages.at), 0)
+	is.Equal(len(table.outages.sorted), 0)
 }
 
 func TestMalformedSuspectsAreIgnored(t *testing.T) {
