Quarantine the content of requests that end servers: the own part of the prompt, else the body

The bodies differ further on; what the requests to the three routes share is the last part of their prompts.

Change: the content of a request is the last part of its prompt where the caller names parts, else its body.

Evidence: TestLethalPromptIsQuarantinedOnEveryTarget passes, and fails with the content taken from the body.

--- a/entry/gateway/adapter_test.go
+++ b/entry/gateway/adapter_test.go
@@ -27,7 +27,7 @@
 func (testAdapter) Headers() Headers {
 	return Headers{
 		RequestID: "T-Id", APIKey: "T-Key", Deadline: "T-Deadline", Team: "T-Team", ExpectServer: "T-Server",
-		NotRun: "T-Not-Run", Priority: "T-Priority", ExpectVersion: "T-Version", ResumeAfter: "Last-Event-Id", TokenCounts: "T-Tokens",
+		NotRun: "T-Not-Run", Priority: "T-Priority", ExpectVersion: "T-Version", ResumeAfter: "Last-Event-Id", Prompt: "T-Prompt", TokenCounts: "T-Tokens",
 	}
 }
 func (a testAdapter) Store(string, zerolog.Logger) source.Store { return a.store }
@@ -52,6 +52,9 @@
 	return status == http.StatusOK
 }
 
+// PromptParts reads ids that are separated by spaces.
+func (testAdapter) PromptParts(h http.Header) []string { return strings.Fields(h.Get("T-Prompt")) }
+
 // ReadNotice reads a limit in whole requests per second, the time for which the server is
 // cold in whole seconds, a backoff in decimal seconds, and whether the server leaves.
 func (testAdapter) ReadNotice(_ int, h http.Header, now time.Time) (n notice.Notice, err error) {
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -258,7 +258,7 @@
 	}
 	if a.liveness != 0 {
 		e = e.Str("liveness", a.liveness.String()).Stringer("fingerprint", q.fingerprints()[0]).
-			Str("method", q.r.Method).Str("target", q.r.RequestURI).Int("body_bytes", len(q.body))
+			Str("method", q.r.Method).Str("target", q.r.RequestURI).Int("body_bytes", len(q.body)).Strs("prompt", q.g.adapter.PromptParts(q.r.Header))
 	}
 	if q.unframed {
 		e = e.Bool("unframed", true)
--- a/entry/gateway/protocol.go
+++ b/entry/gateway/protocol.go
@@ -54,6 +54,9 @@
 	// TakesRequests reports whether the answer to a probe says that the server accepts
 	// requests.
 	TakesRequests(s *catalog.Service, status int, body []byte) bool
+	// PromptParts returns the ids of the parts of a request's prompt in their order, nil if the
+	// caller does not name them or names them in a form that cannot be read.
+	PromptParts(h http.Header) []string
 	// ReadNotice extracts what a backend server reports about itself in an answer that was
 	// received at the given time. Fields that cannot be read are treated as absent, and the
 	// error says why.
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -32,7 +32,8 @@
 func (q *request) fingerprints() []quarantine.Fingerprint {
 	if q.fingerprintCache == nil {
 		q.fingerprintCache = quarantine.Identity{
-			Team: q.team, Method: q.r.Method, Host: hostOf(q.r.Host), Target: q.r.RequestURI, Body: q.body,
+			Team: q.team, Method: q.r.Method, Host: hostOf(q.r.Host), Target: q.r.RequestURI,
+			Prompt: q.g.adapter.PromptParts(q.r.Header), Body: q.body,
 		}.Fingerprints()
 	}
 	return q.fingerprintCache
--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -250,6 +250,36 @@
 	is.Equal(w.arrivals.Load(), before)
 }
 
+// A caller sent the same prompt to several targets, with a body and a first part of its own for
+// each. It ended three servers for each target.
+func TestLethalPromptIsQuarantinedOnEveryTarget(t *testing.T) {
+	is := is.New(t)
+	var w *crashFleet
+	w = startCrashFleet(t, 8, 3, func(rw http.ResponseWriter, r *http.Request) {
+		if !strings.HasSuffix(r.Header.Get("T-Prompt"), " lethal") {
+			_, _ = io.WriteString(rw, "data: one event\n\n")
+			return
+		}
+		w.arrivals.Add(1)
+		w.serverOf(r).crash()
+		panic(http.ErrAbortHandler)
+	})
+	targets := []string{"/many/a", "/once/b", "/stream/c", "/many/d"}
+	for i := 0; w.crashed() < 3 && i < 9; i++ {
+		w.post(t, i%3, targets[i%4], "body of "+targets[i%4], "first part of "+targets[i%4], "lethal")
+		time.Sleep(restartTime)
+	}
+	time.Sleep(propagationTime)
+	before := w.arrivals.Load()
+	for i, target := range targets {
+		status, _ := w.post(t, i%3, target, "body of "+target, "first part of "+target, "lethal")
+		is.Equal(status, http.StatusServiceUnavailable)
+		status, _ = w.post(t, i%3, target, "body of "+target, "first part of "+target, "sound")
+		is.Equal(status, http.StatusOK)
+	}
+	is.Equal(w.arrivals.Load(), before)
+}
+
 // Other requests that were on a crashed server are retried and served, even if many of them
 // are equal and even if all servers fail several times.
 func TestOtherRequestsAreServedOn(t *testing.T) {
--- a/entry/gateway/unframed_test.go
+++ b/entry/gateway/unframed_test.go
@@ -25,7 +25,7 @@
 }
 
 // post sends a request and returns the status of the answer, and whether its body was whole.
-func (w *crashFleet) post(t *testing.T, gateway int, path, body string) (status int, whole bool) {
+func (w *crashFleet) post(t *testing.T, gateway int, path, body string, prompt ...string) (status int, whole bool) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -37,6 +37,7 @@
 	req.Header.Set("T-Id", fmt.Sprintf("%s-%d", path, gateway))
 	req.Header.Set("T-Key", "key")
 	req.Header.Set("T-Deadline", "3000")
+	req.Header.Set("T-Prompt", strings.Join(prompt, " "))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, false
--- a/entry/quarantine/doc.go
+++ b/entry/quarantine/doc.go
@@ -23,7 +23,7 @@
 //     servers.
 //
 // Requests with a common fingerprint share their evidence: equal requests, and those with
-// the same body. All requests that were on the same server have its end counted against
+// the same content. All requests that were on the same server have its end counted against
 // them; later ends tell them apart. A run that ends well is evidence to the contrary: it
 // clears the request's fingerprints for clearedTTL, regardless of which servers end
 // meanwhile. An answer that ends with its connection ends well only if its server still
--- a/entry/quarantine/fingerprint.go
+++ b/entry/quarantine/fingerprint.go
@@ -13,11 +13,11 @@
 // Kinds of fingerprints.
 const (
 	KindRequest Kind = iota // they are equal, see Identity
-	KindBody                // they have the same body, whatever their team and target
+	KindContent             // they have the same content, whatever their team and target
 )
 
 // String returns the name of the kind.
-func (k Kind) String() string { return [...]string{"request", "body"}[k] }
+func (k Kind) String() string { return [...]string{"request", "content"}[k] }
 
 // digest is a truncated SHA-256 sum, because it must be infeasible to construct a request
 // that has a fingerprint of another one.
@@ -42,16 +42,25 @@
 	Method string
 	Host   string
 	Target string // path with query
+	// Prompt holds the ids of the parts of the prompt in their order, empty if the caller
+	// does not name them. The last part belongs to the request itself, or to its session.
+	Prompt []string
 	Body   []byte
 }
 
-// Fingerprints returns the fingerprints of the request, that of KindRequest first.
+// Fingerprints returns the fingerprints of the request, that of KindRequest first. Its
+// content is the last part of the prompt or, without one, the body.
 func (i Identity) Fingerprints() []Fingerprint {
-	if len(i.Body) == 0 {
-		return []Fingerprint{i.request(digest{})}
-	}
 	body := sum(i.Body)
-	return []Fingerprint{i.request(body), {Kind: KindBody, digest: body}}
+	out := []Fingerprint{i.request(body)}
+	switch {
+	case len(i.Prompt) > 0:
+		return append(out, Fingerprint{Kind: KindContent, digest: sum([]byte(i.Prompt[len(i.Prompt)-1]))})
+	case len(i.Body) > 0:
+		return append(out, Fingerprint{Kind: KindContent, digest: body})
+	default:
+		return out
+	}
 }
 
 func (i Identity) request(body digest) Fingerprint {
--- a/entry/quarantine/fingerprint_test.go
+++ b/entry/quarantine/fingerprint_test.go
@@ -24,13 +24,13 @@
 	}
 }
 
-// The body has a fingerprint of its own, unless it is empty.
-func TestFingerprintsOfEqualBodies(t *testing.T) {
+// The content of a request is the last part of its prompt or, without one, its body.
+func TestFingerprintsOfEqualContent(t *testing.T) {
 	is := is.New(t)
-	one := Identity{Team: "t", Method: "POST", Host: "h", Target: "/a", Body: []byte("body")}.Fingerprints()
-	other := Identity{Team: "u", Method: "PUT", Host: "i", Target: "/b", Body: []byte("body")}.Fingerprints()
-	is.Equal(len(one), 2)
-	is.True(one[0] != other[0])
-	is.Equal(one[1], other[1])
+	content := func(i Identity) Fingerprint { return i.Fingerprints()[1] }
+	is.Equal(content(Identity{Team: "t", Target: "/a", Body: []byte("body")}), content(Identity{Team: "u", Target: "/b", Body: []byte("body")}))
+	own := content(Identity{Target: "/a", Prompt: []string{"first", "own"}, Body: []byte("body")})
+	is.Equal(own, content(Identity{Target: "/b", Prompt: []string{"other", "own"}, Body: []byte("Body")}))
+	is.True(own != content(Identity{Target: "/a", Prompt: []string{"first", "other"}, Body: []byte("body")}))
 	is.Equal(len(Identity{Team: "t", Target: "/a"}.Fingerprints()), 1)
 }
