Ask the quarantine at the moment of sending, and before a stream is moved

Callers saw nothing yet; found by reading every place that sends. A request asks the quarantine when a server is picked, and is sent when there is a connection and a permit, up to seconds later; a stream that is moved to another server did not ask at all. A request that three servers had ended under meanwhile was still sent.

Change: the check at the moment of sending includes the quarantine; a moved stream is admitted like any attempt.

--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -67,6 +67,11 @@
 	return permission
 }
 
+// isQuarantined reports whether the request was quarantined since it was admitted.
+func (q *request) isQuarantined() bool {
+	return !q.g.suspects.Empty() && q.g.suspects.Judge(q.fingerprints(), clock.Now()).Status == quarantine.Quarantined
+}
+
 // avoidedServers returns a function that reports whether the request avoids a server, or
 // nil if it avoids none.
 func (q *request) avoidedServers(now time.Time) func(*balance.Server) bool {
--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,9 +16,11 @@
 
 	"github.com/matryer/is"
 
+	"baywall.example/core/clock"
 	"baywall.example/core/source"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
+	"baywall.example/entry/quarantine"
 )
 
 // These tests guard against a request that crashes every backend server that runs it. A
@@ -280,6 +283,29 @@
 	is.Equal(w.arrivals.Load(), before)
 }
 
+// A request that was admitted and then waited for a permit or a connection was sent although
+// it had been quarantined in the meantime.
+func TestQuarantinedRequestIsNotSentAfterItWasAdmitted(t *testing.T) {
+	is := is.New(t)
+	w := startCrashFleet(t, 1, 1, func(rw http.ResponseWriter, r *http.Request) { ok(0, rw, r) })
+	g := w.gateways[0].gateway
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, w.gateways[0].url+"/many/x", nil)
+	is.NoErr(err)
+	r.Host = "h"
+	q := &request{g: g, r: r, snapshot: g.catalog.Current()}
+	is.Equal(q.admit(clock.Now()), quarantine.Granted)
+	server := g.registry.At(w.servers[0].address)
+	is.NoErr(q.checkSend(server))
+	for i := range 3 {
+		g.suspects.Ended(q.fingerprints(), &q.quarantineAttempt, quarantine.ServerKey(i), clock.Now())
+		q.quarantineAttempt.Release()
+		for q.admit(clock.Now()) == quarantine.Wait {
+			time.Sleep(waitPollInterval)
+		}
+	}
+	is.True(errors.Is(q.checkSend(server), errOutdated))
+}
+
 // Other requests that were on a crashed server are retried and served, even if many of them
 // are equal and even if all servers fail several times.
 func TestOtherRequestsAreServedOn(t *testing.T) {
--- a/entry/gateway/refresh.go
+++ b/entry/gateway/refresh.go
@@ -91,7 +91,7 @@
 
 // checkSend returns an error if the request must no longer be sent to the server.
 func (q *request) checkSend(server *balance.Server) error {
-	if q.g.catalog.Current() != q.snapshot {
+	if q.g.catalog.Current() != q.snapshot || q.isQuarantined() {
 		return errOutdated
 	}
 	return q.g.maySend(server)
--- a/entry/gateway/waiting.go
+++ b/entry/gateway/waiting.go
@@ -226,7 +226,10 @@
 func (q *request) awaitServer(ctx context.Context) (balance.Choice, balance.Availability) {
 	if choice := q.moveTo; choice != nil {
 		q.moveTo = nil
-		return *choice, balance.Available
+		if q.admit(clock.Now()) == quarantine.Granted {
+			return *choice, balance.Available
+		}
+		choice.Release()
 	}
 	queued := false // it is counted among the late requests that wait
 	interrupted := q.interrupted
