Quarantine parts of prompts that crash backend servers

Class: evidence is kept for one key, while what crashes is a property that requests share; the same class as the content that is sent to several targets.

Change: each part of a prompt but the last is a suspect of its own, in the same table. All requests on a server that ended are suspected with all their parts; a part is cleared as soon as a server has begun to answer a request with it. Among suspects with enough evidence, the one that explains the ends best is quarantined, and what it explains counts against no other: a repeated request before its parts, a later part before an earlier one. Each gateway tries one request with a suspected part at a time until it is answered, so the ends under way are few. Heartbeats carry own observations first and quarantined suspects always, as there are three records a request.

--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -112,6 +112,7 @@
 		if first {
 			first = false
 			s.onFirstEvent()
+			q.recordBegun(now)
 			server.StreamGap.Begun(now)
 			defer server.StreamGap.Ended()
 		} else {
--- a/entry/quarantine/attempt.go
+++ b/entry/quarantine/attempt.go
@@ -61,8 +61,7 @@
 	}
 	permission := Granted
 	for _, f := range fingerprints {
-		r := t.records[f]
-		if t.judge(r, now).Status == OnTrial && !t.mayTry(r, interval, now) {
+		if !t.mayAttempt(f, interval, now) {
 			permission = Wait
 		}
 	}
@@ -72,14 +71,29 @@
 	return t.admit(fingerprints, now), Granted
 }
 
+// mayAttempt reports whether the requests with a fingerprint may be tried now. Requests with a
+// suspected part of their prompts are many and different, so each process tries one of them
+// until a backend server has begun to answer it.
+func (t *Table) mayAttempt(f Fingerprint, interval time.Duration, now time.Time) bool {
+	r := t.records[f]
+	switch t.judge(f, now).Status {
+	case OnTrial:
+		return t.mayTry(r, interval, now)
+	case Suspected:
+		return f.Kind != KindPart || r.admitted == 0
+	default:
+		return true
+	}
+}
+
 // admit returns an attempt that is in progress with regard to all suspected fingerprints.
 func (t *Table) admit(fingerprints []Fingerprint, now time.Time) Attempt {
 	out := Attempt{table: t}
 	for _, f := range fingerprints {
-		r := t.records[f]
-		if t.judge(r, now).Status == Unsuspected {
+		if t.judge(f, now).Status == Unsuspected {
 			continue
 		}
+		r := t.records[f]
 		r.admitted++
 		r.announcedUntil = time.Time{}
 		out.admitted = append(out.admitted, admission{f, r.nextRound()})
@@ -104,7 +118,8 @@
 	}
 	pause := max(minAnnounceTime, receiveIntervals*interval)
 	if !now.Before(r.announcedUntil) {
-		r.announced, r.announcedUntil, r.changed = now, now.Add(max(minIntentTTL, 2*pause)), now
+		r.announced, r.announcedUntil = now, now.Add(max(minIntentTTL, 2*pause))
+		r.changed, r.observed = now, now
 		return false
 	}
 	return now.Sub(r.announced) >= pause
@@ -126,7 +141,7 @@
 	for _, admitted := range a.admitted {
 		if r := a.table.records[admitted.fingerprint]; r != nil {
 			r.running[server]++
-			r.changed = now
+			r.changed, r.observed = now, now
 		}
 	}
 }
@@ -174,7 +189,7 @@
 		if slices.Contains(fingerprints, other) || len(r.running) == 0 && len(r.peerReports) == 0 {
 			continue
 		}
-		if !suspected && t.judge(r, now).Status < OnTrial {
+		if !suspected && t.judge(other, now).Status < OnTrial {
 			continue
 		}
 		out = r.addServers(out, fresh, now)
--- a/entry/quarantine/fingerprint.go
+++ b/entry/quarantine/fingerprint.go
@@ -14,10 +14,14 @@
 const (
 	KindRequest Kind = iota // they are equal, see Identity
 	KindContent             // they have the same content, whatever their team and target
+	KindPart                // their prompts have a part in common that is not the last one
 )
 
 // String returns the name of the kind.
-func (k Kind) String() string { return [...]string{"request", "content"}[k] }
+func (k Kind) String() string { return [...]string{"request", "content", "part"}[k] }
+
+// maxParts is the number of parts of a prompt that are considered, from the first one.
+const maxParts = 8
 
 // digest is a truncated SHA-256 sum, because it must be infeasible to construct a request
 // that has a fingerprint of another one.
@@ -48,19 +52,24 @@
 	Body   []byte
 }
 
-// Fingerprints returns the fingerprints of the request, that of KindRequest first. Its
-// content is the last part of the prompt or, without one, the body.
+// Fingerprints returns the fingerprints of the request: that of KindRequest first, those of
+// the parts of its prompt last and in their order. Its content is the last part of the prompt
+// or, without one, the body.
 func (i Identity) Fingerprints() []Fingerprint {
 	body := sum(i.Body)
 	out := []Fingerprint{i.request(body)}
-	switch {
-	case len(i.Prompt) > 0:
-		return append(out, Fingerprint{Kind: KindContent, digest: sum([]byte(i.Prompt[len(i.Prompt)-1]))})
-	case len(i.Body) > 0:
-		return append(out, Fingerprint{Kind: KindContent, digest: body})
-	default:
+	if len(i.Prompt) == 0 {
+		if len(i.Body) > 0 {
+			out = append(out, Fingerprint{Kind: KindContent, digest: body})
+		}
 		return out
 	}
+	own := len(i.Prompt) - 1
+	out = append(out, Fingerprint{Kind: KindContent, digest: sum([]byte(i.Prompt[own]))})
+	for _, part := range i.Prompt[:min(own, maxParts)] {
+		out = append(out, Fingerprint{Kind: KindPart, digest: sum([]byte(part))})
+	}
+	return out
 }
 
 func (i Identity) request(body digest) Fingerprint {
--- a/entry/quarantine/outage.go
+++ b/entry/quarantine/outage.go
@@ -92,6 +92,12 @@
 	})
 }
 
+// endedApart reports whether at most one other server ended at the same moment.
+func (o *outages) endedApart(e End) bool {
+	end := o.known[e.Server]
+	return end == nil || end.near < minUnrelatedEnds
+}
+
 // coincides reports whether several servers that are not among the ends of a request ended
 // at the same moment as the given server, so that the request is not the cause of its end.
 // Servers whose ends other requests explain show nothing about this one.
--- a/entry/quarantine/record.go
+++ b/entry/quarantine/record.go
@@ -21,8 +21,11 @@
 	// minutes at least until servers are replaced by repaired ones. Each further end
 	// doubles it, up to maxEnds.
 	firstQuarantine = 10 * time.Minute
-	// clearedTTL is how long after a run that ended well new ends are disregarded.
-	clearedTTL = 10 * time.Second
+	// clearedTTL is how long after a run that ended well new ends are disregarded, and
+	// partClearedTTL the same for a part of prompts, which is cleared each time that a request
+	// with it is answered.
+	clearedTTL     = 10 * time.Second
+	partClearedTTL = time.Second
 	// maxEnds bounds the ends kept for one fingerprint.
 	maxEnds = 8
 )
@@ -56,9 +59,11 @@
 // record holds what is known about one fingerprint.
 type record struct {
 	ends      []End     // one per server
+	position  int       // of a part: the last one at which it was in a prompt
 	cleared   time.Time // when a run last ended well; zero if never
 	ownRun    bool      // whether that run was in this process
 	changed   time.Time
+	observed  time.Time         // when this process last observed something itself
 	reported  uint64            // number of the report in which it was last sent
 	logged    Status            // as of the latest end
 	evidence  evidence          // as of the latest judgement
@@ -98,20 +103,22 @@
 
 // clear records that a run ended well, in this process or another one, and reports whether
 // fewer ends count as a result.
-func (r *record) clear(at time.Time, ownRun bool) bool {
+func (r *record) clear(k Kind, at time.Time, ownRun bool) bool {
 	if !at.After(r.cleared) {
 		return false
 	}
-	before := r.cleared
+	before := record{cleared: r.cleared}
 	r.cleared, r.ownRun = at, ownRun
-	return slices.ContainsFunc(r.ends, func(e End) bool {
-		return r.isCleared(e) && (before.IsZero() || !e.At.Before(before.Add(clearedTTL)))
-	})
+	return slices.ContainsFunc(r.ends, func(e End) bool { return r.isCleared(k, e) && !before.isCleared(k, e) })
 }
 
 // isCleared reports whether an end is disregarded because of a run that ended well.
-func (r *record) isCleared(e End) bool {
-	return !r.cleared.IsZero() && e.At.Before(r.cleared.Add(clearedTTL))
+func (r *record) isCleared(k Kind, e End) bool {
+	ttl := clearedTTL
+	if k == KindPart {
+		ttl = partClearedTTL
+	}
+	return !r.cleared.IsZero() && e.At.Before(r.cleared.Add(ttl))
 }
 
 // nextRound returns the round of an attempt that is admitted now.
@@ -127,7 +134,7 @@
 	if ends < quarantinedFrom {
 		return 0
 	}
-	return firstQuarantine << (ends - quarantinedFrom)
+	return firstQuarantine << (min(ends, maxEnds) - quarantinedFrom)
 }
 
 // recordTTL returns how long a record with the given number of ends is kept after the latest
--- a/entry/quarantine/spread.go
+++ b/entry/quarantine/spread.go
@@ -11,20 +11,22 @@
 )
 
 const (
-	// maxReported bounds the suspects in one heartbeat; those that changed within recentTime
-	// come first. Each takes 30 bytes, and 22 more for each end.
+	// maxReported bounds the suspects in one heartbeat; those of which something was observed
+	// within recentTime come first. Each takes 34 bytes, and 22 more for each end.
 	maxReported = 16
 	recentTime  = 2 * time.Second
 	// maxReportedEnds bounds the ends in one heartbeat, so that they fit a datagram of the
 	// usual size.
 	maxReportedEnds = 40
-	// minRotated is the least number of unchanged suspects in a heartbeat, if there are as
-	// many.
+	// maxPosition is the largest position in a request's list of fingerprints.
+	maxPosition = maxParts + 1
+	// minRotated is the least number of quarantined suspects in a heartbeat, and of others, if
+	// there are as many.
 	minRotated = 4
 )
 
-// Report returns the suspects to report in a heartbeat: those that changed recently, and
-// others in rotation.
+// Report returns the suspects to report in a heartbeat: those of which this process observed
+// something recently, and in rotation those that are quarantined and all others.
 func (t *Table) Report(now time.Time) []*wire.Suspect {
 	if t.Empty() {
 		return nil
@@ -32,13 +34,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reports++
-	fresh, old := t.reportable(now)
-	t.sortForReport(fresh)
-	t.sortForReport(old)
-	fresh = fresh[:min(len(fresh), maxReported-min(minRotated, len(old)))]
+	fresh, quarantined, others := t.reportable(now)
+	reserved := min(minRotated, len(quarantined)) + min(minRotated, len(others))
+	chosen := t.leastReported(fresh, maxReported-reserved)
+	reserved -= min(minRotated, len(quarantined))
+	chosen = append(chosen, t.leastReported(quarantined, maxReported-len(chosen)-reserved)...)
+	chosen = append(chosen, t.leastReported(others, maxReported-len(chosen))...)
 	var out []*wire.Suspect
 	ends := 0
-	for _, f := range append(fresh, old[:min(len(old), maxReported-len(fresh))]...) {
+	for _, f := range chosen {
 		r := t.records[f]
 		if ends += len(r.ends); ends > maxReportedEnds {
 			break
@@ -49,28 +53,32 @@
 	return out
 }
 
-// sortForReport sorts fingerprints by how long ago they were reported, so that all of them
-// are in turn. Those under which several servers ended come first the first time.
-func (t *Table) sortForReport(fingerprints []Fingerprint) {
+// leastReported returns the given number of fingerprints: those that were reported the longest
+// time ago, so that all of them are in turn.
+func (t *Table) leastReported(fingerprints []Fingerprint, n int) []Fingerprint {
 	slices.SortFunc(fingerprints, func(a, b Fingerprint) int {
 		ra, rb := t.records[a], t.records[b]
 		return cmp.Or(cmp.Compare(ra.reported, rb.reported), cmp.Compare(len(rb.ends), len(ra.ends)), bytes.Compare(a.digest[:], b.digest[:]))
 	})
+	return fingerprints[:min(n, len(fingerprints))]
 }
 
-// reportable returns the records to report to other processes: those that changed recently,
-// even if nothing counts against the request, because their ends make outages known, and
-// older ones of requests that are suspected.
-func (t *Table) reportable(now time.Time) (fresh, old []Fingerprint) {
+// reportable returns the fingerprints to report to other processes: those of which this
+// process observed something recently, even if nothing counts against them, because their
+// ends make outages known, and others that are quarantined or suspected.
+func (t *Table) reportable(now time.Time) (fresh, quarantined, others []Fingerprint) {
 	for f, r := range t.records {
+		status := t.judge(f, now).Status
 		switch {
-		case now.Sub(r.changed) < recentTime || len(r.running) > 0:
+		case now.Sub(r.observed) < recentTime || len(r.running) > 0:
 			fresh = append(fresh, f)
-		case t.judge(r, now).Status != Unsuspected:
-			old = append(old, f)
+		case status == Quarantined:
+			quarantined = append(quarantined, f)
+		case status != Unsuspected:
+			others = append(others, f)
 		}
 	}
-	return fresh, old
+	return fresh, quarantined, others
 }
 
 // FullReport returns the complete state.
@@ -88,7 +96,7 @@
 // a run that ended well reports it, because transmission delays make its age appear smaller
 // with each hop. If relayed is true, other processes report it as well.
 func (r *record) wire(f Fingerprint, now time.Time, relayed bool) *wire.Suspect {
-	out := &wire.Suspect{Fingerprint: f.digest[:], Kind: wire.SuspectKind(f.Kind), Intent: now.Before(r.announcedUntil)}
+	out := &wire.Suspect{Fingerprint: f.digest[:], Kind: wire.SuspectKind(f.Kind), Position: uint32(r.position), Intent: now.Before(r.announcedUntil)}
 	for _, e := range r.ends {
 		out.Ends = append(out.Ends, &wire.ServerEnd{Server: uint64(e.Server), Round: uint32(e.Round), AgeMs: ageMs(e.At, now)})
 	}
@@ -136,7 +144,7 @@
 	}
 	for _, e := range w.GetEnds() {
 		if age := time.Duration(e.GetAgeMs()) * time.Millisecond; e.GetRound() > 0 && age < recordTTL(maxEnds) {
-			t.addEnd(f, End{Server: ServerKey(e.GetServer()), Round: int(e.GetRound()), At: now.Add(-age)}, string(from))
+			t.addEnd(f, End{Server: ServerKey(e.GetServer()), Round: int(e.GetRound()), At: now.Add(-age)}, int(min(w.GetPosition(), maxPosition)), string(from))
 		}
 	}
 	r := t.records[f]
--- a/entry/quarantine/table.go
+++ b/entry/quarantine/table.go
@@ -47,6 +47,8 @@
 	version   uint64                  // incremented with each change of the ends and of what clears them
 	settled   uint64                  // version of which explained is a result, 0 = none
 	explained map[ServerKey]bool      // servers whose ends a request on trial explains
+	guilty    map[ServerKey]bool      // servers whose ends a quarantined request explains
+	repeated  map[ServerKey][]*record // see findRepeated
 	withdrawn map[ServerKey]time.Time // servers that answered after their reported end
 	reports   uint64                  // number of reports built
 }
@@ -98,20 +100,20 @@
 
 func (t *Table) worst(fingerprints []Fingerprint, now time.Time) (out Judgement) {
 	for _, f := range fingerprints {
-		if j := t.judge(t.records[f], now); j.Status > out.Status || j.Status == out.Status && j.Remaining > out.Remaining {
+		if j := t.judge(f, now); j.Status > out.Status || j.Status == out.Status && j.Remaining > out.Remaining {
 			out = j
-			out.Fingerprint = f
 		}
 	}
 	return out
 }
 
-func (t *Table) judge(r *record, now time.Time) Judgement {
+func (t *Table) judge(f Fingerprint, now time.Time) Judgement {
+	r := t.records[f]
 	if r == nil {
 		return Judgement{}
 	}
-	proof := t.evidenceOf(r)
-	j := Judgement{Ends: proof.rounds, Since: now.Sub(proof.latest)}
+	proof := t.evidenceOf(f, r)
+	j := Judgement{Fingerprint: f, Ends: proof.points, Since: now.Sub(proof.latest)}
 	if j.Ends == 0 || j.Since >= recordTTL(j.Ends) {
 		return Judgement{}
 	}
@@ -119,7 +121,7 @@
 	switch {
 	case j.Remaining > 0:
 		j.Status = Quarantined
-	case proof.servers >= onTrialFrom:
+	case proof.onTrial(f.Kind):
 		j.Status = OnTrial
 	default:
 		j.Status = Suspected
@@ -132,8 +134,8 @@
 func (t *Table) Ended(fingerprints []Fingerprint, a *Attempt, server ServerKey, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, f := range fingerprints {
-		t.addEnd(f, End{Server: server, Round: a.Round(f), At: at}, ownAttempt)
+	for position, f := range fingerprints {
+		t.addEnd(f, End{Server: server, Round: a.Round(f), At: at}, position, ownAttempt)
 	}
 }
 
@@ -141,7 +143,9 @@
 // other processes the source is the ID of the process.
 const ownAttempt = "own attempt"
 
-func (t *Table) addEnd(f Fingerprint, e End, source string) {
+// addEnd records an end under a request that has the fingerprint at the given position of its
+// list.
+func (t *Table) addEnd(f Fingerprint, e End, position int, source string) {
 	if _, isWithdrawn := t.withdrawn[e.Server]; isWithdrawn {
 		return
 	}
@@ -149,12 +153,19 @@
 		t.version++
 	}
 	r := t.record(f, e.At)
+	if position > r.position {
+		r.position = position
+		t.version++
+	}
 	if !r.add(e) {
 		return
 	}
 	t.version++
 	r.changed = e.At
-	before, after := r.logged, t.judge(r, e.At)
+	if source == ownAttempt {
+		r.observed = e.At
+	}
+	before, after := r.logged, t.judge(f, e.At)
 	r.logged = after.Status
 	event := t.log.Info()
 	if after.Status == Quarantined && before != Quarantined {
@@ -162,7 +173,22 @@
 	}
 	event.Stringer("suspect", f).Uint64("server_incarnation", uint64(e.Server)).Int("round", e.Round).Str("source", source).
 		Int("ends", after.Ends).Stringer("before", before).Stringer("standing", after.Status).
-		Dur("quarantine", after.Remaining).Msg("backend server ended under a request")
+		Dur("quarantine", after.Remaining).Int("position", r.position).Msg("backend server ended under a request")
+}
+
+// Began records that a backend server has begun to answer a request with the given
+// fingerprints: no part of its prompt crashes servers.
+func (t *Table) Began(fingerprints []Fingerprint, now time.Time) {
+	if t.Empty() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, f := range fingerprints {
+		if r := t.records[f]; r != nil && f.Kind == KindPart {
+			t.clear(f, r, now, ownAttempt)
+		}
+	}
 }
 
 // Succeeded records that a run of a request with the given fingerprints ended well.
@@ -180,13 +206,16 @@
 }
 
 func (t *Table) clear(f Fingerprint, r *record, at time.Time, source string) {
-	changed := r.clear(at, source == ownAttempt)
+	changed := r.clear(f.Kind, at, source == ownAttempt)
 	t.version++
 	if !changed {
 		return
 	}
 	r.changed = at
-	t.log.Info().Stringer("suspect", f).Str("source", source).Msg("request cleared: a run of it ended well")
+	if source == ownAttempt {
+		r.observed = at
+	}
+	t.log.Info().Stringer("suspect", f).Str("source", source).Msg("suspect cleared: a run ended well, or a part of prompts was answered")
 }
 
 // Answered records that a server answered a request, given when the connection was opened
@@ -252,7 +281,7 @@
 	defer t.mu.Unlock()
 	for f, r := range t.records {
 		idle := len(r.running) == 0 && r.admitted == 0
-		status := t.judge(r, now).Status
+		status := t.judge(f, now).Status
 		expired := now.Sub(r.changed) >= suspectTTL
 		if idle && status == Unsuspected && expired {
 			delete(t.records, f)
--- a/entry/quarantine/table_test.go
+++ b/entry/quarantine/table_test.go
@@ -20,6 +20,9 @@
 	return Identity{Target: fmt.Sprint(n)}.Fingerprints()[0]
 }
 
+// drawn returns the n-th fingerprint of a property test, which are of all kinds.
+func drawn(n int) Fingerprint { return prompt(n, fmt.Sprint("part ", n))[n] }
+
 // one returns the fingerprints of a request that has only one.
 func one(f Fingerprint) []Fingerprint { return []Fingerprint{f} }
 
@@ -27,8 +30,8 @@
 func (t *Table) add(f Fingerprint, e End) Judgement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addEnd(f, e, ownAttempt)
-	return t.judge(t.records[f], e.At)
+	t.addEnd(f, e, 0, ownAttempt)
+	return t.judge(f, e.At)
 }
 
 func newTable(id vm.ID) *Table {
@@ -355,7 +358,7 @@
 		ends := make(map[int]int)
 		note := func(table *Table, request int) {
 			if ends[request]++; ends[request] <= maxEnds { // above the bound, tables keep different ends
-				end(table, fingerprint(request), servers, now)
+				end(table, drawn(request), servers, now)
 			}
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -371,7 +374,7 @@
 					note(other, rapid.IntRange(0, 2).Draw(t, "other request"))
 				}
 			case 2:
-				table.Succeeded(one(fingerprint(request)), now)
+				table.Succeeded(one(drawn(request)), now)
 			default:
 				other := tables[rapid.IntRange(0, 2).Draw(t, "other")]
 				if other != table {
@@ -390,9 +393,9 @@
 		}
 		later := now.Add(clearedTTL)
 		for i := range 3 {
-			first := tables[0].Judge(one(fingerprint(i)), later)
+			first := tables[0].Judge(one(drawn(i)), later)
 			for _, table := range tables[1:] {
-				if j := table.Judge(one(fingerprint(i)), later); j.Status != first.Status || j.Ends != first.Ends {
+				if j := table.Judge(one(drawn(i)), later); j.Status != first.Status || j.Ends != first.Ends {
 					t.Fatalf("request %d: %+v at a, %+v at %s", i, first, j, table.self)
 				}
 			}
