Ask the quarantine at the moment of sending on the way through agents, too

A request through an agent asks the quarantine before it picks a server; establishing the link and a retry may take calls to other VMs.

--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -241,6 +241,9 @@
 	if !x.chargeRetry(ctx) {
 		return result{event: retry.EventNotSent, refusal: contract.Refusal{Reason: contract.ReasonRetryBudget}}
 	}
+	if x.isQuarantined() { // establishing the link and charging may have taken calls to others
+		return result{event: retry.EventNotSent, refusal: contract.Refusal{Reason: contract.ReasonQuarantined}}
+	}
 	x.sent = clock.Now()
 	x.suspect.Send(x.serverKey(0), x.sent)
 	if s.SendCall(&wire.Call{Body: &wire.Call_Attempt{Attempt: x.message(number)}}) != nil {
--- a/entry/dispatch/quarantine.go
+++ b/entry/dispatch/quarantine.go
@@ -54,6 +54,11 @@
 	}
 }
 
+// isQuarantined reports whether the request was quarantined since it was admitted.
+func (x *exchange) isQuarantined() bool {
+	return !x.d.suspects.Empty() && x.d.suspects.Judge(x.fingerprints(), clock.Now()).Status == quarantine.Quarantined
+}
+
 // refuseQuarantined refuses a quarantined request. For a request with a ticket the outcome is
 // unknown, because the ticket may have been presented before.
 func (x *exchange) refuseQuarantined() error {
