Gauges of suspects and quarantined ones by kind

baywall_suspects{kind} and baywall_quarantined{kind}: operators could not tell a quarantined part of prompts from a quarantined request in the metrics.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -117,10 +117,13 @@
 		backendsRevision: func() float64 { return float64(g.applied().at.Revision) },
 		peers:            func() float64 { return float64(len(node.Live())) },
 		suspects:         func() float64 { return float64(g.suspects.Size()) },
-		limited:          func() float64 { return float64(g.limits.Limited()) },
-		evacuated:        func() float64 { return float64(len(g.registry.Evacuated())) },
-		permits:          g.limits.Counts,
-		logDropped:       func() float64 { return float64(logWriter.Dropped()) },
+		suspectsOf: func(k quarantine.Kind, least quarantine.Status) float64 {
+			return float64(g.suspects.Count(k, least, clock.Now()))
+		},
+		limited:    func() float64 { return float64(g.limits.Limited()) },
+		evacuated:  func() float64 { return float64(len(g.registry.Evacuated())) },
+		permits:    g.limits.Counts,
+		logDropped: func() float64 { return float64(logWriter.Dropped()) },
 	})
 	g.fairShares = newFairShares(g)
 	if g.fairShares != nil {
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"baywall.example/core/ratelimit"
+	"baywall.example/entry/quarantine"
 	"baywall.example/entry/retry"
 	"baywall.example/entry/slotqueue"
 )
@@ -20,6 +21,7 @@
 	backendsRevision func() float64
 	peers            func() float64
 	suspects         func() float64
+	suspectsOf       func(k quarantine.Kind, least quarantine.Status) float64
 	limited          func() float64
 	evacuated        func() float64
 	permits          func() ratelimit.Counts
@@ -46,6 +48,10 @@
 	set.NewGauge("baywall_backends_revision", g.backendsRevision)
 	set.NewGauge("baywall_peers", g.peers)
 	set.NewGauge("baywall_suspect_requests", g.suspects)
+	for _, kind := range quarantine.Kinds() {
+		set.NewGauge(fmt.Sprintf("baywall_suspects{kind=%q}", kind), func() float64 { return g.suspectsOf(kind, quarantine.Suspected) })
+		set.NewGauge(fmt.Sprintf("baywall_quarantined{kind=%q}", kind), func() float64 { return g.suspectsOf(kind, quarantine.Quarantined) })
+	}
 	set.NewGauge("baywall_limited_servers", g.limited)
 	set.NewGauge("baywall_evacuated_zones", g.evacuated)
 	set.NewGauge("baywall_permits_used", func() float64 { return float64(g.permits().Got) })
--- a/entry/quarantine/fingerprint.go
+++ b/entry/quarantine/fingerprint.go
@@ -17,6 +17,9 @@
 	KindPart                // their prompts have a part in common that is not the last one
 )
 
+// Kinds returns all kinds.
+func Kinds() []Kind { return []Kind{KindRequest, KindContent, KindPart} }
+
 // String returns the name of the kind.
 func (k Kind) String() string { return [...]string{"request", "content", "part"}[k] }
 
--- a/entry/quarantine/part_test.go
+++ b/entry/quarantine/part_test.go
@@ -51,6 +51,8 @@
 	is.Equal(table.Judge(prompt(7, "first"), now).Status, Unsuspected)
 	_, permission := table.Admit(prompt(7, "first", "lethal"), now)
 	is.Equal(permission, Refused)
+	is.Equal(table.Count(KindPart, Quarantined, now), 1)
+	is.Equal(table.Count(KindRequest, Quarantined, now), 0)
 }
 
 // Two lethal parts of different prompts end servers at the same moments.
--- a/entry/quarantine/table.go
+++ b/entry/quarantine/table.go
@@ -48,7 +48,6 @@
 	settled   uint64                  // version of which explained is a result, 0 = none
 	explained map[ServerKey]bool      // servers whose ends a request on trial explains
 	guilty    map[ServerKey]bool      // servers whose ends a quarantined request explains
-	repeated  map[ServerKey][]*record // see findRepeated
 	withdrawn map[ServerKey]time.Time // servers that answered after their reported end
 	reports   uint64                  // number of reports built
 }
@@ -74,6 +73,21 @@
 	return len(t.records)
 }
 
+// Count returns the number of fingerprints of a kind that have at least the given status.
+func (t *Table) Count(k Kind, least Status, now time.Time) (n int) {
+	if t.Empty() {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for f := range t.records {
+		if f.Kind == k && t.judge(f, now).Status >= least {
+			n++
+		}
+	}
+	return n
+}
+
 // peerReportTTL returns how long a report of another process about its attempts is valid.
 func peerReportTTL(interval time.Duration) time.Duration {
 	return max(minPeerReportTTL, receiveIntervals*interval)
