Soak and stand-in: lethal parts of prompts, and answers without a length

The stand-in's servers end under a part of a prompt, too, and can answer with neither a length nor chunks; every stream shares the first part of its prompt with the lethal ones. The soak checks from what servers see that no more than three such requests reach them later than 3 s after the fifth end, and that no other request is refused as quarantined.

--- a/standin/soak/cmd/soak/faults.go
+++ b/standin/soak/cmd/soak/faults.go
@@ -92,6 +92,8 @@
 	{"leaving told in answers", true, (*faults).leaveByAnswer},
 	{"requests of a service failed", false, (*faults).failRequests},
 	{surgeName, true, (*faults).surge},
+	{"lethal prompt part", false, (*faults).sendLethalPart},
+	{"unframed answers", true, (*faults).answerUnframed},
 }
 
 // focused returns the kinds whose names contain one of the words.
--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -42,6 +42,9 @@
 	retrySeed = 13
 	// surgeSeed has surges of demand while gateways are killed.
 	surgeSeed = 17
+	// lethalPartSeed has prompts with a part that ends backend servers, and answers that end
+	// with their connection, while gateways are killed.
+	lethalPartSeed = 101
 )
 
 // Runs the real programs as processes for a short time, with the same faults each time.
@@ -66,7 +69,11 @@
 		}
 		return r
 	}
-	o.focus = "surge,killed"
+	o.focus, o.kinds = "lethal,unframed,killed", 28
+	if r := runOne(t, lethalPartSeed, o); r.quarantined == 0 {
+		t.Error("no request ended three servers")
+	}
+	o.focus, o.kinds = "surge,killed", 26
 	if r := runOne(t, surgeSeed, o); r.surgeRefused == 0 {
 		t.Error("no surge exceeded the capacity")
 	}
