Keep rounds going for what is acquitted, and know whose ends are left out of a record

Cause: two parts of one fault. A record keeps eight ends; the others under the same suspect were taken for unrelated ones and acquitted it. And while it is acquitted, new attempts began with the first round again, whose ends a full record drops at once, so the evidence stood still.

Change: each known end of a server lists what the requests on it had in common, and rounds go on also while nothing counts.

--- a/entry/quarantine/attempt.go
+++ b/entry/quarantine/attempt.go
@@ -28,12 +28,14 @@
 	sent     bool
 }
 
-// admission is the admission of an attempt with regard to one of the request's suspected
-// fingerprints.
+// admission is the admission of an attempt with regard to one of the request's fingerprints
+// under which servers have ended.
 type admission struct {
 	fingerprint Fingerprint
 	// round is one more than the round of the latest end that was known.
 	round int
+	// suspected tells whether the attempt is reported while it is in progress.
+	suspected bool
 }
 
 // Round returns one more than the round of the latest end under requests with the
@@ -90,13 +92,16 @@
 func (t *Table) admit(fingerprints []Fingerprint, now time.Time) Attempt {
 	out := Attempt{table: t}
 	for _, f := range fingerprints {
-		if t.judge(f, now).Status == Unsuspected {
+		r := t.records[f]
+		if r == nil {
 			continue
 		}
-		r := t.records[f]
-		r.admitted++
-		r.announcedUntil = time.Time{}
-		out.admitted = append(out.admitted, admission{f, r.nextRound()})
+		suspected := t.judge(f, now).Status != Unsuspected
+		if suspected {
+			r.admitted++
+			r.announcedUntil = time.Time{}
+		}
+		out.admitted = append(out.admitted, admission{f, r.nextRound(), suspected})
 	}
 	return out
 }
@@ -139,7 +144,7 @@
 	defer a.table.mu.Unlock()
 	a.server, a.sent = server, true
 	for _, admitted := range a.admitted {
-		if r := a.table.records[admitted.fingerprint]; r != nil {
+		if r := a.table.records[admitted.fingerprint]; r != nil && admitted.suspected {
 			r.running[server]++
 			r.changed, r.observed = now, now
 		}
@@ -154,7 +159,7 @@
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
 	for _, admitted := range a.admitted {
-		if r := a.table.records[admitted.fingerprint]; r != nil { // else evicted in the meantime
+		if r := a.table.records[admitted.fingerprint]; r != nil && admitted.suspected { // nil if evicted in the meantime
 			r.release(a.server, a.sent)
 		}
 	}
--- a/entry/quarantine/evidence.go
+++ b/entry/quarantine/evidence.go
@@ -31,7 +31,7 @@
 	out := evidence{version: t.version}
 	var round []End // the ends of one round that count
 	for _, e := range r.ends {
-		if guilty[e.Server] || r.isCleared(f.Kind, e) || t.outages.coincides(e.Server, r.ends, t.explained) {
+		if guilty[e.Server] || r.isCleared(f.Kind, e) || t.outages.coincides(e.Server, f, t.explained) {
 			continue
 		}
 		if len(round) > 0 && e.Round != round[0].Round {
--- a/entry/quarantine/outage.go
+++ b/entry/quarantine/outage.go
@@ -16,6 +16,9 @@
 	minUnrelatedEnds = 2
 	// maxOutages bounds the ends of servers that are kept for comparison.
 	maxOutages = 512
+	// maxUnder bounds the fingerprints that are kept for one end: some dozen requests run on
+	// a server.
+	maxUnder = 96
 )
 
 // outage is the end of a server.
@@ -23,6 +26,15 @@
 	server ServerKey
 	at     time.Time
 	near   int // number of other servers that ended at the same moment
+	// under holds what requests on the server had in common, up to maxUnder fingerprints. A
+	// record keeps some of its ends only.
+	under []Fingerprint
+}
+
+func (o *outage) addUnder(f Fingerprint) {
+	if len(o.under) < maxUnder && !slices.Contains(o.under, f) {
+		o.under = append(o.under, f)
+	}
 }
 
 // outages holds the known ends of servers, by incarnation and in the order of their times.
@@ -98,17 +110,17 @@
 	return end == nil || end.near < minUnrelatedEnds
 }
 
-// coincides reports whether several servers that are not among the ends of a request ended
-// at the same moment as the given server, so that the request is not the cause of its end.
-// Servers whose ends other requests explain show nothing about this one.
-func (o *outages) coincides(server ServerKey, own []End, explained map[ServerKey]bool) bool {
+// coincides reports whether several servers on which no request with the fingerprint was
+// running ended at the same moment as the given server, so that such a request is not the
+// cause of its end. Servers whose ends other requests explain show nothing about this one.
+func (o *outages) coincides(server ServerKey, f Fingerprint, explained map[ServerKey]bool) bool {
 	end := o.known[server]
 	if end == nil || end.near < minUnrelatedEnds {
 		return false
 	}
 	others := 0
 	for _, other := range o.around(end.at) {
-		if explained[other.server] || hasServer(own, other.server) {
+		if explained[other.server] || slices.Contains(other.under, f) {
 			continue
 		}
 		if others++; others >= minUnrelatedEnds {
--- a/entry/quarantine/table.go
+++ b/entry/quarantine/table.go
@@ -166,6 +166,7 @@
 	if t.outages.add(e.Server, e.At) {
 		t.version++
 	}
+	t.outages.known[e.Server].addUnder(f)
 	r := t.record(f, e.At)
 	if position > r.position {
 		r.position = position
