Hold back no requests for a part of prompts that is answered, or for a trial

Cause: the first end of a server made a suspect of a part that all requests share, and each gateway held all of them back but one until it was answered, which a group that stalls does not do for 1.5 s. A request that waited for a trial was kept waiting as long as its caller would, whatever admission says.

Change: tables remember when parts were last answered, also while nothing is suspected, so that such a part is cleared from the start; an attempt holds others back for 0.3 s at most; who waits for a trial is refused when a request without a slot would be.

--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -86,11 +86,7 @@
 }
 
 // recordBegun records that a backend server has begun to answer the request.
-func (q *request) recordBegun(now time.Time) {
-	if !q.g.suspects.Empty() {
-		q.g.suspects.Began(q.fingerprints(), now)
-	}
-}
+func (q *request) recordBegun(now time.Time) { q.g.suspects.Began(q.fingerprints(), now) }
 
 // recordOutcome records what the end of an attempt proves about the request.
 func (q *request) recordOutcome(ctx context.Context, server *balance.Server, a *attempt) {
--- a/entry/gateway/waiting.go
+++ b/entry/gateway/waiting.go
@@ -260,7 +260,7 @@
 		}
 		q.leaveSlotQueue()
 		admissionRequest := q.admissionRequest(now)
-		keepWaiting := queued || permission == quarantine.Wait || q.mayWait(admissionRequest, now)
+		keepWaiting := queued || q.mayWait(admissionRequest, now)
 		switch found {
 		case balance.Limited:
 			keepWaiting = q.mayWaitForPermit(admissionRequest, now)
--- a/entry/quarantine/attempt.go
+++ b/entry/quarantine/attempt.go
@@ -75,14 +75,14 @@
 
 // mayAttempt reports whether the requests with a fingerprint may be tried now. Requests with a
 // suspected part of their prompts are many and different, so each process tries one of them
-// until a backend server has begun to answer it.
+// until a backend server has begun to answer it, or should have.
 func (t *Table) mayAttempt(f Fingerprint, interval time.Duration, now time.Time) bool {
 	r := t.records[f]
 	switch t.judge(f, now).Status {
 	case OnTrial:
 		return t.mayTry(r, interval, now)
 	case Suspected:
-		return f.Kind != KindPart || r.admitted == 0
+		return f.Kind != KindPart || r.admitted == 0 || now.Sub(r.admittedAt) >= unansweredLimit
 	default:
 		return true
 	}
@@ -99,7 +99,7 @@
 		suspected := t.judge(f, now).Status != Unsuspected
 		if suspected {
 			r.admitted++
-			r.announcedUntil = time.Time{}
+			r.admittedAt, r.announcedUntil = now, time.Time{}
 		}
 		out.admitted = append(out.admitted, admission{f, r.nextRound(), suspected})
 	}
--- a/entry/quarantine/doc.go
+++ b/entry/quarantine/doc.go
@@ -31,8 +31,10 @@
 //     servers. Different requests with a part in common count twice at most in a round.
 //
 // A run that ends well is evidence to the contrary: it clears the request's fingerprints for
-// clearedTTL, regardless of which servers end meanwhile. A part of prompts is cleared as soon
-// as a server has begun to answer a request with it.
+// clearedTTL, regardless of which servers end meanwhile. A part of prompts is cleared, for
+// partClearedTTL, as soon as a server has begun to answer a request with it; that is
+// remembered also while nothing is suspected, so that a part which many requests share is
+// rarely a suspect.
 //
 // # Who is guilty
 //
@@ -47,7 +49,7 @@
 //
 // After one end, the request is still tried, on servers that run no other suspect if
 // there are any; with a suspected part, each process tries one request at a time until it is
-// answered. After two servers have ended, it is tried once at a time in the whole fleet (see
+// answered or should have been. After two servers have ended, it is tried once at a time in the whole fleet (see
 // minAnnounceTime), and other requests avoid its server. After three rounds, it is refused
 // immediately. When the quarantine is over, it is tried once more; each further end doubles
 // the duration of the quarantine.
--- a/entry/quarantine/part_test.go
+++ b/entry/quarantine/part_test.go
@@ -131,6 +131,38 @@
 	attempt.Release()
 }
 
+// A part that all requests share is answered all the time. The first end of a server made a
+// suspect of it, and each process held all requests back but one.
+func TestPartThatWasJustAnsweredIsNotSuspected(t *testing.T) {
+	is := is.New(t)
+	a, b := newTable("a"), newTable("b")
+	a.Began(prompt(1, "common"), start)
+	b.Began(prompt(2, "common"), start)
+	now := start.Add(partClearedTTL / 2)
+	a.lose(prompt(3, "common"), 1, now)
+	is.Equal(a.Judge(part("common"), now).Status, Unsuspected)
+	b.Receive("a", a.Report(now), now)
+	is.Equal(b.Judge(part("common"), now).Status, Unsuspected)
+	now = now.Add(10 * partClearedTTL)
+	a.lose(prompt(4, "common"), 2, now)
+	is.Equal(a.Judge(part("common"), now).Status, Suspected)
+}
+
+// An attempt that a stalled group does not answer held all requests with a suspected part
+// back until it was lost.
+func TestStuckAttemptDoesNotHoldBackASuspectedPart(t *testing.T) {
+	is := is.New(t)
+	table := newTable("a")
+	table.lose(prompt(1, "first"), 1, start)
+	now := start.Add(time.Second)
+	_, permission := table.Admit(prompt(2, "first"), now)
+	is.Equal(permission, Granted)
+	_, permission = table.Admit(prompt(3, "first"), now.Add(unansweredLimit/2))
+	is.Equal(permission, Wait)
+	_, permission = table.Admit(prompt(3, "first"), now.Add(unansweredLimit))
+	is.Equal(permission, Granted)
+}
+
 // When a rack or everything fails, a part that all requests share is neither quarantined nor
 // tried one at a time.
 func TestPartOfAllRequestsSurvivesTheEndOfAllServers(t *testing.T) {
--- a/entry/quarantine/record.go
+++ b/entry/quarantine/record.go
@@ -26,6 +26,9 @@
 	// with it is answered.
 	clearedTTL     = 10 * time.Second
 	partClearedTTL = time.Second
+	// unansweredLimit is how long a process tries no other request with a suspected part while
+	// one of them is not answered. Backend servers begin to answer earlier, unless they stall.
+	unansweredLimit = 300 * time.Millisecond
 	// maxEnds bounds the ends kept for one fingerprint.
 	maxEnds = 8
 )
@@ -58,18 +61,19 @@
 
 // record holds what is known about one fingerprint.
 type record struct {
-	ends      []End     // one per server
-	position  int       // of a part: the last one at which it was in a prompt
-	cleared   time.Time // when a run last ended well; zero if never
-	ownRun    bool      // whether that run was in this process
-	changed   time.Time
-	observed  time.Time         // when this process last observed something itself
-	reported  uint64            // number of the report in which it was last sent
-	logged    Status            // as of the latest end
-	evidence  evidence          // as of the latest judgement
-	running   map[ServerKey]int // attempts of this process, by server
-	admitted  int               // attempts of this process that are not released yet
-	announced time.Time         // when this process announced that it intends to try the request
+	ends       []End     // one per server
+	position   int       // of a part: the last one at which it was in a prompt
+	cleared    time.Time // when a run last ended well; zero if never
+	ownRun     bool      // whether that run was in this process
+	changed    time.Time
+	observed   time.Time         // when this process last observed something itself
+	reported   uint64            // number of the report in which it was last sent
+	logged     Status            // as of the latest end
+	evidence   evidence          // as of the latest judgement
+	running    map[ServerKey]int // attempts of this process, by server
+	admitted   int               // attempts of this process that are not released yet
+	admittedAt time.Time         // when the latest of them was admitted
+	announced  time.Time         // when this process announced that it intends to try the request
 	// announcedUntil is when the announcement expires; zero if there is none.
 	announcedUntil time.Time
 	peerReports    map[vm.ID]peerReport // by process
--- a/entry/quarantine/table.go
+++ b/entry/quarantine/table.go
@@ -44,10 +44,11 @@
 	mu        sync.Mutex
 	records   map[Fingerprint]*record
 	outages   outages
-	version   uint64                  // incremented with each change of the ends and of what clears them
-	settled   uint64                  // version of which explained is a result, 0 = none
-	explained map[ServerKey]bool      // servers whose ends a request on trial explains
-	guilty    map[ServerKey]bool      // servers whose ends a quarantined request explains
+	version   uint64             // incremented with each change of the ends and of what clears them
+	settled   uint64             // version of which explained is a result, 0 = none
+	explained map[ServerKey]bool // servers whose ends a request on trial explains
+	guilty    map[ServerKey]bool // servers whose ends a quarantined request explains
+	answered  answeredParts
 	withdrawn map[ServerKey]time.Time // servers that answered after their reported end
 	reports   uint64                  // number of reports built
 }
@@ -194,13 +195,14 @@
 // Began records that a backend server has begun to answer a request with the given
 // fingerprints: no part of its prompt crashes servers.
 func (t *Table) Began(fingerprints []Fingerprint, now time.Time) {
-	if t.Empty() {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, f := range fingerprints {
-		if r := t.records[f]; r != nil && f.Kind == KindPart {
+		if f.Kind != KindPart {
+			continue
+		}
+		t.answered.record(f.digest, now)
+		if r := t.records[f]; r != nil {
 			t.clear(f, r, now, ownAttempt)
 		}
 	}
@@ -266,6 +268,9 @@
 		t.evict(now)
 	}
 	r := &record{changed: now, running: make(map[ServerKey]int), peerReports: make(map[vm.ID]peerReport)}
+	if f.Kind == KindPart {
+		r.cleared, r.ownRun = t.answered.last(f.digest), true
+	}
 	t.records[f] = r
 	t.nonEmpty.Store(true)
 	return r
