--- a/entry/quarantine/doc.go
+++ b/entry/quarantine/doc.go
@@ -36,7 +36,7 @@
 // remembered also while nothing is suspected, so that a part which many requests share is
 // rarely a suspect.
 //
-// # Who is guilty
+// # Attribution of ends
 //
 // All requests on a server that ended are suspected, with all parts of their prompts, but one
 // suspect is enough to explain the end. The suspect that explains the ends best is
--- a/entry/quarantine/evidence.go
+++ b/entry/quarantine/evidence.go
@@ -27,11 +27,11 @@
 
 // weigh returns the evidence against the requests of a record. Ends of the given servers do
 // not count, as other suspects explain them.
-func (t *Table) weigh(f Fingerprint, r *record, guilty map[ServerKey]bool) evidence {
+func (t *Table) weigh(f Fingerprint, r *record, attributed map[ServerKey]bool) evidence {
 	out := evidence{version: t.version}
 	var round []End // the ends of one round that count
 	for _, e := range r.ends {
-		if guilty[e.Server] || r.isCleared(f.Kind, e) || t.outages.coincides(e.Server, f, t.explained) {
+		if attributed[e.Server] || r.isCleared(f.Kind, e) || t.outages.coincides(e.Server, f, t.explained) {
 			continue
 		}
 		if len(round) > 0 && e.Round != round[0].Round {
@@ -79,12 +79,12 @@
 func (t *Table) evidenceOf(f Fingerprint, r *record) *evidence {
 	t.settle()
 	if r.evidence.version != t.version {
-		r.evidence = t.weigh(f, r, t.guilty)
+		r.evidence = t.weigh(f, r, t.attributed)
 	}
 	return &r.evidence
 }
 
-// settle brings up to date which ends are explained and which suspects are guilty. The
+// settle brings up to date which ends are explained and which are attributed to a suspect. The
 // result depends only on what was recorded, not on the order in which it became known, so
 // processes with the same records agree.
 func (t *Table) settle() {
@@ -95,7 +95,7 @@
 	t.explained = make(map[ServerKey]bool)
 	for t.explain() {
 	}
-	t.convict()
+	t.attribute()
 }
 
 // explain adds the ends that requests on trial explain, and reports whether there were any
@@ -126,31 +126,32 @@
 	evidence    evidence
 }
 
-// convict finds the guilty suspects and their evidence. All requests on a server that ended
-// are suspected, with all parts of their prompts, but one of them is enough to explain the
-// end. So the ends under the most likely suspect count against no other one, and so on.
-func (t *Table) convict() {
-	t.guilty = make(map[ServerKey]bool)
-	convicted := make(map[*record]bool)
+// attribute attributes ends to suspects, and stores the evidence against these. All requests
+// on a server that ended are suspected, with all parts of their prompts, but one of them is
+// enough to explain the end. So the ends under the most likely suspect count against no other
+// one, and so on.
+func (t *Table) attribute() {
+	t.attributed = make(map[ServerKey]bool)
+	settled := make(map[*record]bool)
 	for {
-		next, found := mostLikely(t.candidates(convicted))
+		next, found := mostLikely(t.candidates(settled))
 		if !found {
 			return
 		}
-		convicted[next.record] = true
+		settled[next.record] = true
 		next.record.evidence = next.evidence
 		for _, e := range next.record.ends {
-			t.guilty[e.Server] = true
+			t.attributed[e.Server] = true
 		}
 	}
 }
 
-func (t *Table) candidates(convicted map[*record]bool) (out []candidate) {
+func (t *Table) candidates(settled map[*record]bool) (out []candidate) {
 	for f, r := range t.records {
-		if len(r.ends) < quarantinedFrom || convicted[r] {
+		if len(r.ends) < quarantinedFrom || settled[r] {
 			continue
 		}
-		if found := t.weigh(f, r, t.guilty); found.points >= quarantinedFrom {
+		if found := t.weigh(f, r, t.attributed); found.points >= quarantinedFrom {
 			out = append(out, candidate{f, r, found})
 		}
 	}
--- a/entry/quarantine/table.go
+++ b/entry/quarantine/table.go
@@ -41,16 +41,16 @@
 
 	nonEmpty atomic.Bool // whether there are records
 
-	mu        sync.Mutex
-	records   map[Fingerprint]*record
-	outages   outages
-	version   uint64             // incremented with each change of the ends and of what clears them
-	settled   uint64             // version of which explained is a result, 0 = none
-	explained map[ServerKey]bool // servers whose ends a request on trial explains
-	guilty    map[ServerKey]bool // servers whose ends a quarantined request explains
-	answered  answeredParts
-	withdrawn map[ServerKey]time.Time // servers that answered after their reported end
-	reports   uint64                  // number of reports built
+	mu         sync.Mutex
+	records    map[Fingerprint]*record
+	outages    outages
+	version    uint64             // incremented with each change of the ends and of what clears them
+	settled    uint64             // version of which explained is a result, 0 = none
+	explained  map[ServerKey]bool // servers whose ends a request on trial explains
+	attributed map[ServerKey]bool // servers whose ends are attributed to a quarantined suspect
+	answered   answeredParts
+	withdrawn  map[ServerKey]time.Time // servers that answered after their reported end
+	reports    uint64                  // number of reports built
 }
 
 // NewTable returns the empty table of a process. The interval function returns the time
