--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -86,7 +86,11 @@
 }
 
 // recordBegun records that a backend server has begun to answer the request.
-func (q *request) recordBegun(now time.Time) { q.g.suspects.Began(q.fingerprints(), now) }
+func (q *request) recordBegun(now time.Time) {
+	if parts := quarantine.Parts(q.g.adapter.PromptParts(q.r.Header)); len(parts) > 0 {
+		q.g.suspects.Began(parts, now)
+	}
+}
 
 // recordOutcome records what the end of an attempt proves about the request.
 func (q *request) recordOutcome(ctx context.Context, server *balance.Server, a *attempt) {
--- a/entry/quarantine/fingerprint.go
+++ b/entry/quarantine/fingerprint.go
@@ -67,9 +67,16 @@
 		}
 		return out
 	}
-	own := len(i.Prompt) - 1
-	out = append(out, Fingerprint{Kind: KindContent, digest: sum([]byte(i.Prompt[own]))})
-	for _, part := range i.Prompt[:min(own, maxParts)] {
+	own := i.Prompt[len(i.Prompt)-1]
+	out = append(out, Fingerprint{Kind: KindContent, digest: sum([]byte(own))})
+	return append(out, Parts(i.Prompt)...)
+}
+
+// Parts returns the fingerprints of the parts of a prompt but the last one.
+func Parts(prompt []string) []Fingerprint {
+	shared := max(0, min(len(prompt)-1, maxParts))
+	out := make([]Fingerprint, 0, shared)
+	for _, part := range prompt[:shared] {
 		out = append(out, Fingerprint{Kind: KindPart, digest: sum([]byte(part))})
 	}
 	return out
--- a/entry/quarantine/fleet_test.go
+++ b/entry/quarantine/fleet_test.go
@@ -211,7 +211,7 @@
 				continue
 			}
 			r.begun = true
-			s.tables[r.gateway].Began(r.fingerprints, s.now)
+			s.tables[r.gateway].Began(r.fingerprints[2:], s.now)
 			s.count(r)
 		}
 	}
--- a/entry/quarantine/table.go
+++ b/entry/quarantine/table.go
@@ -192,15 +192,12 @@
 		Dur("quarantine", after.Remaining).Int("position", r.position).Msg("backend server ended under a request")
 }
 
-// Began records that a backend server has begun to answer a request with the given
-// fingerprints: no part of its prompt crashes servers.
-func (t *Table) Began(fingerprints []Fingerprint, now time.Time) {
+// Began records that a backend server has begun to answer a request with the given parts in
+// its prompt (see Parts): none of them crashes servers.
+func (t *Table) Began(parts []Fingerprint, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, f := range fingerprints {
-		if f.Kind != KindPart {
-			continue
-		}
+	for _, f := range parts {
 		t.answered.record(f.digest, now)
 		if r := t.records[f]; r != nil {
 			t.clear(f, r, now, ownAttempt)
