Review case 2: a backlog of configurations keeps all gateways behind

Cause: the store's client reads at most 16 MiB of an answer. A watch whose events are larger counts as a call without a usable answer and is repeated from the same position, never as a reason to list, until the store drops its history.

--- a/review/cmd/review-stray/main.go
+++ b/review/cmd/review-stray/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -32,17 +31,9 @@
 	// In a window, faultyRunners send additional bytes after one answer in oneSpoilt.
 	faultyRunners = 1  // of 3: a share of 0.33
 	oneSpoilt     = 34 // 0.0294 of the answers
-	work          = 60 * time.Millisecond
-	maxWait       = 150 * time.Millisecond
 	deadline      = 4 * time.Second
 )
 
-// stray returns the additional bytes that a faulty runner sends. They look like its answer to a
-// health check: they name no request and bear no signature.
-func (r *runner) stray() []byte {
-	return []byte("HTTP/1.1 200 OK\r\nX-Instance-Id: " + r.id + "\r\nX-Instance-Load: 3,0,6\r\nContent-Length: 0\r\n\r\n")
-}
-
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -120,8 +111,6 @@
 type runner struct {
 	c       *testCase
 	id      string
-	faulty  bool
-	slots   chan struct{}
 	answers atomic.Int64 // in windows of disruption
 }
 
@@ -131,9 +120,19 @@
 	if err != nil {
 		return err
 	}
-	r := &runner{c: c, id: fmt.Sprintf("i-%08x", 0x7f3a9101+i), faulty: i < faultyRunners, slots: make(chan struct{}, slots)}
+	r := &runner{c: c, id: fmt.Sprintf("i-%08x", 0x7f3a9101+i)}
+	service := &rig.PlainRunner{
+		ID: r.id, Slots: make(chan struct{}, slots),
+		Runs: func(_ *http.Request, id string) { c.record.Add("runner %s: runs %s", r.id, id) },
+		Answered: func(req *http.Request, id string) {
+			c.record.Add("runner %s: answered %s", r.id, id)
+			if i < faultyRunners {
+				r.spoil(req, id)
+			}
+		},
+	}
 	server := &http.Server{
-		Handler: r, ReadHeaderTimeout: time.Second,
+		Handler: service, ReadHeaderTimeout: time.Second,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, conn)
 		},
@@ -143,50 +142,15 @@
 	return nil
 }
 
-// ServeHTTP answers health checks and requests.
-func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	w.Header().Set("X-Instance-Id", r.id)
-	w.Header().Set("X-Instance-Load", fmt.Sprintf("%d,0,%d", len(r.slots), cap(r.slots)))
-	id := req.Header.Get("X-Attempt-Id")
-	if id != "" {
-		w.Header().Set("X-Attempt-Id", id)
-	}
-	if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != r.id {
-		w.Header().Set("X-Not-Run", "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
-		return // the sender has disconnected
-	}
-	timer := time.NewTimer(maxWait)
-	defer timer.Stop()
-	select {
-	case r.slots <- struct{}{}:
-		defer func() { <-r.slots }()
-	case <-req.Context().Done():
-		return
-	case <-timer.C:
-		w.Header().Set("X-Not-Run", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if strings.HasPrefix(req.URL.Path, "/healthz") {
-		return
-	}
-	r.c.record.Add("runner %s: runs %s", r.id, id)
-	time.Sleep(work)
-	body := rig.PlainBody(id)
-	w.Header().Set("X-Server-Seal", rig.Seal(r.id, id))
-	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
-	_, _ = w.Write(body) // the sender may have disconnected
-	r.c.record.Add("runner %s: answered %s", r.id, id)
-	r.spoil(req, id)
+// stray returns the additional bytes that a faulty runner sends. They look like its answer to a
+// health check: they name no request and bear no signature.
+func (r *runner) stray() []byte {
+	return []byte("HTTP/1.1 200 OK\r\nX-Instance-Id: " + r.id + "\r\nX-Instance-Load: 3,0,6\r\nContent-Length: 0\r\n\r\n")
 }
 
 // spoil lets the additional bytes follow the answer, if it is the turn of this one.
 func (r *runner) spoil(req *http.Request, id string) {
-	if !r.faulty || !r.c.active.Load() || r.answers.Add(1)%oneSpoilt != 0 {
+	if !r.c.active.Load() || r.answers.Add(1)%oneSpoilt != 0 {
 		return
 	}
 	conn, ok := req.Context().Value(connKey{}).(*strayConn)
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -32,6 +32,7 @@
 // Client is a client with one connection to a gateway, which it keeps open as long as it may.
 type Client struct {
 	Front string
+	Key   string // empty = Key
 
 	conn   net.Conn
 	reader *bufio.Reader
@@ -57,7 +58,11 @@
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(deadline)) // an error on a closed connection shows in the write too
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Key: %s\r\nX-Deadline-Ms: %d\r\n", method, path, Host, a.ID, Key, deadline.Milliseconds())
+	key := c.Key
+	if key == "" {
+		key = Key
+	}
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Key: %s\r\nX-Deadline-Ms: %d\r\n", method, path, Host, a.ID, key, deadline.Milliseconds())
 	for name, value := range extra {
 		head += name + ": " + value + "\r\n"
 	}
--- a/review/rig/config.go
+++ b/review/rig/config.go
@@ -1,6 +1,9 @@
 package rig
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"fmt"
+)
 
 // Names of the deployment.
 const (
@@ -61,16 +64,35 @@
 // Config returns the configuration as the operator writes it: one resumable streaming route
 // to model runners, and a safe and an unsafe route to a plain service.
 func Config(version int, shape Shape, slots int) []byte {
+	return ConfigWith(version, shape, slots, Extras{Keys: []string{Key}})
+}
+
+// Extras are the parts of a configuration that a case changes.
+type Extras struct {
+	Keys       []string // of the tenant
+	IdleRoutes int      // further routes, to model runners, that nobody uses
+	NewRoute   bool     // the safe route NewPath
+	TimeoutMS  int      // of the idle routes
+}
+
+// NewPath is the prefix of a route that a case adds.
+const NewPath = "/newr116/"
+
+// ConfigWith returns a configuration with changes.
+func ConfigWith(version int, shape Shape, slots int, x Extras) []byte {
+	routes := baseRoutes()
+	for i := range x.IdleRoutes {
+		routes = append(routes, route{
+			Name: fmt.Sprintf("r-idle%05d", i), Host: Host, Prefix: fmt.Sprintf("/idle%05d/", i), Kind: "streaming", TimeoutMS: x.TimeoutMS,
+			GoalMS: 400, Priority: 1, Service: ModelService, Attempts: 2, Sticky: true, Resumable: true, GapMS: 120,
+		})
+	}
+	if x.NewRoute {
+		routes = append(routes, route{Name: "r-new", Host: Host, Prefix: NewPath, Kind: "safe", TimeoutMS: 4000, GoalMS: 300, Priority: 2, Service: PlainService, Attempts: 2})
+	}
 	doc := map[string]any{
 		"version": version,
-		"routes": []route{
-			{
-				Name: "r-stream", Host: Host, Prefix: StreamPath, Kind: "streaming", TimeoutMS: 8000, GoalMS: 400, Priority: 1,
-				Service: ModelService, Attempts: 2, Sticky: true, Resumable: true, GapMS: 120,
-			},
-			{Name: "r-unsafe", Host: Host, Prefix: UnsafePath, Kind: "unsafe", TimeoutMS: 4000, GoalMS: 300, Priority: 2, Service: PlainService, Attempts: 2},
-			{Name: "r-safe", Host: Host, Prefix: SafePath, Kind: "safe", TimeoutMS: 4000, GoalMS: 300, Priority: 2, Service: PlainService, Attempts: 2},
-		},
+		"routes":  routes,
 		"services": []service{
 			{
 				Name: ModelService, HealthPath: "/healthz", MaxConns: 418, Protocol: "h1",
@@ -83,7 +105,7 @@
 			{Name: PlainService, HealthPath: "/healthz", MaxConns: 110, Protocol: "h1"},
 		},
 		"limits":  map[string]int{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []map[string]any{{"name": Tenant, "api-keys": []string{Key}, "priority": 1}},
+		"tenants": []map[string]any{{"name": Tenant, "api-keys": x.Keys, "priority": 1}},
 	}
 	raw, err := json.Marshal(doc)
 	if err != nil {
@@ -92,6 +114,17 @@
 	return raw
 }
 
+func baseRoutes() []route {
+	return []route{
+		{
+			Name: "r-stream", Host: Host, Prefix: StreamPath, Kind: "streaming", TimeoutMS: 8000, GoalMS: 400, Priority: 1,
+			Service: ModelService, Attempts: 2, Sticky: true, Resumable: true, GapMS: 120,
+		},
+		{Name: "r-unsafe", Host: Host, Prefix: UnsafePath, Kind: "unsafe", TimeoutMS: 4000, GoalMS: 300, Priority: 2, Service: PlainService, Attempts: 2},
+		{Name: "r-safe", Host: Host, Prefix: SafePath, Kind: "safe", TimeoutMS: 4000, GoalMS: 300, Priority: 2, Service: PlainService, Attempts: 2},
+	}
+}
+
 // Entry returns the entry of a runner in the store.
 func Entry(service, address, zone string, slots int, state string, sequence int) []byte {
 	raw, err := json.Marshal(map[string]any{
--- a/review/rig/process.go
+++ b/review/rig/process.go
@@ -42,13 +42,3 @@
 	p.Signal(syscall.SIGKILL)
 	<-p.done
 }
-
-// Ended reports whether the process has ended.
-func (p *Process) Ended() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -38,6 +38,8 @@
 	Gateways []*Gateway
 	Agents   []*Process
 	Record   *Record
+	// GatewayStore and AgentStore are the addresses of the store that the processes get.
+	GatewayStore, AgentStore string
 
 	dir, root string
 	subnet    int
@@ -62,6 +64,7 @@
 		if err != nil {
 			continue // used by another run
 		}
+		w.GatewayStore, w.AgentStore = w.Address(3, 0, portStore), w.Address(3, 0, portStore)
 		w.server = &http.Server{Handler: w.Store, ReadHeaderTimeout: time.Second}
 		go func() { _ = w.server.Serve(ln) }() // ends with Close
 		return w, nil
@@ -69,6 +72,19 @@
 	return nil, errors.New("no free loopback network")
 }
 
+// ServeStore serves another store at the i-th further address of the platform, and returns the
+// address. It ends with the process.
+func (w *World) ServeStore(i int, handler http.Handler) (string, error) {
+	address := w.Address(3, i+1, portStore)
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(ln) }() // ends with the process
+	return address, nil
+}
+
 // Address returns an address of the i-th VM of a kind: 0 gateways, 1 runners with an agent,
 // 2 other runners, 3 the platform.
 func (w *World) Address(kind, i, port int) string {
@@ -102,7 +118,7 @@
 			"node-name": name, "zone": Zone(i), "ip": w.ip(0, i),
 			"bind.front": g.Front, "bind.ready": g.Ready,
 			"bind.directory": w.Address(0, i, portDirectory), "bind.control": w.Address(0, i, portControl),
-			"seeds": w.seeds(n), "bootstrap": true, "platform.address": w.Address(3, 0, portStore),
+			"seeds": w.seeds(n), "bootstrap": true, "platform.address": w.GatewayStore,
 			"bounds.config-apply-ms": 2000, "heartbeat-ms": 1200,
 			"limits.cpu-share": 0.4, "limits.cores": 1,
 			"bounds.retry-budget-ratio": 0.2, "bounds.retry-slack": 92, "bounds.retry-window-s": 10, "bounds.grace-s": 8,
@@ -122,7 +138,7 @@
 		name := fmt.Sprintf("side-%s-%d", Zone(i), i/len(Zones)+1)
 		p, err := w.startProcess(name, "target/baywall-agent", "rank", "deploy/rank.yaml", map[string]any{
 			"node-name": name, "zone": Zone(i), "ip": w.ip(1, i), "service": service, "app": w.RunnerAddress(1, i),
-			"seeds": w.seeds(gateways), "platform.address": w.Address(3, 0, portStore), "limits.link-mbps": 20,
+			"seeds": w.seeds(gateways), "platform.address": w.AgentStore, "limits.link-mbps": 20,
 		})
 		if err != nil {
 			return err
