--- a/review/cmd/review-backlog/main.go
+++ b/review/cmd/review-backlog/main.go
@@ -27,11 +27,12 @@
 	// The configuration has the routes of the site, and has grown twice since.
 	idleRoutes = 110 + 2*350
 
-	warmUp      = 4 * time.Second
-	rejectFor   = 9 * time.Second
-	stormGap    = 80 * time.Millisecond
-	firstStorm  = 4 * time.Second // 50 changes
-	secondStorm = 2 * time.Second // 25 changes
+	warmUp    = 4 * time.Second
+	rejectFor = 9 * time.Second
+	// storms series of changes come one after the other, 25 changes each.
+	storms    = 3
+	stormGap  = 80 * time.Millisecond
+	stormTime = 2 * time.Second
 	// watchFor is how long clients go on after the store serves all machines again.
 	watchFor = 26 * time.Second
 
@@ -141,9 +142,9 @@
 		c.record.Add("DISRUPTION the store rejects the %d gateways of %d machines with 503; it serves the agents and the operator", gateways, gateways+groups*ranks)
 	}
 	time.Sleep(500 * time.Millisecond)
-	for _, storm := range []time.Duration{firstStorm, secondStorm} {
-		c.record.Add("PLANNED the configuration changes each %s for %s", stormGap, storm)
-		for i := range int(storm / stormGap) {
+	for range storms {
+		c.record.Add("PLANNED the configuration changes each %s for %s", stormGap, stormTime)
+		for i := range int(stormTime / stormGap) {
 			c.put(rig.Extras{Keys: []string{rig.Key, oldKey}, IdleRoutes: idleRoutes, TimeoutMS: 8001 + i})
 			time.Sleep(stormGap)
 		}
