--- a/review/cmd/review-backlog/main.go
+++ b/review/cmd/review-backlog/main.go
@@ -250,7 +250,9 @@
 		}
 		judged := c.judged.Load()
 		due := judged != 0 && time.Now().UnixNano() > judged
+		sent := time.Now()
 		a := client.Send(http.MethodGet, path+"fi50/2f", nil, deadline, nil)
+		c.record.Add("client at %s, %s: sent as %s; answered after %s: %s", g.Name, what, a.ID, time.Since(sent).Round(time.Millisecond), a)
 		c.mu.Lock()
 		c.sent++
 		switch {
--- a/review/cmd/review-cut/main.go
+++ b/review/cmd/review-cut/main.go
@@ -236,12 +236,13 @@
 			return
 		default:
 		}
-		var a rig.Answer
-		if i%2 == 0 {
-			a = client.Send(http.MethodGet, rig.SafePath+"fi50/2f", nil, deadline, nil)
-		} else {
-			a = client.Send(http.MethodPost, rig.UnsafePath+"2f", []byte("body"), deadline, nil)
+		method, path, body := http.MethodGet, rig.SafePath+"fi50/2f", []byte(nil)
+		if i%2 == 1 {
+			method, path, body = http.MethodPost, rig.UnsafePath+"2f", []byte("body")
 		}
+		sent := time.Now()
+		a := client.Send(method, path, body, deadline, nil)
+		c.record.Add("client at %s: %s %s, sent as %s; answered after %s: %s", g.Name, method, path, a.ID, time.Since(sent).Round(time.Millisecond), a)
 		c.note(g, a)
 		time.Sleep(40 * time.Millisecond)
 	}
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -22,6 +22,14 @@
 	Closed bool  // the connection cannot be used again
 }
 
+// String describes the answer for the record.
+func (a Answer) String() string {
+	if !a.Whole {
+		return fmt.Sprintf("status %d, not whole: %v", a.Status, a.Err)
+	}
+	return fmt.Sprintf("status %d, %d bytes, seal %q", a.Status, len(a.Body), a.Header.Get("X-Server-Seal"))
+}
+
 // NewID returns an id for one attempt.
 func NewID() string {
 	var raw [8]byte
