Log which check lets an unframed answer count as whole, and its age

The line now has the result of the check of the server, its age and whether the request's context had ended.

Whether another incarnation vouched (1) or no process at all (2) cannot be seen, as the check asks for no name.

--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -37,7 +37,7 @@
 		return attempt{verdict: verdictLost, err: err}
 	}
 	whole := n < maxBuffered
-	if whole && !provenWhole(ctx, answer, server) {
+	if whole && !q.provenWhole(ctx, answer, server) {
 		return attempt{verdict: verdictLost, err: errUnproven}
 	}
 	if answer.Status >= http.StatusInternalServerError && whole {
@@ -63,7 +63,7 @@
 	if _, err := io.Copy(q.w, answer.Body); err != nil {
 		return attempt{verdict: verdictCut, err: err}
 	}
-	if !provenWhole(ctx, answer, server) {
+	if !q.provenWhole(ctx, answer, server) {
 		return attempt{verdict: verdictCut, err: errUnproven}
 	}
 	return attempt{verdict: verdictAnswered, status: answer.Status}
@@ -76,8 +76,13 @@
 // provenWhole reports whether an answer that was read to its end is whole. Without a length
 // or chunks, the end of the server's process looks like the end of the answer, so the server
 // must still accept connections. The connection that shows it is used for a later request.
-func provenWhole(ctx context.Context, answer *upstream.Answer, server *balance.Server) bool {
-	return answer.Framed() || checkLiveness(ctx, server) == upstream.Listening
+func (q *request) provenWhole(ctx context.Context, answer *upstream.Answer, server *balance.Server) bool {
+	if answer.Framed() {
+		return true
+	}
+	q.answerEnded = clock.Now()
+	q.endLiveness = checkLiveness(ctx, server)
+	return q.endLiveness == upstream.Listening
 }
 
 // copyHeader copies the backend server's header fields to the answer.
@@ -221,7 +226,7 @@
 	return e
 }
 
-func (q *request) logAnswer(number uint32) {
+func (q *request) logAnswer(ctx context.Context, number uint32) {
 	q.g.inst.answered(q.route.Name, q.firstAnswer)
 	e := q.addLogFields(q.log.Info()).Dur("first", q.firstAnswer)
 	if q.events > 0 {
@@ -229,7 +234,8 @@
 		e = e.Int("events", q.events).Dur("longest_gap", q.longestGap)
 	}
 	if q.unframed {
-		e = e.Bool("unframed", true)
+		e = e.Bool("unframed", true).Stringer("liveness", q.endLiveness).Dur("liveness_age", clock.Since(q.answerEnded)).
+			AnErr("context", ctx.Err())
 	}
 	e.Uint32("attempt", number).Str("punctuality", q.timeliness()).Msg("request answered")
 }
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -85,7 +85,7 @@
 		q.recordOutcome(ctx, choice.Server, &a)
 		q.quarantineAttempt.Release()
 		if a.verdict == verdictAnswered {
-			q.logAnswer(number)
+			q.logAnswer(ctx, number)
 			return
 		}
 		q.logAttempt(number, choice, a)
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -20,6 +20,7 @@
 	"baywall.example/entry/quarantine"
 	"baywall.example/entry/retry"
 	"baywall.example/entry/slotqueue"
+	"baywall.example/entry/upstream"
 )
 
 const (
@@ -84,6 +85,8 @@
 	sent           appliedState          // store state that was known when the attempt was made
 	serverLoad     int                   // load of the server from all gateways when it was picked, in requests
 	serverEventGap time.Duration         // pause between events of the server then, 0 = not known
+	answerEnded    time.Time             // when the end of the latest unframed answer was read
+	endLiveness    upstream.Liveness     // of its server after that
 	unframed       bool                  // the latest answer had neither a length nor chunks
 	firstAnswer    time.Duration
 	lastEvent      time.Time // when the latest event was sent to the caller
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -88,7 +88,7 @@
 	flusher := http.NewResponseController(q.w)
 	for {
 		e, err := events.next()
-		if err == io.EOF && !provenWhole(ctx, answer, server) {
+		if err == io.EOF && !q.provenWhole(ctx, answer, server) {
 			err = errUnproven
 		}
 		if err == io.EOF {
