Ask a server for its id before an unframed answer counts as whole

The server had crashed half way, and its next incarnation accepted.

Cause: what listens at an address was taken for the process that answered. Also a server of another service vouched, or the kernel for a process that accepts nothing; a check that was running when a caller asked vouched for a server that ended meanwhile; and a lost attempt at a server that crashed and was back at once was no evidence against its request, so that it was never quarantined.

Why it works: the server is asked which incarnation it is, on a connection opened after the end was read. Only the incarnation that gave the answer can name itself, and it ran after the end, so the end was not its own. The query expects no server that exists, so it is rejected without a slot.

TestLivenessOfAServer is replaced: it asserted that an accepted connection proves a listening process, which is the fault. The servers of the gateway's tests reject the query, so that it is not counted as a run.

--- a/entry/gateway/adapter_test.go
+++ b/entry/gateway/adapter_test.go
@@ -27,7 +27,7 @@
 func (testAdapter) Headers() Headers {
 	return Headers{
 		RequestID: "T-Id", APIKey: "T-Key", Deadline: "T-Deadline", Team: "T-Team", ExpectServer: "T-Server",
-		NotRun: "T-Not-Run", Priority: "T-Priority", ExpectVersion: "T-Version", ResumeAfter: "Last-Event-Id", Prompt: "T-Prompt", TokenCounts: "T-Tokens",
+		ServerID: "T-Server-Id", NotRun: "T-Not-Run", Priority: "T-Priority", ExpectVersion: "T-Version", ResumeAfter: "Last-Event-Id", Prompt: "T-Prompt", TokenCounts: "T-Tokens",
 	}
 }
 func (a testAdapter) Store(string, zerolog.Logger) source.Store { return a.store }
@@ -48,6 +48,8 @@
 
 func (testAdapter) ProbeTarget(*catalog.Service) string { return "/probe" }
 
+func (testAdapter) IdentityTarget(*catalog.Service) string { return identityPath }
+
 func (testAdapter) TakesRequests(_ *catalog.Service, status int, _ []byte) bool {
 	return status == http.StatusOK
 }
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"baywall.example/core/clock"
@@ -37,8 +36,10 @@
 		return attempt{verdict: verdictLost, err: err}
 	}
 	whole := n < maxBuffered
-	if whole && !q.provenWhole(ctx, answer, server) {
-		return attempt{verdict: verdictLost, err: errUnproven}
+	if whole {
+		if l, err := q.proveWhole(ctx, answer, server); err != nil {
+			return attempt{verdict: verdictLost, err: err, liveness: l}
+		}
 	}
 	if answer.Status >= http.StatusInternalServerError && whole {
 		return attempt{verdict: verdictFailed, status: answer.Status, header: answer.Header, body: body.Bytes()}
@@ -63,28 +64,12 @@
 	if _, err := io.Copy(q.w, answer.Body); err != nil {
 		return attempt{verdict: verdictCut, err: err}
 	}
-	if !q.provenWhole(ctx, answer, server) {
-		return attempt{verdict: verdictCut, err: errUnproven}
+	if l, err := q.proveWhole(ctx, answer, server); err != nil {
+		return attempt{verdict: verdictCut, err: err, liveness: l}
 	}
 	return attempt{verdict: verdictAnswered, status: answer.Status}
 }
 
-// errUnproven means that an answer ended with its connection, and that the backend server
-// may have ended too.
-var errUnproven = eris.New("gateway: answer ended with its connection, backend server does not listen")
-
-// provenWhole reports whether an answer that was read to its end is whole. Without a length
-// or chunks, the end of the server's process looks like the end of the answer, so the server
-// must still accept connections. The connection that shows it is used for a later request.
-func (q *request) provenWhole(ctx context.Context, answer *upstream.Answer, server *balance.Server) bool {
-	if answer.Framed() {
-		return true
-	}
-	q.answerEnded = clock.Now()
-	q.endLiveness = checkLiveness(ctx, server)
-	return q.endLiveness == upstream.Listening
-}
-
 // copyHeader copies the backend server's header fields to the answer.
 func (q *request) copyHeader(from http.Header) {
 	h := q.w.Header()
@@ -226,7 +211,7 @@
 	return e
 }
 
-func (q *request) logAnswer(ctx context.Context, number uint32) {
+func (q *request) logAnswer(number uint32) {
 	q.g.inst.answered(q.route.Name, q.firstAnswer)
 	e := q.addLogFields(q.log.Info()).Dur("first", q.firstAnswer)
 	if q.events > 0 {
@@ -234,8 +219,8 @@
 		e = e.Int("events", q.events).Dur("longest_gap", q.longestGap)
 	}
 	if q.unframed {
-		e = e.Bool("unframed", true).Stringer("liveness", q.endLiveness).Dur("liveness_age", clock.Since(q.answerEnded)).
-			AnErr("context", ctx.Err())
+		e = e.Bool("unframed", true).Stringer("liveness", q.endLiveness.State).Str("answered", q.endLiveness.Answered).
+			Dur("liveness_age", clock.Since(q.endLiveness.Began))
 	}
 	e.Uint32("attempt", number).Str("punctuality", q.timeliness()).Msg("request answered")
 }
@@ -262,8 +247,8 @@
 	if a.backoff > 0 {
 		e = e.Dur("rest", a.backoff)
 	}
-	if a.liveness != 0 {
-		e = e.Str("liveness", a.liveness.String()).Stringer("fingerprint", q.fingerprints()[0]).
+	if a.liveness.State != 0 {
+		e = e.Stringer("liveness", a.liveness.State).Str("answered", a.liveness.Answered).Stringer("fingerprint", q.fingerprints()[0]).
 			Str("method", q.r.Method).Str("target", q.r.RequestURI).Int("body_bytes", len(q.body)).Strs("prompt", q.g.adapter.PromptParts(q.r.Header))
 	}
 	if q.unframed {
--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -59,7 +59,7 @@
 	err     error
 	reason  contract.Reason
 	backoff time.Duration // backoff that the server requested
-	// liveness is the state of the backend server after a lost attempt, 0 = not checked.
+	// liveness is that of the backend server after a lost attempt, if it was checked.
 	liveness upstream.Liveness
 }
 
@@ -85,7 +85,7 @@
 		q.recordOutcome(ctx, choice.Server, &a)
 		q.quarantineAttempt.Release()
 		if a.verdict == verdictAnswered {
-			q.logAnswer(ctx, number)
+			q.logAnswer(number)
 			return
 		}
 		q.logAttempt(number, choice, a)
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -113,13 +113,13 @@
 		Version: 1, Routes: routes(), Services: services, Teams: []catalog.Team{{Name: "team", Keys: []string{"key"}}},
 	})}
 	for i := range backends {
-		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		id := fmt.Sprintf("b%d", i)
+		server := httptest.NewServer(identified(id, func(rw http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body) // a closed connection is only detected after the body was read
 			rw.Header().Set("T-Id", r.Header.Get("T-Id"))
 			answer(int(w.runs.Add(1)), rw, r)
 		}))
 		t.Cleanup(server.Close)
-		id := fmt.Sprintf("b%d", i)
 		store = append(store, item(t, "backends/"+id, balance.Info{
 			ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4,
 		}))
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -11,6 +11,7 @@
 	"baywall.example/entry/quarantine"
 	"baywall.example/entry/retry"
 	"baywall.example/entry/slotqueue"
+	"baywall.example/entry/upstream"
 )
 
 // gauges are the functions that are called to read gauge values when the metrics are
@@ -114,6 +115,11 @@
 	i.set.GetOrCreateCounter(fmt.Sprintf("baywall_attempts_total{service=%q,result=%q}", service, result)).Inc()
 }
 
+// unproven counts an answer that ended with its connection and is not known to be whole.
+func (i *instruments) unproven(service string, state upstream.State) {
+	i.set.GetOrCreateCounter(fmt.Sprintf("baywall_answers_unproven_total{service=%q,liveness=%q}", service, state)).Inc()
+}
+
 // backoffRequested counts a backend server's request for a backoff.
 func (i *instruments) backoffRequested(server string) {
 	i.set.GetOrCreateCounter(fmt.Sprintf("baywall_rests_total{server=%q}", server)).Inc()
--- a/entry/gateway/protocol.go
+++ b/entry/gateway/protocol.go
@@ -21,6 +21,7 @@
 	Deadline      string // time that the caller, or the backend server, has left, in whole milliseconds
 	Team          string // name of the team, set for backend servers
 	ExpectServer  string // id of the backend server that a request is addressed to
+	ServerID      string // in an answer: id of the backend server that gave it
 	NotRun        string // in an answer: the request did not run
 	Priority      string // set for backend servers, never accepted from callers
 	ExpectVersion string // set by gateways only, never accepted from callers
@@ -54,6 +55,9 @@
 	// TakesRequests reports whether the answer to a probe says that the server accepts
 	// requests.
 	TakesRequests(s *catalog.Service, status int, body []byte) bool
+	// IdentityTarget returns the path at which a backend server of the service, nil if it is
+	// not published, gives its id when it rejects a request that expects another server.
+	IdentityTarget(s *catalog.Service) string
 	// PromptParts returns the ids of the parts of a request's prompt in their order, nil if the
 	// caller does not name them or names them in a form that cannot be read.
 	PromptParts(h http.Header) []string
--- a/entry/gateway/quarantine.go
+++ b/entry/gateway/quarantine.go
@@ -18,10 +18,6 @@
 // the third crash. Package quarantine defines what counts as evidence.
 
 const (
-	// livenessTimeout bounds the check whether a backend server's process has ended: its
-	// host answers within a few milliseconds, and the request still has to be served
-	// elsewhere.
-	livenessTimeout = 200 * time.Millisecond
 	// maxSuspectPulls is the number of newly met gateways within suspectPullWindow from
 	// which a gateway pulls all suspects: each of them knows about the same.
 	maxSuspectPulls   = 3
@@ -98,28 +94,17 @@
 		q.g.suspects.Succeeded(q.fingerprints(), clock.Now())
 		return
 	}
-	a.liveness = q.livenessAfter(ctx, server, a.verdict)
-	if a.liveness != upstream.Ended {
+	if a.verdict != verdictLost && a.verdict != verdictCut || ctx.Err() != nil {
 		return
 	}
-	q.g.registry.Ended(server, clock.Now())
-	q.g.suspects.Ended(q.fingerprints(), &q.quarantineAttempt, quarantine.ServerKey(server.Incarnation()), clock.Now())
-}
-
-// livenessAfter checks whether the backend server of a lost attempt has ended. A server
-// that only stalled together with its group also cuts its answers, but accepts new
-// connections.
-func (q *request) livenessAfter(ctx context.Context, server *balance.Server, v verdict) upstream.Liveness {
-	if v != verdictLost && v != verdictCut || ctx.Err() != nil {
-		return 0
+	if a.liveness.State == 0 {
+		a.liveness = q.g.checkLiveness(ctx, server)
 	}
-	return checkLiveness(ctx, server)
-}
-
-func checkLiveness(ctx context.Context, server *balance.Server) upstream.Liveness {
-	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
-	defer cancel()
-	return server.Pool.Liveness(ctx)
+	if a.liveness.State != upstream.Ended {
+		return
+	}
+	q.g.recordEnded(server, a.liveness)
+	q.g.suspects.Ended(q.fingerprints(), &q.quarantineAttempt, quarantine.ServerKey(server.Incarnation()), clock.Now())
 }
 
 // peerUp pulls all known suspects from a gateway that was newly met. Heartbeats carry only
--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -119,8 +119,9 @@
 		Version: 1, Routes: routes(), Teams: []catalog.Team{{Name: "team", Keys: []string{"key"}}},
 	})}}
 	for i := range servers {
+		id := fmt.Sprintf("b%d", i)
 		m := &crashableServer{t: t, address: freeAddress(t)}
-		m.answer = http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		m.answer = identified(id, func(rw http.ResponseWriter, r *http.Request) {
 			body, _ := io.ReadAll(r.Body) // a closed connection is only detected after the body was read
 			r.Body = io.NopCloser(bytes.NewReader(body))
 			rw.Header().Set("T-Id", r.Header.Get("T-Id"))
@@ -135,7 +136,6 @@
 		})
 		m.start()
 		w.servers = append(w.servers, m)
-		id := fmt.Sprintf("b%d", i)
 		w.store = append(w.store, item(t, "backends/"+id, balance.Info{ID: id, Service: "s", Address: m.address, Slots: 8}))
 	}
 	t.Cleanup(func() {
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -85,8 +85,7 @@
 	sent           appliedState          // store state that was known when the attempt was made
 	serverLoad     int                   // load of the server from all gateways when it was picked, in requests
 	serverEventGap time.Duration         // pause between events of the server then, 0 = not known
-	answerEnded    time.Time             // when the end of the latest unframed answer was read
-	endLiveness    upstream.Liveness     // of its server after that
+	endLiveness    upstream.Liveness     // of the server after the end of the latest unframed answer
 	unframed       bool                  // the latest answer had neither a length nor chunks
 	firstAnswer    time.Duration
 	lastEvent      time.Time // when the latest event was sent to the caller
--- a/entry/gateway/retry_test.go
+++ b/entry/gateway/retry_test.go
@@ -28,13 +28,14 @@
 		Version: 1, Routes: routes(), Teams: []catalog.Team{{Name: "team", Keys: []string{"key"}}},
 	})}}
 	for i := range n {
-		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		id := fmt.Sprintf("b%d", i)
+		server := httptest.NewServer(identified(id, func(rw http.ResponseWriter, r *http.Request) {
 			b.runs.Add(1)
 			rw.Header().Set("T-Id", r.Header.Get("T-Id"))
 			answer(rw, r)
 		}))
 		t.Cleanup(server.Close)
-		b.list(t, fmt.Sprintf("b%d", i), strings.TrimPrefix(server.URL, "http://"))
+		b.list(t, id, strings.TrimPrefix(server.URL, "http://"))
 	}
 	return b
 }
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -88,17 +88,17 @@
 	flusher := http.NewResponseController(q.w)
 	for {
 		e, err := events.next()
-		if err == io.EOF && !q.provenWhole(ctx, answer, server) {
-			err = errUnproven
-		}
 		if err == io.EOF {
+			if l, err := q.proveWhole(ctx, answer, server); err != nil {
+				return brokenStream(s, attempt{err: err, liveness: l})
+			}
 			return q.endStream(answer, s)
 		}
 		if err != nil {
-			return brokenStream(s, err)
+			return brokenStream(s, attempt{err: err})
 		}
 		if ctx.Err() != nil {
-			return brokenStream(s, ctx.Err())
+			return brokenStream(s, attempt{err: ctx.Err()})
 		}
 		if !s.headerSent {
 			s.headerSent = true
@@ -178,9 +178,11 @@
 	return attempt{verdict: verdictAnswered}
 }
 
-func brokenStream(s *streamState, err error) attempt {
+// brokenStream returns the attempt with the verdict on a stream that did not end as a whole.
+func brokenStream(s *streamState, a attempt) attempt {
+	a.verdict = verdictLost
 	if s.headerSent {
-		return attempt{verdict: verdictCut, err: err}
+		a.verdict = verdictCut
 	}
-	return attempt{verdict: verdictLost, err: err}
+	return a
 }
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -58,9 +58,9 @@
 // Pool keeps the idle connections to one backend server. It is safe for
 // concurrent use.
 type Pool struct {
-	address       string
-	dialer        net.Dialer
-	livenessProbe livenessProbe
+	address  string
+	dialer   net.Dialer
+	liveness livenessChecks
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -257,22 +257,6 @@
 	is.Equal(idleTime(http.Header{}), defaultIdle)
 }
 
-func TestLivenessOfAServer(t *testing.T) {
-	is := is.New(t)
-	s := newServer(t, hello)
-	p := s.pool()
-	defer p.Close()
-	is.Equal(p.Liveness(t.Context()), Listening)
-	_, reused, err := do(p, request("1"))
-	is.NoErr(err)
-	is.True(reused) // the connection that the liveness probe opened
-	s.listener.Close()
-	is.Equal(p.Liveness(t.Context()), Ended)
-	over, cancel := context.WithCancel(t.Context())
-	cancel()
-	is.Equal(p.Liveness(over), Silent)
-}
-
 // A request whose check fails is not written, and its connection serves the next one.
 func TestARequestThatFailsItsCheckIsNotSent(t *testing.T) {
 	is := is.New(t)
