Take an unframed answer of an engine for whole only if its process still runs

An agent delivered half an answer as the whole one if its engine ended under an answer with neither a length nor chunks and was back at once: it only asked whether the host refuses connections.

Engines have no ids, so the proof is a connection: the one on which the load is read was opened before the request was sent, ends with the process, and still answers after the end was read. Otherwise the answer is refused as unknown.

--- a/agent/engine/conn.go
+++ b/agent/engine/conn.go
@@ -98,6 +98,13 @@
 	return nothing
 }
 
+// opened returns when the latest connection was opened. It must have got one.
+func (e *exchangeConns) opened() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.conns[len(e.conns)-1].opened
+}
+
 // String describes how the latest connection was used.
 func (e *exchangeConns) String() string {
 	e.mu.Lock()
--- a/agent/engine/ended.go
+++ b/agent/engine/ended.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -74,29 +75,47 @@
 	return eris.Wrapf(ErrFailed, "%v", cause)
 }
 
-// errUnproven means that an answer without a length or chunks ended, and the process with it.
-var errUnproven = errors.New("answer ended with its connection, nothing listens any more")
+// errUnproven means that an answer without a length or chunks ended, and that the process that
+// gave it is not known to have outlived it.
+var errUnproven = errors.New("answer ended with its connection, and its process is not known to run")
 
 // provenBody is the body of an answer that ends with its connection. Its end counts only if
-// the process still listens, as the end of the process looks the same.
+// the process that gave it still runs, as the end of the process looks the same.
 type provenBody struct {
 	io.ReadCloser
 	client *Client
 	ctx    context.Context
+	sent   time.Time // when the request was sent
 }
 
-// Read implements io.Reader. It returns an *EndedError in place of io.EOF if the process has
-// ended.
+// Read implements io.Reader. In place of io.EOF it returns an *EndedError if the process has
+// ended, and ErrFailed if this is not known.
 func (b provenBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != io.EOF {
+	if err != io.EOF || b.client.runsSince(b.ctx, b.sent) {
 		return n, err
 	}
-	var ended *EndedError
-	if failure := b.client.ClassifyFailure(b.ctx, errUnproven); errors.As(failure, &ended) {
-		return n, ended
+	return n, b.client.ClassifyFailure(b.ctx, errUnproven)
+}
+
+// runsSince reports whether the process that listens now is known to be the one that listened at
+// a time: it answers on the monitoring connection, which was opened before that time and would
+// have ended with the process.
+func (c *Client) runsSince(ctx context.Context, since time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+loadPath, nil)
+	if err != nil {
+		return false
+	}
+	var used exchangeConns
+	resp, err := c.monitor.RoundTrip(used.attach(req))
+	if err != nil {
+		return false
 	}
-	return n, err
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReportSize))
+	return err == nil && used.opened().Before(since)
 }
 
 // RefusesConnections reports whether the backend server's host refuses connections, which
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -24,6 +24,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"baywall.example/core/clock"
 	"baywall.example/core/notice"
 	"baywall.example/core/wire"
 )
@@ -77,6 +78,7 @@
 	address    string
 	keepAlive  *http.Transport
 	singleUse  *http.Transport
+	monitor    *http.Transport // has one connection, which is kept open
 	endCounter endCounter
 }
 
@@ -97,6 +99,7 @@
 	}
 	c.keepAlive = &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
 	c.singleUse = &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	c.monitor = &http.Transport{DialContext: dial, MaxConnsPerHost: 1, DisableCompression: true}
 	return c
 }
 
@@ -128,6 +131,7 @@
 		transport = c.singleUse
 	}
 	var used exchangeConns
+	sent := clock.Now()
 	resp, err := transport.RoundTrip(used.attach(req))
 	if err != nil {
 		if used.abandon() {
@@ -141,7 +145,7 @@
 		return nil, eris.Wrapf(ErrWrongRequest, "sent %s, got %s", r.ID, echo)
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		resp.Body = provenBody{resp.Body, c, ctx}
+		resp.Body = provenBody{ReadCloser: resp.Body, client: c, ctx: ctx, sent: sent}
 	}
 	return resp, nil
 }
@@ -153,10 +157,14 @@
 	Load    float64 `json:"load"` // 0 = idle, 1 = full
 }
 
-// Load reads the backend server's load.
+// loadPath is the path of a backend server's load.
+const loadPath = "/baywall/load"
+
+// Load reads the backend server's load. It uses the monitoring connection, which is open as long
+// as the load is read more often than the server closes idle connections.
 func (c *Client) Load(ctx context.Context) (Load, error) {
 	var l Load
-	return l, c.exchange(ctx, http.MethodGet, "/baywall/load", nil, &l)
+	return l, c.exchange(ctx, c.monitor, http.MethodGet, loadPath, nil, &l)
 }
 
 // ExpertState is an engine's report of its expert maps.
@@ -211,16 +219,16 @@
 // Observe reads the engine's expert state, with token counts if counts is true.
 func (c *Client) Observe(ctx context.Context, counts bool) (ExpertState, error) {
 	var s ExpertState
-	return s, c.exchange(ctx, http.MethodGet, fmt.Sprintf("/baywall/experts?counts=%t", counts), nil, &s)
+	return s, c.exchange(ctx, c.keepAlive, http.MethodGet, fmt.Sprintf("/baywall/experts?counts=%t", counts), nil, &s)
 }
 
 // Order sends an order and returns the state after it.
 func (c *Client) Order(ctx context.Context, o Order) (ExpertState, error) {
 	var s ExpertState
-	return s, c.exchange(ctx, http.MethodPost, "/baywall/experts", o, &s)
+	return s, c.exchange(ctx, c.keepAlive, http.MethodPost, "/baywall/experts", o, &s)
 }
 
-func (c *Client) exchange(ctx context.Context, method, path string, in, out any) error {
+func (c *Client) exchange(ctx context.Context, transport *http.Transport, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var body []byte
@@ -235,7 +243,7 @@
 	if err != nil {
 		return eris.Wrapf(ErrFailed, "%s: %v", path, err)
 	}
-	resp, err := c.keepAlive.RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return eris.Wrapf(ErrFailed, "%s: %v", path, err)
 	}
