--- a/standin/soak/cmd/soak/faults.go
+++ b/standin/soak/cmd/soak/faults.go
@@ -94,6 +94,7 @@
 	{surgeName, true, (*faults).surge},
 	{"lethal prompt part", false, (*faults).sendLethalPart},
 	{"unframed answers", true, (*faults).answerUnframed},
+	{"backend server back at once", false, (*faults).restartAtOnce},
 }
 
 // focused returns the kinds whose names contain one of the words.
--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -45,6 +45,8 @@
 	// lethalPartSeed has prompts with a part that ends backend servers, and answers that end
 	// with their connection, while gateways are killed.
 	lethalPartSeed = 101
+	// restartSeed has backend servers that crash under half sent answers and are back at once.
+	restartSeed = 60
 )
 
 // Runs the real programs as processes for a short time, with the same faults each time.
@@ -69,6 +71,8 @@
 		}
 		return r
 	}
+	o.focus, o.kinds = "back at once", 29
+	runOne(t, restartSeed, o)
 	o.focus, o.kinds = "lethal,unframed,killed", 28
 	if r := runOne(t, lethalPartSeed, o); r.quarantined == 0 {
 		t.Error("no request ended three servers")
--- a/standin/soak/cmd/soak/world.go
+++ b/standin/soak/cmd/soak/world.go
@@ -265,8 +265,23 @@
 const lethalDown = 2 * time.Second
 
 // startRunner starts a new incarnation of a backend server, under a new id unless one is
-// given, and lists it in the store.
+// given, and lists it in the store. Connections from before are closed.
 func (w *world) startRunner(i int, id string) error {
+	r, err := w.launchRunner(i, id)
+	if err != nil {
+		return err
+	}
+	relay := w.backends[i].relay
+	relay.down() // it may still be listening
+	if err := relay.up(); err != nil {
+		return err
+	}
+	w.list(i, r, false)
+	return nil
+}
+
+// launchRunner starts a new incarnation of a backend server at its address.
+func (w *world) launchRunner(i int, id string) (*standin.Runner, error) {
 	b := w.backends[i]
 	idReused := id != ""
 	if !idReused {
@@ -276,19 +291,14 @@
 	r := standin.NewRunner(id, b.service, slots, w.ledger, b.group, b.rank)
 	r.OnLethal = w.onLethal(i, r)
 	if err := r.Start(b.address); err != nil {
-		return err
-	}
-	b.relay.down() // it may still be listening
-	if err := b.relay.up(); err != nil {
-		return err
+		return nil, err
 	}
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.runner = r
 	b.incarnations = append(b.incarnations, r)
 	b.idReused = idReused
-	b.mu.Unlock()
-	w.list(i, r, false)
-	return nil
+	return r, nil
 }
 
 func (w *world) list(i int, r *standin.Runner, draining bool) {
