Skip answers without an id on connections that have carried a request

On a reused connection an answer counts only if it bears the id of the request, or is a rejection, which servers may give before they have read the request. On a new connection nothing can be left over.

The server of the slot queue's tests did not echo ids, unlike any server of the platform; it does now. TestWaitingCountsOfADeadGatewayExpire failed without that.

--- a/entry/gateway/dispatch.go
+++ b/entry/gateway/dispatch.go
@@ -211,6 +211,7 @@
 		return q.classify(ctx, c, attempt{verdict: lostOrNotSent(err), err: err, reason: contract.ReasonEngineUnreachable})
 	}
 	defer answer.Close()
+	q.recordSkipped(answer)
 	reported := q.g.receiveNotice(c.Server, answer, sent, viaRequest)
 	if a, done := q.rejection(answer); done {
 		a.backoff = reported.Backoff
@@ -235,6 +236,15 @@
 	return q.classify(ctx, c, a)
 }
 
+// recordSkipped records answers on the connection that did not belong to the request.
+func (q *request) recordSkipped(answer *upstream.Answer) {
+	if answer.Skipped == 0 {
+		return
+	}
+	q.g.inst.skipped.Add(answer.Skipped)
+	q.addLogFields(q.log.Warn()).Int("skipped", answer.Skipped).Msg("answers that belong to no request skipped")
+}
+
 // recordFirstAnswer records the first answer to an attempt, or the first event of a stream.
 func (q *request) recordFirstAnswer(c balance.Choice, began time.Time) {
 	now := clock.Now()
@@ -304,7 +314,7 @@
 	}
 	return &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
-		IDHeader: q.g.headers.RequestID, Fresh: !q.route.Idempotent(),
+		IDHeader: q.g.headers.RequestID, Rejects: q.g.rejects, Fresh: !q.route.Idempotent(),
 		Check: func() error {
 			err := q.checkAtSend(ctx, c.Server)
 			*sent = clock.Now()
@@ -313,17 +323,24 @@
 	}
 }
 
+// rejects reports whether an answer says that the request did not run.
+func (g *Gateway) rejects(status int, h http.Header) bool {
+	if status == http.StatusMisdirectedRequest {
+		return true
+	}
+	return h.Get(g.headers.NotRun) != "" && (status >= http.StatusInternalServerError || status == http.StatusTooManyRequests)
+}
+
 // rejection recognizes an answer which says that the request did not run.
 func (q *request) rejection(answer *upstream.Answer) (attempt, bool) {
-	notRun := answer.Header.Get(q.g.headers.NotRun) != ""
-	switch {
-	case answer.Status == http.StatusMisdirectedRequest:
-		return attempt{verdict: verdictRejected, status: answer.Status, reason: contract.ReasonAgentReplaced}, true
-	case notRun && answer.Status >= http.StatusInternalServerError, notRun && answer.Status == http.StatusTooManyRequests:
-		return attempt{verdict: verdictRejected, status: answer.Status, reason: contract.ReasonOverload}, true
-	default:
+	if !q.g.rejects(answer.Status, answer.Header) {
 		return attempt{}, false
 	}
+	reason := contract.ReasonOverload
+	if answer.Status == http.StatusMisdirectedRequest {
+		reason = contract.ReasonAgentReplaced
+	}
+	return attempt{verdict: verdictRejected, status: answer.Status, reason: reason}, true
 }
 
 // splitList splits a header's comma-separated value.
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -40,6 +40,7 @@
 	callerLeft     *metrics.Counter
 	resumed        *metrics.Counter
 	retries        *metrics.Counter
+	skipped        *metrics.Counter
 }
 
 func newInstruments(g gauges) *instruments {
@@ -69,6 +70,7 @@
 		callerLeft:     set.NewCounter("baywall_callers_left_total"),
 		resumed:        set.NewCounter("baywall_streams_resumed_total"),
 		retries:        set.NewCounter("baywall_retries_total"),
+		skipped:        set.NewCounter("baywall_answers_skipped_total"),
 	}
 }
 
--- a/entry/gateway/slotqueue_test.go
+++ b/entry/gateway/slotqueue_test.go
@@ -27,7 +27,10 @@
 // have that priority and the objective.
 func startQueue(t *testing.T, objective time.Duration, answer http.HandlerFunc) *testGateway {
 	t.Helper()
-	server := httptest.NewServer(answer)
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("T-Id", r.Header.Get("T-Id"))
+		answer(rw, r)
+	}))
 	t.Cleanup(server.Close)
 	var routes []catalog.Route
 	for priority, name := range []string{"p0", "p1", "p2"} {
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -41,6 +41,10 @@
 	Body   []byte
 	// IDHeader names the header whose echo in an answer identifies the request.
 	IDHeader string
+	// Rejects reports whether an answer rejects a request without running it. Only such an
+	// answer may lack the id of the request, as it may be given before the request is read.
+	// Nil means that no answer may.
+	Rejects func(status int, h http.Header) bool
 	// Fresh requests a new connection: an idle one may be closing, and then it
 	// cannot be told whether the request ran.
 	Fresh bool
@@ -61,6 +65,8 @@
 	Opened time.Time
 	// Length is the announced length in bytes, -1 if none was announced.
 	Length int64
+	// Skipped is the number of answers that did not belong to the request and came before.
+	Skipped int
 
 	pool    *Pool
 	conn    *conn
@@ -129,12 +135,13 @@
 	for range maxStaleAnswers {
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return eris.Wrapf(ErrLost, "read from %s: %v", a.pool.address, err)
+			return eris.Wrapf(ErrLost, "read from %s after %d other answers: %v", a.pool.address, a.Skipped, err)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim answer
 		}
-		if echo := resp.Header.Get(r.IDHeader); echo != "" && echo != r.Header.Get(r.IDHeader) {
+		if !r.answeredBy(resp, a.Reused) {
+			a.Skipped++
 			if err := skip(resp); err != nil {
 				return eris.Wrapf(ErrLost, "answer to another request from %s: %v", a.pool.address, err)
 			}
@@ -146,7 +153,18 @@
 	return eris.Wrapf(ErrLost, "%s: only answers to other requests", a.pool.address)
 }
 
-// skip reads over an answer that belongs to an earlier request.
+// answeredBy reports whether an answer belongs to the request. One that bears no id may be left
+// over from an earlier request, or be additional bytes of a faulty server, on a connection that
+// has carried one.
+func (r *Request) answeredBy(resp *http.Response, reused bool) bool {
+	id, echo := r.Header.Get(r.IDHeader), resp.Header.Get(r.IDHeader)
+	if echo != "" || id == "" || !reused {
+		return echo == "" || echo == id
+	}
+	return r.Rejects != nil && r.Rejects(resp.StatusCode, resp.Header)
+}
+
+// skip reads over an answer that does not belong to the request.
 func skip(resp *http.Response) error {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return errors.New("body is delimited by the end of the connection")
--- a/entry/upstream/liveness_test.go
+++ b/entry/upstream/liveness_test.go
@@ -15,8 +15,8 @@
 
 // misdirected rejects each request, and gives the id if it is not empty.
 func misdirected(id string) func(int, *http.Request, net.Conn) bool {
-	return func(_ int, _ *http.Request, c net.Conn) bool {
-		_, _ = fmt.Fprint(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n")
+	return func(_ int, r *http.Request, c net.Conn) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n%s: %s\r\n", idHeader, r.Header.Get(idHeader))
 		if id != "" {
 			_, _ = fmt.Fprintf(c, "Server-Id: %s\r\n", id)
 		}
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -257,6 +257,49 @@
 	is.Equal(idleTime(http.Header{}), defaultIdle)
 }
 
+// A faulty server's additional bytes, or a late second answer to a probe, were taken for the answer
+// to the next request on the connection, as they bear no id.
+func TestAnswerWithoutAnIDIsNotTheAnswerToTheNextRequest(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, func(n int, r *http.Request, c net.Conn) bool {
+		if n > 1 { // it arrives once the next request was sent
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+		_, _ = io.WriteString(c, whole(r, "hello "+r.Header.Get(idHeader)))
+		return true
+	})
+	p := s.pool()
+	defer p.Close()
+	for i := range 3 {
+		body, _, err := do(p, request(fmt.Sprint(i)))
+		is.NoErr(err)
+		is.Equal(body, fmt.Sprint("hello ", i))
+	}
+}
+
+// A rejection is given before the request has been read, so it may bear no id.
+func TestRejectionWithoutAnIDIsAnAnswer(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, func(n int, r *http.Request, c net.Conn) bool {
+		if n == 1 {
+			return hello(n, r, c)
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	p := s.pool()
+	defer p.Close()
+	r := request("1")
+	r.Rejects = func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
+	_, _, err := do(p, r)
+	is.NoErr(err)
+	a, err := p.Do(t.Context(), r)
+	is.NoErr(err)
+	is.True(a.Reused)
+	is.Equal(a.Status, http.StatusServiceUnavailable)
+	a.Close()
+}
+
 // A request whose check fails is not written, and its connection serves the next one.
 func TestARequestThatFailsItsCheckIsNotSent(t *testing.T) {
 	is := is.New(t)
