List when a watch's answer is larger, or slower, than a watch can take

The answer to the watch, 20 MB, was cut off at 16 MiB, did not decode, counted as an outage, and was asked for again until the store dropped its history.

--- a/core/source/follower.go
+++ b/core/source/follower.go
@@ -157,6 +157,12 @@
 		f.Log.Warn().Err(err).Str("prefix", f.Prefix).Uint64("era", f.view.at.Term).Uint64("revision", f.view.at.Revision).
 			Int("in_a_row", f.noProgress).Msg("watch history lost, listing again")
 		return relistPause(f.noProgress, f.role())
+	case errors.Is(err, ErrBacklog):
+		f.noProgress++
+		f.relist = true
+		f.Log.Warn().Err(err).Str("prefix", f.Prefix).Uint64("era", f.view.at.Term).Uint64("revision", f.view.at.Revision).
+			Int("in_a_row", f.noProgress).Msg("too many events for a watch, listing")
+		return relistPause(f.noProgress, f.role())
 	case errors.Is(err, errEmptyWatch):
 		f.noProgress++
 		if f.noProgress == 1 {
--- a/core/source/follower_test.go
+++ b/core/source/follower_test.go
@@ -87,6 +87,21 @@
 	is.Equal(updates[1].Revision, uint64(9))
 }
 
+// A follower whose watch could not return all events of an outage watched from the same position
+// again, until the store dropped its history.
+func TestBacklogIsListed(t *testing.T) {
+	is := is.New(t)
+	updates, calls := follow(
+		step{items: []Item{item("a", 1)}, revision: 1},
+		step{err: ErrUnavailable},
+		step{err: ErrBacklog},
+		step{items: []Item{item("a", 9)}, revision: 9},
+	)
+	is.Equal(calls[:4], []string{"list", "watch", "watch", "list"})
+	is.Equal(updates[1].Revision, uint64(9))
+	is.True(updates[1].MissingGrace > 0) // the outage ended with the list
+}
+
 func TestAnOlderListIsIgnored(t *testing.T) {
 	is := is.New(t)
 	updates, _ := follow(
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -12,6 +12,9 @@
 	// ErrHistoryLost means that the events after a position are no longer available, or
 	// never existed in the store's present term: list again.
 	ErrHistoryLost = eris.New("source: history lost")
+	// ErrBacklog means that the store has events after a position, but more than a watch can
+	// return: list again.
+	ErrBacklog = eris.New("source: too many events for a watch")
 	// ErrUnavailable means that the store gave no usable answer.
 	ErrUnavailable = eris.New("source: unavailable")
 )
