Read the lines of events whole that are longer than the read buffer

The end of such a line was read as a line of its own: data that happened to begin with "id:" there set the event's id, and a line that filled the buffer exactly ended the event at its own line break. A stream that is resumed or cut just there would have lost or repeated a part.

--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -52,9 +52,10 @@
 func (r *eventReader) next() (event, error) {
 	r.buf = r.buf[:0]
 	var id string
+	lineStart := 0 // in buf; a line may be longer than the read buffer
 	for {
-		line, err := r.in.ReadSlice('\n')
-		r.buf = append(r.buf, line...)
+		part, err := r.in.ReadSlice('\n')
+		r.buf = append(r.buf, part...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(r.buf) < maxEvent {
 			continue
 		}
@@ -67,13 +68,15 @@
 		if len(r.buf) > maxEvent {
 			return event{}, errEvent
 		}
+		line := r.buf[lineStart:]
 		text := bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			id = string(bytes.TrimPrefix(value, []byte(" ")))
 		}
-		if len(text) == 0 && len(r.buf) > len(line) {
+		if len(text) == 0 && lineStart > 0 {
 			return event{raw: r.buf, id: id}, nil
 		}
+		lineStart = len(r.buf)
 	}
 }
 
