--- a/entry/gateway/protocol.go
+++ b/entry/gateway/protocol.go
@@ -14,7 +14,8 @@
 )
 
 // Headers are the names of the header fields that callers and backend servers use. An empty
-// name means that the field is not used.
+// name means that the field is not used. Without ExpectServer and ServerID, answers with neither
+// a length nor chunks cannot be proven whole, and are not delivered.
 type Headers struct {
 	RequestID     string // id that the caller gave this attempt, echoed by backend servers
 	APIKey        string // the caller's key, never forwarded
--- a/entry/upstream/liveness.go
+++ b/entry/upstream/liveness.go
@@ -30,8 +30,8 @@
 // that there was no check.
 type Liveness struct {
 	State State
-	// Began is when the check began. An incarnation that is Alive ran at this time or later, so
-	// what it sent before it was not cut short by its end.
+	// Began is when the check began. An incarnation that is Alive still ran then, so an answer
+	// whose end had been read before was not cut short by the end of its server.
 	Began time.Time
 	// Answered is the id of the incarnation that answered at the address, empty if none did or
 	// it did not give its id.
@@ -40,8 +40,8 @@
 	Err error
 }
 
-// IdentityQuery asks a server which incarnation it is. Servers reject a request that expects
-// another incarnation than theirs with 421 (Misdirected Request); they neither run it nor queue it.
+// IdentityQuery asks a server which incarnation it is. A server rejects a request that expects
+// another incarnation with 421 (Misdirected Request), without running or queueing it.
 type IdentityQuery struct {
 	Target string // path and query of a health check
 	// ServerID is the id of the incarnation that is checked.
@@ -65,10 +65,10 @@
 	maxIdentityBody = 64 << 10
 )
 
-// livenessChecks is the check of a pool's server that has not begun yet, if any.
+// livenessChecks holds the check that callers may still join.
 type livenessChecks struct {
 	mu   sync.Mutex
-	next *livenessCheck
+	next *livenessCheck // nil if none is about to begin
 }
 
 // livenessCheck is a check that serves several callers.
@@ -78,8 +78,8 @@
 }
 
 // Liveness finds out whether the incarnation in the query still runs. The check begins after the
-// call, and concurrent calls share it, as each check costs the server a connection. It ends
-// within livenessBatch and livenessTimeout.
+// call, and concurrent calls share it, as each check costs the server a connection. It takes at
+// most livenessBatch + livenessTimeout.
 func (p *Pool) Liveness(ctx context.Context, q IdentityQuery) Liveness {
 	p.liveness.mu.Lock()
 	check := p.liveness.next
