--- a/core/ratelimit/gate.go
+++ b/core/ratelimit/gate.go
@@ -132,21 +132,8 @@
 	return s, nil
 }
 
-// requestPermit requests one permit. It returns once the context has ended; a permit that is
-// granted afterwards is not used.
+// requestPermit requests one permit.
 func (g *Gate) requestPermit(ctx context.Context, s *serverState, limit Observation) error {
-	result := make(chan error, 1)
-	go func() { result <- g.completeRequest(ctx, s, limit) }() // takes at most permitTimeout
-	select {
-	case err := <-result:
-		return err
-	case <-ctx.Done():
-		return ErrClosed
-	}
-}
-
-// completeRequest requests one permit and records the answer for all callers.
-func (g *Gate) completeRequest(ctx context.Context, s *serverState, limit Observation) error {
 	grant, answered := g.requestFromGrantor(ctx, limit)
 	switch {
 	case !answered:
