Log the switch orders that a rank accepts, with digests of the map

Cause: only refused orders are logged, so what a rank was ordered cannot be read from its log. Change: one line for each accepted prepare, hold, commit and release with version, step, epoch, group, coordinator and fence; a prepare has the digests of the map and of the rank's part, and whether it came whole or as changes to which version. A repeated order is not logged again, reads not at all. Refused orders have the same fields, and changes to an unknown map are logged as refused, too. Result: TestOrdersAreLoggedOnceWithDigestsOfTheirMap passes, and fails if repeated orders are logged; go test ./agent/group passes.

--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -136,6 +136,7 @@
 	member  *mapswitch.Member
 	maps    mapCache
 	targets targetCache
+	orders  orderLog
 	calls   conc.WaitGroup // to other agents
 
 	observedFences map[string]uint64 // highest fencing numbers seen by this agent's coordinators
@@ -283,14 +284,12 @@
 	s.recordOrder(w)
 	o, ok := s.decode(w)
 	if !ok {
-		return &wire.SwitchReply{Reason: "changes to a map that is not known", BaseUnknown: true, Fence: s.member.Promised()}
+		r := mapswitch.Reply{Reason: "changes to a map that is not known", BaseUnknown: true, Fence: s.member.Promised()}
+		s.logOrder(w, o, r)
+		return &wire.SwitchReply{Reason: r.Reason, BaseUnknown: r.BaseUnknown, Fence: r.Fence}
 	}
 	r := s.member.Handle(ctx, o)
-	if !r.OK {
-		s.env.Log.Info().Str("group", w.GetGroup()).Str("coordinator", w.GetCoordinator()).Str("phase", o.Phase.String()).
-			Uint64("version", o.Version).Uint64("step", o.Step).Uint64("fence", o.Fence).Bool("superseded", r.Superseded).
-			Str("reason", r.Reason).Msg("switch order refused")
-	}
+	s.logOrder(w, o, r)
 	if r.OK && o.Phase != mapswitch.PhaseRead {
 		s.env.Recorder.Record(timeline.Event{
 			Kind: timeline.KindMapSwitch, Group: w.GetGroup(), Subject: w.GetCoordinator(), Choice: o.Phase.String(),
