Log a coordinator's base map and proposals with their digests

Cause: a log does not say which content a coordinator takes for the version in use, nor what it proposed. Change: map in use known (source sent, initial or assembled) once for each version, and map proposed, both with version, digest, fence and epoch. Coordinator.Epoch and Coordinator.Target provide them. Result: go test ./agent/group ./agent/mapswitch pass; the lines have no test of their own.

--- a/agent/group/coordinate.go
+++ b/agent/group/coordinate.go
@@ -41,6 +41,8 @@
 
 	lastLogged     time.Time // when the group's state was last logged
 	lastLoggedStep uint64    // the group's step at that time
+	baseLogged     bool      // loggedBase is set
+	loggedBase     uint64    // version of the map in use that was last logged
 }
 
 // answer is one rank's reply to one order.
@@ -177,6 +179,7 @@
 func (l *leadership) currentMap(c *pollResult) (expertmap.Map, bool) {
 	if m, ok := l.maps.get(c.active); ok {
 		l.placement = false
+		l.logBaseMap(m, mapSent)
 		return m, true
 	}
 	if c.active == initialVersion && l.set.env.InitialMap != nil {
@@ -190,6 +193,7 @@
 	if ok {
 		l.maps.add(m)
 		l.placement = false
+		l.logBaseMap(m, mapAssembled)
 	}
 	return m, ok
 }
@@ -207,6 +211,7 @@
 		return expertmap.Map{}, false
 	}
 	l.maps.add(m)
+	l.logBaseMap(m, mapInitial)
 	return m, true
 }
 
--- a/agent/group/plan.go
+++ b/agent/group/plan.go
@@ -82,5 +82,7 @@
 		return
 	}
 	l.record(timeline.KindMapPlan, "switch", reason)
-	l.coord.Propose(res.Map, now)
+	if l.coord.Propose(res.Map, now) {
+		l.logProposal(l.coord.Target(), p.from, res.Moves)
+	}
 }
--- a/agent/mapswitch/coordinator.go
+++ b/agent/mapswitch/coordinator.go
@@ -147,6 +147,13 @@
 // Step returns the step of the latest switch.
 func (c *Coordinator) Step() uint64 { return c.step }
 
+// Epoch returns the group's epoch as all ranks reported it when they were read.
+func (c *Coordinator) Epoch() uint64 { return c.epoch }
+
+// Target returns the map of the latest switch. It has no layers if an earlier coordinator
+// began that switch.
+func (c *Coordinator) Target() expertmap.Map { return c.target }
+
 // InEffect reports whether a rank that uses the version has made the latest switch. Until
 // all ranks have, no other switch can be prepared.
 func (c *Coordinator) InEffect(active uint64) bool {
