Log when a rank's map in use changes, and what it holds then

Cause: the first pass with a map and the content that the rank reports for it are in no log. Change: map in use changed (first report that shows the version) and, once counts are next read, experts of the map in use read with the digest of the rank's lists. A settled order has its epoch. Result: TestChangesOfTheMapInUseAreLoggedOnce passes, and fails if older reports are not ignored; go test ./agent/rank ./agent/rankserver pass.

--- a/agent/rank/engine.go
+++ b/agent/rank/engine.go
@@ -131,6 +131,7 @@
 		if e.placement, err = e.api.Placement(ctx); err != nil {
 			return err
 		}
+		e.logPlacement()
 	}
 	s.ActiveMap = e.placement.Layers
 	s.Active = e.placement.Version
@@ -328,7 +329,7 @@
 		if settled {
 			e.pending = nil
 			e.log.Info().Str("order", o.Kind.String()).Uint64("version", o.Version).Uint64("step", o.Step).
-				AnErr("refused", err).Msg("order settled")
+				Uint64("epoch", o.Epoch).AnErr("refused", err).Msg("order settled")
 			return nil
 		}
 	}
--- a/agent/rankserver/label.go
+++ b/agent/rankserver/label.go
@@ -39,6 +39,7 @@
 // the slowdown of the rank.
 func (r *Server) applyReport(report rank.Report, err error) {
 	before := r.directory.getLabel()
+	r.mapInUse.observe(report, err, r.log)
 	if err == nil && report.Group != "" {
 		// The rank number is known while the group is still forming. Successors read the
 		// configuration from then on; reading it only once the group was open took up to
--- a/agent/rankserver/server.go
+++ b/agent/rankserver/server.go
@@ -119,6 +119,7 @@
 	slow           bool      // as last reported to gateways; set by applyReport
 	formed         time.Time // when the local rank's group was formed; set by applyReport
 	ungrouped      bool      // the local rank's last report was of no formed group; set by applyReport
+	mapInUse       mapInUse  // set by applyReport
 	successor      atomic.Bool
 	agentAddresses atomic.Pointer[[]string] // where other agents are expected
 
