Count maps whose content is not what was ordered

Cause: nothing counts a rank that holds other experts than it was ordered to. Change: counter baywall_map_mismatches_total on the metrics address of a rank's agent, handed to package group as Environment.MapMismatches. Nothing increments it yet; the check of a map's content will. Result: go test ./agent/group ./agent/rankserver pass; no test of its own, as it has no use yet.

--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -128,6 +129,9 @@
 	// RequestHold requests other VMs, which have no rank, to order the rank of a VM to
 	// hold a step in an epoch. It is nil if there are no such VMs.
 	RequestHold func(rank vm.VM, epoch, step uint64)
+	// MapMismatches counts the maps whose content on this rank was not what was ordered.
+	// Default a counter that no metrics address serves.
+	MapMismatches *metrics.Counter
 }
 
 // Set holds the groups of one agent.
@@ -158,6 +162,9 @@
 // NewSet returns the groups of an agent; Run starts them.
 func NewSet(env Environment) *Set {
 	env.Timing.provision()
+	if env.MapMismatches == nil {
+		env.MapMismatches = &metrics.Counter{}
+	}
 	return &Set{
 		env:            env,
 		member:         mapswitch.NewMember(env.Engine, env.Incarnation),
--- a/agent/rankserver/server.go
+++ b/agent/rankserver/server.go
@@ -155,7 +155,7 @@
 	r.groups = group.NewSet(group.Environment{
 		VM: id, Incarnation: r.incarnation, Engine: rank.NewEngine(r.api, r.directory.shape, log),
 		Pool: r.pool, Directory: r.directory, Recorder: r.recorder, Log: log, Timing: timing, InitialMap: a.InitialMap,
-		RequestHold: r.requestHold,
+		RequestHold: r.requestHold, MapMismatches: r.set.NewCounter("baywall_map_mismatches_total"),
 	})
 	r.set.NewGauge("baywall_peers", func() float64 { return float64(len(node.Live())) })
 	r.set.NewGauge("baywall_link_bytes", func() float64 { return float64(r.traffic.Load()) })
