Log the step of a switch order only where it has one

Cause: an order to prepare carries the step of the switch before it, which misleads in a log. Change: the lines of prepare orders have no step. Result: go test ./agent/group passes.

--- a/agent/group/orderlog.go
+++ b/agent/group/orderlog.go
@@ -44,9 +44,11 @@
 		return
 	}
 	event := s.env.Log.Info().Str("group", w.GetGroup()).Str("coordinator", w.GetCoordinator()).Str("phase", o.Phase.String()).
-		Uint64("version", o.Version).Uint64("step", o.Step).Uint64("epoch", o.Epoch).Uint64("fence", o.Fence)
+		Uint64("version", o.Version).Uint64("epoch", o.Epoch).Uint64("fence", o.Fence)
 	if o.Phase == mapswitch.PhasePrepare {
 		s.addMapFields(event, w, o.Map)
+	} else {
+		event.Uint64("step", o.Step)
 	}
 	if !r.OK {
 		event.Bool("superseded", r.Superseded).Str("reason", r.Reason).Msg("switch order refused")
