Reproduce ranks with different maps of one version

Cause: a version is taken for the identity of a map, but two coordinators can assign one version to two maps, and changes are applied to another layout of their base than the one they were computed from.

Change: one small test for each of these. The world of unfenced ranks can now delay the report of a prepared version, let coordinators start in one millisecond, set wall clocks apart, stop the steps of a group, keep late orders in flight and replace a hold by a second one. All of these are off in the existing tests, whose schedules are unchanged.

--- /dev/null
+++ b/agent/mapswitch/content_test.go
@@ -0,0 +1,142 @@
+package mapswitch_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baywall.example/agent/mapswitch"
+	"baywall.example/agent/rank"
+	"baywall.example/core/expertmap"
+)
+
+// newScriptedWorld returns two ranks that copy experts until the test ends the copies, and the
+// coordinator on rank 0, whose clock is ahead.
+func newScriptedWorld(ahead time.Duration) *rankWorld {
+	w := newRankWorld(2, rankBugs{}, conditions{slowCopies: true}, func(int) int { return 0 })
+	w.ranks[0].skew, w.maxPlans = ahead, 0
+	w.coords = nil
+	w.lead(0)
+	return w
+}
+
+// exchange delivers all orders, except those to a rank that is cut off, and their replies.
+func (w *rankWorld) exchange(cutOff int) {
+	w.tick()
+	for len(w.orders) > 0 {
+		if w.orders[0].rank == cutOff {
+			w.orders = w.orders[1:]
+			continue
+		}
+		w.deliverOrder(0, false)
+	}
+	for len(w.replies) > 0 {
+		w.deliverReply(0)
+	}
+}
+
+// finish ends all copies and lets the group run without faults.
+func (w *rankWorld) finish() {
+	for range 60 {
+		for _, r := range w.ranks {
+			if r.copying.version != 0 {
+				r.copied()
+			}
+		}
+		w.exchange(-1)
+		w.advance()
+	}
+}
+
+// A coordinator whose clock is ahead has a rank copy a second version. Agents restart meanwhile,
+// and the next coordinator, with a smaller fencing number, sees the first version only.
+func TestARankThatCopiesAnotherMapOfTheVersionIsNotPrepared(t *testing.T) {
+	is := is.New(t)
+	w := newScriptedWorld(10 * time.Second)
+	w.exchange(-1)
+	w.propose(w.coords[0])
+	w.exchange(-1)
+	w.ranks[0].copied()
+	w.ranks[1].copied()
+	w.propose(w.coords[0])
+	w.exchange(1)
+	w.restart(0)
+	w.restart(1)
+	w.coords = nil
+	w.lead(1)
+	w.exchange(-1)
+	w.propose(w.coords[0])
+	w.finish()
+	is.True(!w.mixed)
+	is.Equal(w.ranks[0].inUse, w.ranks[1].inUse)
+}
+
+// versionsOf returns the versions that a coordinator assigns to three maps, each of which replaces
+// the one before. The ranks report no version, as no copy is complete.
+func versionsOf(c *mapswitch.Coordinator, now time.Time) (out []uint64) {
+	for _, o := range c.Tick(now) {
+		c.Receive(o.Rank, o.Order, mapswitch.Reply{OK: true, Fence: c.Fence()}, now)
+	}
+	for range 3 {
+		c.Propose(expertmap.Map{}, now)
+		out = append(out, c.Tick(now)[0].Order.Version)
+	}
+	return out
+}
+
+// Two ranks take over from a coordinator before either has read the other one. If its clock was
+// ahead, or if both start in one millisecond, the counters of their fencing numbers are equal.
+func TestOneVersionNeverNamesTwoMaps(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	cases := []struct {
+		name  string
+		ahead time.Duration // of the predecessor's clock
+		apart time.Duration // between the two starts
+	}{
+		{"predecessor with a clock ahead", 10 * time.Second, 200 * time.Millisecond},
+		{"starts in one millisecond", 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			before := mapswitch.NextFence(0, 0, now.Add(c.ahead))
+			start := func(rank int, at time.Time) []uint64 {
+				return versionsOf(mapswitch.NewCoordinator(3, mapswitch.NextFence(before, rank, at), mapswitch.Timing{}, at), at)
+			}
+			seen := make(map[uint64]bool)
+			for _, v := range append(start(1, now.Add(time.Second)), start(2, now.Add(time.Second+c.apart))...) {
+				is.True(!seen[v]) // no other coordinator has assigned the version
+				seen[v] = true
+			}
+		})
+	}
+}
+
+// reformingRank is a rank whose group is formed anew before its third report.
+type reformingRank struct {
+	*simRank
+	reports int
+}
+
+func (r *reformingRank) Report(ctx context.Context) (rank.Report, error) {
+	if r.reports++; r.reports == 3 {
+		r.world.reformGroup()
+	}
+	return r.simRank.Report(ctx)
+}
+
+// The group is formed anew after the member has compared the order's epoch with the rank's.
+func TestAnOrderOfAnEarlierEpochTakesNoEffect(t *testing.T) {
+	is := is.New(t)
+	w := newScriptedWorld(0)
+	r := &reformingRank{simRank: w.ranks[0]}
+	m := mapswitch.NewMember(newTestEngine(r, r.simRank), 1)
+	m.Recovered()
+	is.True(m.Handle(t.Context(), mapswitch.Order{Phase: mapswitch.PhaseRead, Fence: 1}).OK)
+	order := mapswitch.Order{Phase: mapswitch.PhasePrepare, Fence: 1, Incarnation: 1, Version: 7, Epoch: w.epoch, Map: w.plan()}
+	m.Handle(t.Context(), order)
+	is.Equal(w.epoch, uint64(2))
+	is.Equal(r.maxPrepared, uint64(0)) // the rank of epoch 2 has carried out no order of epoch 1
+}
--- a/agent/mapswitch/ranks_explore_test.go
+++ b/agent/mapswitch/ranks_explore_test.go
@@ -20,22 +20,21 @@
 )
 
 // rankSchedule runs one schedule and returns a description of the violation, or "".
-func rankSchedule(seed uint64, b rankBugs) string {
+func rankSchedule(seed uint64, b rankBugs, allow conditions, trace func(string, ...any)) string {
 	rnd := rand.New(rand.NewPCG(seed, 0))
-	w := newRankWorld(2+rnd.IntN(3), b, rnd.IntN)
+	w := newRankWorld(2+rnd.IntN(3), b, allow, rnd.IntN)
+	w.trace = trace
 	for range rnd.IntN(longestRankPrefix) {
 		w.stepWithoutFault()
 	}
 	for range rankScheduleLength {
-		list := w.actions()
-		if rnd.IntN(rankFaultOneIn) == 0 {
-			list = w.faults()
-		}
-		list[rnd.IntN(len(list))]()
+		w.act()
 		if w.mixed {
 			return "ranks used different maps in one step"
 		}
 	}
+	w.note("faults end")
+	w.trace = nil
 	if !w.settle() {
 		return fmt.Sprintf("did not become idle: stage %s", w.coords[0].Stage())
 	}
@@ -53,18 +52,23 @@
 	case len(w.replies) > 0:
 		w.deliverReply(0)
 	default:
+		for _, r := range w.ranks {
+			if r.copying.version != 0 {
+				r.copied()
+			}
+		}
 		w.tick()
 		w.advance()
 	}
 }
 
-func exploreRanks(n uint64, b rankBugs) (seed uint64, problem string) {
-	return mapswitch.ExploreSchedules(n, func(seed uint64) string { return rankSchedule(seed, b) })
+func exploreRanks(n uint64, b rankBugs, allow conditions) (seed uint64, problem string) {
+	return mapswitch.ExploreSchedules(n, func(seed uint64) string { return rankSchedule(seed, b, allow, nil) })
 }
 
 // A run without faults switches maps. Otherwise the schedules would not test any switch.
 func TestRunWithoutFaultsSwitchesMaps(t *testing.T) {
-	w := newRankWorld(4, rankBugs{}, func(int) int { return 0 })
+	w := newRankWorld(4, rankBugs{}, conditions{}, func(int) int { return 0 })
 	for range 400 {
 		w.stepWithoutFault()
 	}
@@ -74,7 +78,7 @@
 }
 
 func TestRandomSchedulesOfUnfencedRanks(t *testing.T) {
-	if seed, problem := exploreRanks(rankSchedules, rankBugs{}); problem != "" {
+	if seed, problem := exploreRanks(rankSchedules, rankBugs{}, conditions{}); problem != "" {
 		t.Fatalf("seed %d: %s", seed, problem)
 	}
 }
@@ -92,7 +96,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			seed, problem := exploreRanks(rankSchedules, c.bugs)
+			seed, problem := exploreRanks(rankSchedules, c.bugs, conditions{})
 			if problem == "" {
 				t.Fatal("not found")
 			}
--- a/agent/mapswitch/ranks_world_test.go
+++ b/agent/mapswitch/ranks_world_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"baywall.example/agent/engine"
 	"baywall.example/agent/mapswitch"
 	"baywall.example/agent/rank"
 	"baywall.example/core/expertmap"
@@ -25,10 +26,13 @@
 	sequence    uint64
 	inUse       content
 	prepared    content
-	maxPrepared uint64 // the highest version that it has prepared
+	copying     content // a version whose copy is not complete
+	maxPrepared uint64  // the highest version that it has prepared
 	armed       rank.Arming
+	arming      content // that the rank is armed with
 	held        uint64
 	late        []rank.Order
+	skew        time.Duration // of the VM's wall clock
 
 	member      *mapswitch.Member
 	incarnation vm.Incarnation
@@ -48,6 +52,7 @@
 	w := r.world
 	return rank.Report{
 		Group: "g", Epoch: w.epoch, Rank: r.index, Size: len(w.ranks), Open: true, Sequence: r.sequence, Slowdown: 1,
+		Busy: r.copying.version != 0,
 		Step: w.step, Map: r.inUse.version, Prepared: r.prepared.version, Armed: r.armed, Held: r.held,
 	}, nil
 }
@@ -66,6 +71,7 @@
 	case 0:
 		r.do(o)
 	case 1:
+		r.world.note("rank %d: %s of version %d, step %d is delayed", r.index, o.Kind, o.Version, o.Step)
 		r.late = append(r.late, o)
 	}
 	if r.world.bugs.lostIsDone {
@@ -85,10 +91,10 @@
 	case rank.OrderArm:
 		ok = o.Version == r.prepared.version && o.Step > r.world.step
 		if ok {
-			r.armed = rank.Arming{Version: o.Version, Step: o.Step}
+			r.armed, r.arming = rank.Arming{Version: o.Version, Step: o.Step}, r.prepared
 		}
 	case rank.OrderHold:
-		ok = r.held == o.Step || r.held == 0 && o.Step > r.world.step
+		ok = r.held == o.Step || (r.held == 0 || r.world.holdReplaces) && o.Step > r.world.step
 		if ok {
 			r.held = o.Step
 		}
@@ -97,10 +103,15 @@
 			r.held = 0
 		}
 	}
-	if !ok {
+	r.world.note("rank %d: %s of version %d, step %d: %t", r.index, o.Kind, o.Version, o.Step, ok)
+	switch {
+	case !ok:
 		return rank.ResultRefused
+	case o.Kind == rank.OrderPrepare && r.copying.version != 0:
+		return rank.ResultBegun
+	default:
+		return rank.ResultDone
 	}
-	return rank.ResultDone
 }
 
 func (r *simRank) prepare(o rank.Order) bool {
@@ -108,11 +119,53 @@
 		return false
 	}
 	r.maxPrepared = o.Version
-	r.prepared = content{o.Version, o.Map[0][r.index][0]}
-	r.sequence++ // it copies an expert
+	r.copying = content{o.Version, o.Map[0][r.index][0]}
+	if !r.world.allow.lateOrders || r.world.choose(2) == 0 {
+		r.sequence++ // it copies an expert
+	}
+	if !r.world.allow.slowCopies {
+		r.copied()
+	} else if !r.world.keepsPrepared {
+		r.prepared = content{}
+	}
 	return true
 }
 
+// copied ends the copy of a version.
+func (r *simRank) copied() {
+	r.world.note("rank %d: version %d is prepared, with map %d", r.index, r.copying.version, r.copying.expert)
+	r.prepared, r.copying = r.copying, content{}
+}
+
+// choosingEngine is a rank's engine whose wait for copies lasts a number of choices.
+type choosingEngine struct {
+	*rank.Engine
+	rank *simRank
+}
+
+// maxChoicesPerWait bounds the number of choices during one wait for copies.
+const maxChoicesPerWait = 6
+
+func (e choosingEngine) Loaded(_ context.Context, version uint64) (engine.ExpertState, error) {
+	w := e.rank.world
+	for n := w.choose(maxChoicesPerWait); n > 0 && w.allow.slowCopies && e.rank.copying.version == version; n-- {
+		w.act()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return e.Engine.Loaded(ctx, version)
+}
+
+// conditions are what a run allows in addition to the usual faults.
+type conditions struct {
+	slowCopies  bool // a rank reports a prepared version some choices after the order
+	equalStarts bool // coordinators may start in the same millisecond
+	clocksApart bool // wall clocks differ, some by 10 s, and may step back
+	idle        bool // the group makes no steps for some time
+	lateOrders  bool // late orders stay in flight for long, and prepare orders may leave the sequence number unchanged
+	twoHolds    bool // in some runs, a second hold replaces the first one instead of being refused
+}
+
 // rankBugs are deliberately injected bugs that the checks have to find.
 type rankBugs struct {
 	lostIsDone       bool // an order without an answer counts as carried out
@@ -142,6 +195,12 @@
 // function decides what happens next.
 type rankWorld struct {
 	bugs          rankBugs
+	allow         conditions
+	holdReplaces  bool // a second hold replaces the first one
+	keepsPrepared bool // a prepared version remains until the copy of the next one is complete
+	inactive      bool // the group makes no steps
+	maxPlans      int
+	trace         func(format string, args ...any)
 	choose        func(n int) int
 	lossyOrders   bool
 	lossyReports  bool
@@ -156,16 +215,37 @@
 	mixed         bool
 }
 
-func newRankWorld(ranks int, b rankBugs, choose func(int) int) *rankWorld {
-	w := &rankWorld{bugs: b, choose: choose, now: time.Unix(1_700_000_000, 0), step: 1, epoch: 1}
+func newRankWorld(ranks int, b rankBugs, allow conditions, choose func(int) int) *rankWorld {
+	w := &rankWorld{bugs: b, allow: allow, choose: choose, now: time.Unix(1_700_000_000, 0), step: 1, epoch: 1, maxPlans: rankPlans}
+	if allow != (conditions{}) {
+		w.maxPlans = 2 * rankPlans
+	}
+	w.holdReplaces = allow.twoHolds && choose(2) == 0
+	w.keepsPrepared = allow.slowCopies && choose(2) == 0
 	for i := range ranks {
 		w.ranks = append(w.ranks, &simRank{world: w, index: i})
 		w.restart(i)
+		if allow.clocksApart {
+			w.setClock(i)
+		}
 	}
 	w.lead(0)
 	return w
 }
 
+// note adds a line to the trace, if there is one.
+func (w *rankWorld) note(format string, args ...any) {
+	if w.trace != nil {
+		w.trace(format, args...)
+	}
+}
+
+// setClock sets a VM's wall clock, forward or back.
+func (w *rankWorld) setClock(i int) {
+	w.ranks[i].skew = time.Duration(w.choose(3)-1) * 10 * time.Second
+	w.note("rank %d: clock differs by %s", i, w.ranks[i].skew)
+}
+
 // lossOneIn is the inverse probability that an order or a report is lost while such
 // faults last.
 const lossOneIn = 3
@@ -175,21 +255,30 @@
 // restart replaces a rank's agent, whose orders may still be in flight.
 func (w *rankWorld) restart(i int) {
 	r := w.ranks[i]
+	w.note("rank %d: agent starts", i)
 	r.incarnation++
-	shape := func() rank.Shape { return rank.Shape{Layers: 1, Experts: len(w.ranks), Slots: 1} }
-	r.member = mapswitch.NewMember(rank.NewEngine(r, shape, zerolog.Nop()), r.incarnation)
+	r.member = mapswitch.NewMember(newTestEngine(r, r), r.incarnation)
 	r.member.Recovered()
 }
 
+// newTestEngine returns a rank's engine that uses the API, which is the rank itself or wraps it.
+func newTestEngine(api rank.API, r *simRank) choosingEngine {
+	shape := func() rank.Shape { return rank.Shape{Layers: 1, Experts: len(r.world.ranks), Slots: 1} }
+	return choosingEngine{rank.NewEngine(api, shape, zerolog.Nop()), r}
+}
+
 func (w *rankWorld) lead(i int) {
-	w.now = w.now.Add(time.Millisecond) // no two coordinators start in the same millisecond
+	if !w.allow.equalStarts || w.choose(2) == 0 {
+		w.now = w.now.Add(time.Millisecond)
+	}
 	highest := uint64(0)
 	for _, c := range w.coords {
 		if c.rank == i {
 			highest = max(highest, c.HighestFence())
 		}
 	}
-	fence := mapswitch.NextFence(max(highest, w.ranks[i].member.Promised()), i, w.now)
+	fence := mapswitch.NextFence(max(highest, w.ranks[i].member.Promised()), i, w.now.Add(w.ranks[i].skew))
+	w.note("rank %d: coordinates with fence %d", i, fence)
 	timing := mapswitch.Timing{LeadSteps: 3, Prepare: 2 * time.Second, Resend: 100 * time.Millisecond}
 	w.coords = append(w.coords, &rankCoordinator{mapswitch.NewCoordinator(len(w.ranks), fence, timing, w.now), i})
 }
@@ -208,7 +297,35 @@
 	}
 	out = append(out, w.advance)
 	for _, r := range w.ranks {
-		if len(r.late) > 0 {
+		if len(r.late) > 0 && !w.allow.lateOrders {
+			out = append(out, r.carryOutLate)
+		}
+		if r.copying.version != 0 {
+			out = append(out, r.copied)
+		}
+	}
+	return out
+}
+
+// act makes one choice.
+func (w *rankWorld) act() {
+	list := w.actions()
+	if w.choose(rankFaultOneIn) == 0 {
+		list = append(w.faults(), w.furtherFaults()...)
+	}
+	list[w.choose(len(list))]()
+}
+
+// furtherFaults lists the faults that the run's conditions add.
+func (w *rankWorld) furtherFaults() (out []func()) {
+	if w.allow.clocksApart {
+		out = append(out, func() { w.setClock(w.choose(len(w.ranks))) })
+	}
+	if w.allow.idle {
+		out = append(out, func() { w.inactive = !w.inactive; w.note("group is idle: %t", w.inactive) })
+	}
+	for _, r := range w.ranks {
+		if len(r.late) > 0 && w.allow.lateOrders {
 			out = append(out, r.carryOutLate)
 		}
 	}
@@ -251,9 +368,8 @@
 func (w *rankWorld) tick() {
 	w.now = w.now.Add(60 * time.Millisecond)
 	for _, c := range w.coords {
-		if c.Stage() == mapswitch.StageIdle && w.plans < rankPlans && w.settled(c) {
-			w.plans++
-			c.Propose(w.plan(), w.now)
+		if c.Stage() == mapswitch.StageIdle && w.plans < w.maxPlans && w.settled(c) {
+			w.propose(c)
 		}
 		w.send(c, c.Tick(w.now))
 	}
@@ -263,12 +379,17 @@
 func (w *rankWorld) replan() {
 	for _, c := range w.coords {
 		if c.Stage() == mapswitch.StagePreparing {
-			w.plans++
-			c.Propose(w.plan(), w.now)
+			w.propose(c)
 		}
 	}
 }
 
+func (w *rankWorld) propose(c *rankCoordinator) {
+	w.plans++
+	w.note("rank %d: proposes map %d", c.rank, w.plans)
+	c.Propose(w.plan(), w.now)
+}
+
 // settled reports whether the coordinator's latest switch is in effect on all ranks.
 func (w *rankWorld) settled(c *rankCoordinator) bool {
 	for _, r := range w.ranks {
@@ -314,7 +435,12 @@
 	if !keep {
 		w.orders = append(w.orders[:i:i], w.orders[i+1:]...)
 	}
-	w.replies = append(w.replies, rankReply{m, w.handle(m)})
+	incarnation := w.ranks[m.rank].incarnation
+	reply := w.handle(m)
+	w.note("rank %d: %s by rank %d with fence %d, version %d, step %d: %t %s", m.rank, m.order.Phase, m.coord.rank, m.order.Fence, m.order.Version, m.order.Step, reply.OK, reply.Reason)
+	if w.ranks[m.rank].incarnation == incarnation { // otherwise the agent ended before it replied
+		w.replies = append(w.replies, rankReply{m, reply})
+	}
 }
 
 func (w *rankWorld) handle(m rankOrder) mapswitch.Reply {
@@ -343,6 +469,7 @@
 	i := r.world.choose(len(r.late))
 	o := r.late[i]
 	r.late = append(r.late[:i:i], r.late[i+1:]...)
+	r.world.note("rank %d: carries out an order late", r.index)
 	r.do(o)
 }
 
@@ -351,14 +478,18 @@
 func (w *rankWorld) reformGroup() {
 	w.epoch++
 	for _, r := range w.ranks {
-		r.inUse, r.prepared, r.armed, r.held = content{}, content{}, rank.Arming{}, 0
+		r.inUse, r.prepared, r.copying, r.armed, r.held = content{}, content{}, content{}, rank.Arming{}, 0
 	}
 	crashed := w.ranks[w.choose(len(w.ranks))]
+	w.note("rank %d: crashes, epoch %d", crashed.index, w.epoch)
 	crashed.maxPrepared, crashed.sequence = 0, 0
 }
 
 // advance begins the next step of the group, unless a rank holds it.
 func (w *rankWorld) advance() {
+	if w.inactive {
+		return
+	}
 	next := w.step + 1
 	for _, r := range w.ranks {
 		if r.held == next {
@@ -368,7 +499,11 @@
 	w.step = next
 	for _, r := range w.ranks {
 		if r.armed.Version != 0 && r.armed.Step == next {
-			r.inUse, r.prepared, r.armed = r.prepared, content{}, rank.Arming{}
+			r.inUse, r.armed = r.arming, rank.Arming{}
+			if r.prepared == r.arming {
+				r.prepared = content{}
+			}
+			w.note("rank %d: uses version %d from step %d on, with map %d", r.index, r.inUse.version, next, r.inUse.expert)
 		}
 	}
 	for _, r := range w.ranks {
@@ -383,9 +518,13 @@
 	for len(w.externalHolds) > 0 {
 		w.holdExternally(0, false)
 	}
-	w.lossyOrders, w.lossyReports = false, false
-	w.plans = rankPlans
+	w.lossyOrders, w.lossyReports, w.inactive = false, false, false
+	w.allow = conditions{}
+	w.plans = w.maxPlans
 	for _, r := range w.ranks {
+		if r.copying.version != 0 {
+			r.copied()
+		}
 		for len(r.late) > 0 {
 			r.carryOutLate()
 		}
