Reproduce held groups and mixed maps after late orders

Cause: a release names a step only, so a delayed copy lifts a later hold of the same step; a hold requested of VMs without ranks is valid for any coordinator's switch; and a rank that copies a version reports the one before as prepared until the copy is complete.

Change: a small test for each.

--- a/agent/mapswitch/content_test.go
+++ b/agent/mapswitch/content_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -140,3 +141,115 @@
 	is.Equal(w.epoch, uint64(2))
 	is.Equal(r.maxPrepared, uint64(0)) // the rank of epoch 2 has carried out no order of epoch 1
 }
+
+// A rank still reports its prepared version while it copies the next one. A coordinator that reads
+// it then finds all ranks prepared for the first version, and a late hold of the step of its switch.
+func TestAGroupGoesOnIfACopyReplacesThePreparedVersion(t *testing.T) {
+	is := is.New(t)
+	w := newScriptedWorld(0)
+	w.exchange(-1)
+	w.propose(w.coords[0])
+	w.exchange(-1)
+	w.ranks[0].copied()
+	w.ranks[1].copied()
+	for len(w.externalHolds) == 0 {
+		w.exchange(-1)
+	}
+	w.orders, w.coords = nil, nil // the holder's own agent is not reached
+	w.lead(1)
+	w.exchange(-1)
+	w.propose(w.coords[0])
+	w.exchange(0)
+	w.holdExternally(0, false)
+	w.coords = nil
+	w.lead(0)
+	w.exchange(-1)
+	w.finish()
+	is.Equal(w.coords[0].Stage(), mapswitch.StageIdle)
+	is.True(w.noneHeld())
+}
+
+// withOutcomes makes the ranks leave orders unanswered as chosen: 0 and an outcome, 0 = done,
+// 1 = delayed and 2 = lost, for each order without an answer.
+func (w *rankWorld) withOutcomes(choices ...int) {
+	w.lossyOrders = true
+	w.choose = func(n int) int {
+		if len(choices) == 0 {
+			return min(1, n-1) // answered
+		}
+		next := choices[0]
+		choices = choices[1:]
+		return next
+	}
+}
+
+// prepared lets the coordinator propose a map, and all ranks prepare it.
+func (w *rankWorld) prepared() {
+	w.propose(w.coords[0])
+	for w.coords[0].Stage() == mapswitch.StagePreparing {
+		w.exchange(-1)
+	}
+}
+
+// takeOver starts another coordinator, which reads all ranks. Orders of the present one are lost.
+func (w *rankWorld) takeOver(i int) {
+	w.orders, w.coords = nil, nil
+	w.lead(i)
+	w.exchange(-1)
+}
+
+// Two VMs are requested to hold a step. One does so late, and the hold is released with a delayed
+// copy of the order. The other does so even later, when all ranks have prepared one version.
+func TestALateReleaseDoesNotLiftALaterHold(t *testing.T) {
+	is := is.New(t)
+	w := newScriptedWorld(0)
+	w.allow = conditions{}
+	w.exchange(-1)
+	w.prepared()
+	w.takeOver(0)
+	w.propose(w.coords[0])
+	w.withOutcomes(append([]int{0, 1}, slices.Repeat([]int{0, 2}, 15)...)...)
+	w.exchange(-1) // the order to prepare the second map is delayed at rank 0
+	w.restart(0)
+	w.holdExternally(0, true)
+	w.withOutcomes(0, 1)
+	w.takeOver(0)
+	w.exchange(-1) // the release is delayed, and done when it is sent again
+	w.ranks[0].carryOutLate()
+	is.Equal(w.ranks[0].prepared, w.ranks[1].prepared)
+	w.withOutcomes()
+	w.holdExternally(0, false)
+	w.takeOver(0)
+	w.exchange(1) // rank 0 is armed
+	w.ranks[1].carryOutLate()
+	for range 10 {
+		w.advance()
+	}
+	is.True(!w.mixed)
+}
+
+// A VM carries out the hold of an earlier coordinator while ranks are armed, and the rank holds that
+// step instead of the present one.
+func TestALateHoldDoesNotReplaceThePresentOne(t *testing.T) {
+	is := is.New(t)
+	w := newScriptedWorld(0)
+	w.allow, w.holdReplaces = conditions{}, true
+	w.exchange(-1)
+	w.prepared()
+	for range 3 {
+		w.advance() // the first step to hold begins, so that a later one is chosen
+	}
+	w.externalHolds = nil
+	w.exchange(-1)
+	w.takeOver(0)
+	w.prepared()
+	is.Equal(len(w.externalHolds), 2)
+	is.True(w.externalHolds[0].order.Step > w.externalHolds[1].order.Step)
+	w.exchange(-1)
+	w.exchange(1) // rank 0 is armed
+	w.holdExternally(0, false)
+	for range 10 {
+		w.advance()
+	}
+	is.True(!w.mixed)
+}
