Refuse orders of another epoch or group than the rank is in

What was seen: a rank whose group is formed anew between two reports carries out an order of the epoch before, and a rank carries out an order for a group that it is not in.

Cause: the member compared the order's epoch with one report of the rank, but the engine stamped the order with the epoch of a second, later report. The name of the group was compared nowhere, although the address of a rank can come to belong to a rank of another group.

Change: the epoch that the coordinator read goes with the order down to the platform, and a rank that reports another one refuses. The member refuses orders for a group that its rank does not report.

A test of the changes gets the coordinator that it lacks since base maps are logged.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -169,6 +169,9 @@
 
 // ExpertState is an engine's report of its expert maps.
 type ExpertState struct {
+	// Group is the name of the group that the engine is a rank of, "" if the engine does
+	// not know it.
+	Group    string    `json:"-"`
 	Fence    uint64    `json:"fence"`
 	Step     uint64    `json:"step"`     // the step that runs, or the next one
 	Active   uint64    `json:"active"`   // version of the map in use
@@ -195,6 +198,7 @@
 	Fence   uint64    `json:"fence"`
 	Version uint64    `json:"version"`
 	Step    uint64    `json:"step"`
+	Epoch   uint64    `json:"-"` // in which the order is valid, see ExpertState
 	Map     [][]int32 `json:"map,omitempty"`
 }
 
--- a/agent/group/content_test.go
+++ b/agent/group/content_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
@@ -60,7 +61,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			l := &leadership{set: newIdleSet(twoRanks, "c"), name: "g", spec: *newIdleSet(twoRanks, "c").env.Directory.Groups()["g"]}
+			l := &leadership{set: newIdleSet(twoRanks, "c"), name: "g", spec: *newIdleSet(twoRanks, "c").env.Directory.Groups()["g"], coord: mapswitch.NewCoordinator(2, 1, mapswitch.Timing{}, time.Now())}
 			poll := pollResult{active: 5, request: pollRequest{placement: true}}
 			for _, experts := range c.reported {
 				poll.parts = append(poll.parts, expertmap.Map{Version: 5, Layers: [][]int32{experts}}.Wire())
--- a/agent/group/engine_test.go
+++ b/agent/group/engine_test.go
@@ -149,7 +149,7 @@
 		r.loaded, r.loading = r.loading, expertmap.Map{}
 	}
 	return engine.ExpertState{
-		Step: r.group.step, Active: r.inUse.Version, Loaded: r.loaded.Version, Hold: r.hold, Activate: r.activate,
+		Group: "g", Step: r.group.step, Active: r.inUse.Version, Loaded: r.loaded.Version, Hold: r.hold, Activate: r.activate,
 		Epoch: 1, Running: 6,
 	}
 }
--- a/agent/group/message.go
+++ b/agent/group/message.go
@@ -26,6 +26,7 @@
 		Incarnation: vm.Incarnation(w.GetIncarnation()),
 		Version:     w.GetMap().GetVersion(),
 		Step:        w.GetStep(),
+		Group:       w.GetGroup(),
 		Epoch:       w.GetEpoch(),
 	}
 }
--- a/agent/mapswitch/member.go
+++ b/agent/mapswitch/member.go
@@ -33,6 +33,7 @@
 	Incarnation vm.Incarnation // of the member; 0 only with PhaseRead
 	Version     uint64
 	Step        uint64
+	Group       string        // name of the group, "" = any
 	Epoch       uint64        // of the group that was read; 0 with PhaseRead
 	Map         expertmap.Map // set only with PhasePrepare
 }
@@ -139,6 +140,9 @@
 	if o.Phase != PhaseRead && o.Epoch != state.Epoch {
 		return m.refuseSuperseded("the group was formed anew since it was read")
 	}
+	if o.Group != "" && state.Group != "" && o.Group != state.Group {
+		return m.refuse("the rank is in another group")
+	}
 	m.promised = max(m.promised, o.Fence)
 	return m.execute(ctx, o, state)
 }
@@ -168,7 +172,7 @@
 			return m.refuseWithState(s, "a later version is being loaded")
 		}
 		m.prepared = preparation{o.Fence, o.Version}
-		return m.order(ctx, engine.Order{Kind: engine.OrderLoad, Fence: o.Fence, Version: o.Version, Map: o.Map.Layers})
+		return m.order(ctx, o, engine.Order{Kind: engine.OrderLoad, Version: o.Version, Map: o.Map.Layers})
 	case PhaseHold:
 		return m.hold(ctx, o, s)
 	case PhaseCommit:
@@ -178,7 +182,7 @@
 		case s.Loaded != o.Version:
 			return m.refuseWithState(s, "another version is loaded")
 		}
-		return m.order(ctx, engine.Order{Kind: engine.OrderActivate, Fence: o.Fence, Version: o.Version, Step: o.Step})
+		return m.order(ctx, o, engine.Order{Kind: engine.OrderActivate, Version: o.Version, Step: o.Step})
 	case PhaseRelease:
 		switch {
 		case s.Hold == 0:
@@ -188,7 +192,7 @@
 		case o.Version != 0 && s.Activate != o.Step && s.Active != o.Version:
 			return m.refuseWithState(s, "not committed")
 		}
-		return m.order(ctx, engine.Order{Kind: engine.OrderRelease, Fence: o.Fence, Version: s.Loaded, Step: s.Hold})
+		return m.order(ctx, o, engine.Order{Kind: engine.OrderRelease, Version: s.Loaded, Step: s.Hold})
 	default:
 		return m.refuseWithState(s, "unknown phase")
 	}
@@ -209,10 +213,12 @@
 			return m.refuseWithState(s, err.Error())
 		}
 	}
-	return m.order(ctx, engine.Order{Kind: engine.OrderHold, Fence: o.Fence, Version: o.Version, Step: o.Step})
+	return m.order(ctx, o, engine.Order{Kind: engine.OrderHold, Version: o.Version, Step: o.Step})
 }
 
-func (m *Member) order(ctx context.Context, o engine.Order) Reply {
+// order sends the engine an order that carries out the coordinator's order.
+func (m *Member) order(ctx context.Context, by Order, o engine.Order) Reply {
+	o.Fence, o.Epoch = by.Fence, by.Epoch
 	s, err := m.engine.Order(ctx, o)
 	if err != nil {
 		return m.refuse(err.Error())
--- a/agent/rank/engine.go
+++ b/agent/rank/engine.go
@@ -110,7 +110,7 @@
 }
 
 func stateOf(r Report) engine.ExpertState {
-	s := engine.ExpertState{Step: r.Step, Active: r.Map, Loaded: r.Prepared, Hold: r.Held, Epoch: r.Epoch, Running: r.Running}
+	s := engine.ExpertState{Group: r.Group, Step: r.Step, Active: r.Map, Loaded: r.Prepared, Hold: r.Held, Epoch: r.Epoch, Running: r.Running}
 	if r.Slowdown > 0 {
 		s.Speed = 1 / r.Slowdown
 	}
@@ -185,13 +185,13 @@
 func (e *Engine) execute(ctx context.Context, o engine.Order) error {
 	switch o.Kind {
 	case engine.OrderLoad:
-		return e.load(ctx, Order{Kind: OrderPrepare, Version: o.Version, Map: e.byRank(o.Map)})
+		return e.load(ctx, Order{Kind: OrderPrepare, Epoch: o.Epoch, Version: o.Version, Map: e.byRank(o.Map)})
 	case engine.OrderHold:
-		return e.send(ctx, Order{Kind: OrderHold, Step: o.Step})
+		return e.send(ctx, Order{Kind: OrderHold, Epoch: o.Epoch, Step: o.Step})
 	case engine.OrderActivate:
-		return e.send(ctx, Order{Kind: OrderArm, Version: o.Version, Step: o.Step})
+		return e.send(ctx, Order{Kind: OrderArm, Epoch: o.Epoch, Version: o.Version, Step: o.Step})
 	case engine.OrderRelease:
-		return e.send(ctx, Order{Kind: OrderRelease, Step: o.Step})
+		return e.send(ctx, Order{Kind: OrderRelease, Epoch: o.Epoch, Step: o.Step})
 	default:
 		return eris.Wrapf(ErrRefused, "unknown kind %q", o.Kind)
 	}
@@ -260,7 +260,10 @@
 	if err != nil {
 		return err
 	}
-	o.Epoch, o.Sequence = report.Epoch, report.Sequence
+	if report.Epoch != o.Epoch {
+		return eris.Wrapf(ErrRefused, "%s of version %d for epoch %d: rank is in epoch %d", o.Kind, o.Version, o.Epoch, report.Epoch)
+	}
+	o.Sequence = report.Sequence
 	for tries := 1; ; tries++ {
 		settled, err := e.sendOnce(ctx, o, tries)
 		if settled {
--- a/agent/rank/engine_test.go
+++ b/agent/rank/engine_test.go
@@ -62,12 +62,14 @@
 	return NewEngine(f, func() Shape { return Shape{Layers: 1, Experts: 4, Slots: 2} }, zerolog.Nop())
 }
 
-func hold(step uint64) engine.Order { return engine.Order{Kind: engine.OrderHold, Step: step} }
+func hold(step, epoch uint64) engine.Order {
+	return engine.Order{Kind: engine.OrderHold, Step: step, Epoch: epoch}
+}
 
 func TestOrderIsResentUntilItTakesEffect(t *testing.T) {
 	is := is.New(t)
 	f := &fakeRank{report: Report{Epoch: 3, Step: 5, Sequence: 2}, loseAnswers: 3, dropOrders: true}
-	s, err := newEngine(f).Order(context.Background(), hold(9))
+	s, err := newEngine(f).Order(context.Background(), hold(9, 3))
 	is.NoErr(err)
 	is.Equal(s.Hold, uint64(9))
 	is.Equal(len(f.orders), 4)
@@ -77,7 +79,7 @@
 func TestOrderWithLostAnswerIsConfirmedByReport(t *testing.T) {
 	is := is.New(t)
 	f := &fakeRank{report: Report{Step: 5}, loseAnswers: 1}
-	_, err := newEngine(f).Order(context.Background(), hold(9))
+	_, err := newEngine(f).Order(context.Background(), hold(9, 0))
 	is.NoErr(err)
 	is.Equal(len(f.orders), 1)
 }
@@ -85,7 +87,7 @@
 func TestRefusedOrderIsNotResent(t *testing.T) {
 	is := is.New(t)
 	f := &fakeRank{report: Report{Step: 9}}
-	_, err := newEngine(f).Order(context.Background(), hold(9))
+	_, err := newEngine(f).Order(context.Background(), hold(9, 0))
 	is.True(errors.Is(err, ErrRefused))
 	is.Equal(len(f.orders), 1)
 }
@@ -96,7 +98,7 @@
 	is := is.New(t)
 	f := &fakeRank{report: Report{Step: 5}, loseAnswers: maxTries + 3, dropOrders: true}
 	e := newEngine(f)
-	_, err := e.Order(context.Background(), hold(9))
+	_, err := e.Order(context.Background(), hold(9, 0))
 	is.True(errors.Is(err, ErrUnsettled))
 	s, err := e.Experts(context.Background())
 	is.NoErr(err)
