Do not report a version as loaded that a copy is about to replace

What was seen: a group is held for good. A rank reports a prepared version until the copy of the next one is complete; a coordinator that reads it meanwhile commits the version at a step that a late order holds, and then no rank can be armed.

Change: the rank's agent knows the version that it ordered last and reports no other as loaded.

A restarted agent does not know of such a copy; platforms that drop the prepared version when the next copy begins do not need it to.

--- a/agent/rank/engine.go
+++ b/agent/rank/engine.go
@@ -53,6 +53,7 @@
 	log   zerolog.Logger
 
 	loading atomic.Uint64 // version that the rank has begun to load
+	ordered atomic.Uint64 // version of the latest prepare order that the rank accepted
 
 	mu      sync.Mutex
 	pending *Order // sent, without an answer or a visible effect
@@ -88,7 +89,7 @@
 	if err != nil {
 		return engine.ExpertState{}, err
 	}
-	return stateOf(report), nil
+	return e.stateOf(report), nil
 }
 
 // Observe returns the rank's current state without settling a pending order. If counts
@@ -100,7 +101,7 @@
 	if err != nil {
 		return engine.ExpertState{}, err
 	}
-	state := stateOf(report)
+	state := e.stateOf(report)
 	if counts {
 		if err := e.addCounts(ctx, report, &state); err != nil {
 			return engine.ExpertState{}, err
@@ -109,11 +110,17 @@
 	return state, nil
 }
 
-func stateOf(r Report) engine.ExpertState {
+// stateOf returns the state in a report. While a rank copies the experts of a version, it may
+// still report the one before as prepared, which is not loaded any more once the copy is
+// complete.
+func (e *Engine) stateOf(r Report) engine.ExpertState {
 	s := engine.ExpertState{Group: r.Group, Step: r.Step, Active: r.Map, Loaded: r.Prepared, Hold: r.Held, Epoch: r.Epoch, Running: r.Running}
 	if r.Slowdown > 0 {
 		s.Speed = 1 / r.Slowdown
 	}
+	if ordered := e.ordered.Load(); ordered != 0 && ordered != r.Prepared {
+		s.Loaded = 0
+	}
 	if r.Armed.Version != 0 {
 		s.Loaded, s.Activate = r.Armed.Version, r.Armed.Step
 	}
@@ -227,6 +234,7 @@
 		return err
 	}
 	e.loading.Store(o.Version)
+	e.ordered.Store(o.Version)
 	return nil
 }
 
