Release a held step only at the end of a switch

What was seen: ranks of one group use two maps after a delayed release.

Cause: a step that ranks hold, but that belongs to no switch, was released. A late hold of the same step, or a coordinator that finds the step still held, could then make it the step of a switch, and a delayed copy of the release lifted the hold while some ranks were armed and others were not.

Change: a release follows only after all ranks are armed. Where ranks hold a step and have not all loaded one version, the coordinator proposes the map in use under a new version, for which nothing is copied, and the switch takes the held step. A lock holder that holds another step than ordered refuses, and the switch takes that one. A coordinator whose step has begun unheld reads all ranks again in place of ordering them for ever. Engines of the own interface, which load nothing while they hold and whose restarted agents wait until earlier orders have expired, keep the release.

--- a/agent/group/coordinate.go
+++ b/agent/group/coordinate.go
@@ -164,11 +164,20 @@
 		return // a switch is taking effect
 	}
 	current, known := l.currentMap(&c)
-	if !known || c.counted == 0 && l.demand.Empty() || !l.coord.InEffect(c.active) {
+	if !known {
 		return
 	}
-	l.logState(c, current, now)
 	stage := l.coord.Stage()
+	if l.coord.Stopped() {
+		if stage == mapswitch.StageHeld {
+			l.coord.Propose(current, now) // no rank has to copy anything for it
+		}
+		return
+	}
+	if c.counted == 0 && l.demand.Empty() || !l.coord.InEffect(c.active) {
+		return
+	}
+	l.logState(c, current, now)
 	if stage == mapswitch.StageIdle || stage == mapswitch.StagePreparing && changed > 0 {
 		l.beginPlan(c, current, now)
 	}
--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -42,7 +42,7 @@
 	// restarted agent waits that long before it makes promises. Default 2.5s.
 	OrderLifetime time.Duration
 	// SkipRecoveryWait lets a restarted agent skip that wait. It is set where an order
-	// that takes effect late does no harm.
+	// that takes effect late does no harm, and where Switch.LoadWhileHeld is.
 	SkipRecoveryWait bool
 	// ElectionTimeout is how long rank 0 waits for a coordinator that it has had contact
 	// with, FirstElectionTimeout how long for one that it has never had contact with. Each
--- a/agent/group/plan.go
+++ b/agent/group/plan.go
@@ -73,6 +73,9 @@
 		l.record(timeline.KindMapPlan, "none", p.err.Error())
 		return
 	}
+	if l.coord.Stopped() {
+		return // the group would wait for the copies
+	}
 	res := p.result
 	reason := fmt.Sprintf("predicted skew %.4f -> %.4f with %d moves at price %.3g in %s",
 		res.SkewBefore, res.SkewAfter, res.Moves, p.price, p.took.Round(time.Millisecond))
--- a/agent/mapswitch/coordinator.go
+++ b/agent/mapswitch/coordinator.go
@@ -45,11 +45,12 @@
 	StageCommitting // every rank is ordered to use the new map from that step on
 	StageReleasing  // the group may begin the step
 	StageSuperseded // another coordinator has a larger fencing number; start over
+	StageHeld       // ranks hold a step that belongs to no switch; a map has to be proposed
 )
 
 // String returns the stage's name.
 func (s Stage) String() string {
-	return [...]string{"", "reading", "idle", "preparing", "holding", "committing", "releasing", "superseded"}[s]
+	return [...]string{"", "reading", "idle", "preparing", "holding", "committing", "releasing", "superseded", "held"}[s]
 }
 
 // Timing holds the timeouts and lead times of a Coordinator. Zero fields get the
@@ -65,6 +66,9 @@
 	LeadSteps uint64
 	// MaxLeadSteps is the upper bound of the actual number. Default twice LeadSteps.
 	MaxLeadSteps uint64
+	// LoadWhileHeld is set where engines load experts also while they hold a step. A held
+	// step is then released only at the end of a switch, see StageHeld.
+	LoadWhileHeld bool
 }
 
 // Defaults of Timing.
@@ -102,6 +106,7 @@
 	step          uint64
 	lockHolder    int    // the rank that holds the step of a switch
 	maxHeldStep   uint64 // the latest step that any rank is known to have held
+	unarmedStep   uint64 // step that ranks hold and none is armed for, 0 = none
 	epoch         uint64 // of the group, as all ranks reported it when they were read
 	version       uint64 // largest version seen on any rank
 	leadEstimator leadEstimator
@@ -160,6 +165,10 @@
 	return c.committed == 0 || active >= c.committed
 }
 
+// Stopped reports whether ranks hold a step that belongs to no switch. The group makes no
+// passes until a switch to a proposed map has taken that step.
+func (c *Coordinator) Stopped() bool { return c.unarmedStep != 0 }
+
 // Pending returns the ranks that have not answered in this stage.
 func (c *Coordinator) Pending() []int {
 	var out []int
@@ -209,10 +218,11 @@
 }
 
 // Propose starts a switch to the map and sets the map's version. A switch that is still
-// being prepared is abandoned for it, as no rank holds a step yet. It returns false in
-// any other stage.
+// being prepared is abandoned for it, as no rank holds its step yet. Where ranks hold a step
+// that belongs to no switch, this switch takes that step. It returns false in any other
+// stage.
 func (c *Coordinator) Propose(m expertmap.Map, now time.Time) bool {
-	if c.stage != StageIdle && c.stage != StagePreparing {
+	if c.stage != StageIdle && c.stage != StagePreparing && c.stage != StageHeld {
 		return false
 	}
 	c.version = max(c.version+1, firstVersion(c.fence))
@@ -231,7 +241,7 @@
 }
 
 func (c *Coordinator) due(now time.Time) []Outgoing {
-	if c.stage == StageIdle || c.stage == StageSuperseded {
+	if c.stage == StageIdle || c.stage == StageSuperseded || c.stage == StageHeld {
 		return nil
 	}
 	var out []Outgoing
@@ -337,6 +347,10 @@
 	case StageReading:
 		c.recover(now)
 	case StagePreparing:
+		if c.unarmedStep != 0 {
+			c.commitAt(c.unarmedStep, now)
+			return
+		}
 		c.hold(c.latestStep()+c.leadSteps(), now)
 	case StageHolding:
 		c.enter(StageCommitting, now)
@@ -358,11 +372,38 @@
 	c.enter(StageHolding, now)
 }
 
-// handleRefusal handles a refused order. An order to hold is refused if its step has
-// begun; no rank holds that step then, nor ever will, so a later step can be chosen.
+// commitAt orders all ranks to use the target from a step on that is held.
+func (c *Coordinator) commitAt(step uint64, now time.Time) {
+	c.step, c.unarmedStep = step, 0
+	c.maxHeldStep = max(c.maxHeldStep, step)
+	c.enter(StageCommitting, now)
+}
+
+// handleRefusal handles a refused order.
 func (c *Coordinator) handleRefusal(r Reply, now time.Time) {
-	if c.stage == StageHolding && r.State.Step >= c.step && r.State.Epoch == c.epoch {
-		c.hold(r.State.Step+2*c.leadSteps(), now)
+	if r.State.Epoch != c.epoch {
+		return
+	}
+	switch c.stage {
+	case StageHolding:
+		c.handleRefusedHold(r.State, now)
+	case StageCommitting:
+		if r.State.Step > c.step {
+			c.enter(StageReading, now) // the step was not held
+		}
+	}
+}
+
+// handleRefusedHold handles a refused order to hold. It is refused if the lock holder holds
+// another step, as an earlier coordinator ordered: the switch takes that step. It is also
+// refused if its step has begun; no rank holds that step then, nor ever will, so a later
+// step can be chosen.
+func (c *Coordinator) handleRefusedHold(s engine.ExpertState, now time.Time) {
+	switch {
+	case s.Hold != 0 && s.Loaded == c.target.Version:
+		c.commitAt(s.Hold, now)
+	case s.Step >= c.step:
+		c.hold(s.Step+2*c.leadSteps(), now)
 	}
 }
 
@@ -382,7 +423,7 @@
 // reads all ranks again to finish what it finds.
 func (c *Coordinator) Observe(step uint64, held bool, now time.Time) {
 	c.leadEstimator.observe(step, now)
-	noHoldExpected := c.stage == StageIdle || c.stage == StagePreparing
+	noHoldExpected := c.stage == StageIdle || c.stage == StagePreparing && c.unarmedStep == 0
 	switch {
 	case !held || !noHoldExpected:
 		c.held = time.Time{}
@@ -404,15 +445,14 @@
 			return
 		}
 	}
+	c.unarmedStep = 0
 	for _, r := range c.ranks {
 		c.version = max(c.version, r.state.Active, r.state.Loaded)
 	}
 	for _, r := range c.ranks {
 		if r.state.Activate != 0 {
 			c.target = expertmap.Map{Version: r.state.Loaded}
-			c.step = r.state.Activate
-			c.maxHeldStep = max(c.maxHeldStep, c.step)
-			c.enter(StageCommitting, now)
+			c.commitAt(r.state.Activate, now)
 			return
 		}
 	}
@@ -423,7 +463,8 @@
 // after a rank holds the step, and all have loaded the version before that. So if all
 // have loaded the same version, the earlier coordinator may have begun to arm ranks for
 // it, and this one arms them all: the step cannot begin meanwhile. Otherwise no rank has
-// been or will be armed.
+// been or will be armed. The step still is not released: an order to release it that is
+// carried out late could release it once more, while a later coordinator relies on it.
 func (c *Coordinator) recoverHold(now time.Time) {
 	held := uint64(0)
 	loaded := c.ranks[0].state.Loaded
@@ -440,11 +481,13 @@
 	switch {
 	case held == 0:
 		c.enter(StageIdle, now)
-	case loaded == 0:
-		c.enter(StageReleasing, now)
+	case loaded != 0:
+		c.commitAt(held, now)
+	case c.timing.LoadWhileHeld:
+		c.unarmedStep = held
+		c.enter(StageHeld, now)
 	default:
-		c.step = held
-		c.enter(StageCommitting, now)
+		c.enter(StageReleasing, now)
 	}
 }
 
--- a/agent/mapswitch/member.go
+++ b/agent/mapswitch/member.go
@@ -179,6 +179,8 @@
 		switch {
 		case s.Active == o.Version || s.Activate == o.Step && s.Loaded == o.Version:
 			return m.accept(s)
+		case s.Step > o.Step:
+			return m.refuseWithState(s, "the step has begun")
 		case s.Loaded != o.Version:
 			return m.refuseWithState(s, "another version is loaded")
 		}
@@ -187,6 +189,8 @@
 		switch {
 		case s.Hold == 0:
 			return m.accept(s)
+		case o.Version != 0 && s.Hold > o.Step:
+			return m.accept(s) // not a step of this switch; the next one takes it
 		case o.Version == 0 && s.Activate != 0:
 			return m.refuseWithState(s, "already committed")
 		case o.Version != 0 && s.Activate != o.Step && s.Active != o.Version:
@@ -198,20 +202,16 @@
 	}
 }
 
-// hold orders the rank to hold a step. If it already holds another step, that step
-// belongs to a switch that cannot happen, as the coordinator has read all ranks; it is
-// released first.
+// hold orders the rank to hold a step, unless it holds another one already, which the
+// switch then takes.
 func (m *Member) hold(ctx context.Context, o Order, s engine.ExpertState) Reply {
 	switch {
 	case s.Loaded == o.Version && (s.Hold == o.Step || s.Activate == o.Step):
 		return m.accept(s) // a copy of the order may arrive after the release
+	case s.Hold != 0 && s.Hold != o.Step:
+		return m.refuseWithState(s, "another step is held")
 	case s.Step >= o.Step:
 		return m.refuseWithState(s, "the step has begun")
-	case s.Hold != 0:
-		release := engine.Order{Kind: engine.OrderRelease, Fence: o.Fence, Version: s.Loaded, Step: s.Hold}
-		if _, err := m.engine.Order(ctx, release); err != nil {
-			return m.refuseWithState(s, err.Error())
-		}
 	}
 	return m.order(ctx, o, engine.Order{Kind: engine.OrderHold, Version: o.Version, Step: o.Step})
 }
--- a/agent/mapswitch/ranks_world_test.go
+++ b/agent/mapswitch/ranks_world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -160,6 +161,7 @@
 // conditions are what a run allows in addition to the usual faults.
 type conditions struct {
 	slowCopies  bool // a rank reports a prepared version some choices after the order
+	keepsCopies bool // in some runs, a rank reports a prepared version until the copy of the next one is complete
 	equalStarts bool // coordinators of several ranks may start in the same millisecond
 	clocksApart bool // wall clocks differ, some by 10 s, and may step back
 	idle        bool // the group makes no steps for some time
@@ -222,7 +224,7 @@
 		w.maxPlans = 2 * rankPlans
 	}
 	w.holdReplaces = allow.twoHolds && choose(2) == 0
-	w.keepsPrepared = allow.slowCopies && choose(2) == 0
+	w.keepsPrepared = allow.keepsCopies && choose(2) == 0
 	for i := range ranks {
 		w.ranks = append(w.ranks, &simRank{world: w, index: i})
 		w.restart(i)
@@ -281,7 +283,7 @@
 	}
 	fence := mapswitch.NextFence(max(highest, w.ranks[i].member.Promised()), i, w.now.Add(w.ranks[i].skew))
 	w.note("rank %d: coordinates with fence %d", i, fence)
-	timing := mapswitch.Timing{LeadSteps: 3, Prepare: 2 * time.Second, Resend: 100 * time.Millisecond}
+	timing := mapswitch.Timing{LeadSteps: 3, Prepare: 2 * time.Second, Resend: 100 * time.Millisecond, LoadWhileHeld: true}
 	w.coords = append(w.coords, &rankCoordinator{mapswitch.NewCoordinator(len(w.ranks), fence, timing, w.now), i})
 }
 
@@ -373,6 +375,9 @@
 		if c.Stage() == mapswitch.StageIdle && w.plans < w.maxPlans && w.settled(c) {
 			w.propose(c)
 		}
+		if c.Stage() == mapswitch.StageHeld {
+			c.Propose(mapOf(w.ranks[0].inUse.expert, len(w.ranks)), w.now)
+		}
 		w.send(c, c.Tick(w.now))
 	}
 }
@@ -380,7 +385,7 @@
 // replan proposes another map while one is being prepared, as after a change of demand.
 func (w *rankWorld) replan() {
 	for _, c := range w.coords {
-		if c.Stage() == mapswitch.StagePreparing {
+		if c.Stage() == mapswitch.StagePreparing && !c.Stopped() {
 			w.propose(c)
 		}
 	}
@@ -403,12 +408,11 @@
 }
 
 // plan returns a map whose content differs from that of any other plan.
-func (w *rankWorld) plan() expertmap.Map {
-	row := make([]int32, len(w.ranks))
-	for i := range row {
-		row[i] = int32(w.plans)
-	}
-	return expertmap.Map{Layers: [][]int32{row}}
+func (w *rankWorld) plan() expertmap.Map { return mapOf(int32(w.plans), len(w.ranks)) }
+
+// mapOf returns a map that places one expert on all ranks.
+func mapOf(expert int32, ranks int) expertmap.Map {
+	return expertmap.Map{Layers: [][]int32{slices.Repeat([]int32{expert}, ranks)}}
 }
 
 func (w *rankWorld) send(c *rankCoordinator, out []mapswitch.Outgoing) {
@@ -468,6 +472,9 @@
 }
 
 func (r *simRank) carryOutLate() {
+	if len(r.late) == 0 {
+		return
+	}
 	i := r.world.choose(len(r.late))
 	o := r.late[i]
 	r.late = append(r.late[:i:i], r.late[i+1:]...)
--- a/agent/rankserver/server.go
+++ b/agent/rankserver/server.go
@@ -75,7 +75,7 @@
 	ElectionTimeout:  600 * time.Millisecond, FirstElectionTimeout: 100 * time.Millisecond, Stagger: 150 * time.Millisecond, NonSuccessorStagger: 25 * time.Millisecond,
 	Tick: 20 * time.Millisecond, Poll: 200 * time.Millisecond, PollOnStep: true, CountsWeight: 0.1, MinGain: 0.25,
 	Switch: mapswitch.Timing{
-		Prepare: 6 * time.Second, Resend: 150 * time.Millisecond, LeadSteps: 1, MaxLeadSteps: 8,
+		Prepare: 6 * time.Second, Resend: 150 * time.Millisecond, LeadSteps: 1, MaxLeadSteps: 8, LoadWhileHeld: true,
 	},
 }
 
