Give no two maps one version, and apply changes only to the map they belong to

What callers and the operator saw: ranks of one group make passes with different lists of experts under one version (rule MAP).

Cause: a version was taken for the identity of a map, but it was made of a wall clock and of what a coordinator had read. A rank reports nothing of a version that it is still copying. If the agents are restarted meanwhile, or two ranks take over from a coordinator whose clock is ahead, the next coordinator assigns the same version to another map, and the engine that completes the first copy counts as prepared. The same trust in the number let changes to version v be applied to another layout of v: a new coordinator assembled the map in use from the ranks' lists.

Change: the low 17 bits of a version are a checksum of the map, so that equal versions mean equal maps whatever clocks do and whoever restarts; an agent takes changes only if their result has the version's checksum, and otherwise asks for the whole map. Only maps of accepted orders are the base of changes, and a new coordinator begins with the one that its own agent received. Fencing numbers contain a part of the coordinator's incarnation for the same reason, and a version that some rank does not prepare is followed by one that is a minute larger.

TestOneVersionNeverNamesTwoMaps now proposes maps that differ, as one version for equal maps is harmless. Weighed: random bits in the version (do not show a wrong result of changes), the lists that a rank reports as prepared (only its own part of the map), versions from fencing numbers alone (rest on clocks).

--- a/agent/group/codec_test.go
+++ b/agent/group/codec_test.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"baywall.example/agent/mapswitch"
 	"baywall.example/core/expertmap"
 	"baywall.example/core/wire"
 )
@@ -63,15 +64,21 @@
 		if changes == nil {
 			w.PackedMap = expertmap.Map{Layers: layers}.Pack()
 		}
-		_, ok := c.resolve(w)
+		got, ok := c.resolve(w)
+		if ok {
+			c.store("g", got)
+		}
 		return ok
 	}
 	is.True(!prepare(4, &wire.MapChanges{Base: 3})) // no map was received yet
 	is.True(prepare(3, nil, m.Layers...))
 	is.True(!prepare(5, &wire.MapChanges{Base: 4, Slots: []uint32{0, 2}}))
 	is.True(!prepare(5, &wire.MapChanges{Base: 3, Slots: []uint32{2, 2}})) // no such slot
-	is.True(prepare(5, &wire.MapChanges{Base: 3, Slots: []uint32{0, 2}}))
-	is.True(prepare(6, &wire.MapChanges{Base: 5, Slots: []uint32{1, 0}}))
+	is.True(!prepare(5, &wire.MapChanges{Base: 3, Slots: []uint32{0, 2}})) // no version of the result
+	second := mapswitch.NewVersion(5, expertmap.Map{Layers: [][]int32{{1, 1}}})
+	third := mapswitch.NewVersion(6, expertmap.Map{Layers: [][]int32{{1, expertmap.Empty}}})
+	is.True(prepare(second, &wire.MapChanges{Base: 3, Slots: []uint32{0, 2}}))
+	is.True(prepare(third, &wire.MapChanges{Base: second, Slots: []uint32{1, 0}}))
 	is.Equal(c.last["g"].Layers, [][]int32{{1, expertmap.Empty}})
 }
 
--- a/agent/group/content_test.go
+++ b/agent/group/content_test.go
@@ -71,12 +71,13 @@
 			target := current.Clone()
 			target.Layers[0][0], target.Layers[0][2] = current.Layers[0][2], current.Layers[0][0]
 			var withMap, restarted mapCache
-			withMap.resolve(wholeMap(1, 5, c.received...))
+			inUse, _ := withMap.resolve(wholeMap(1, 5, c.received...))
+			withMap.store("g", inUse)
 			l.maps.setBase(0, withMap.version("g"))
 			for rank, agent := range []*mapCache{&withMap, &restarted} {
-				order := mapswitch.Order{Phase: mapswitch.PhasePrepare, Version: 6, Map: target}
+				order := mapswitch.Order{Phase: mapswitch.PhasePrepare, Version: mapswitch.NewVersion(6, target), Map: target}
 				got, ok := agent.resolve(l.encode(mapswitch.Outgoing{Rank: rank, Order: order}))
-				is.True(ok || rank == 0) // refused changes are sent again as the whole map
+				is.True(ok || rank == 0 && c.name != "the same slots") // refused changes are sent again as the whole map
 				if ok {
 					is.Equal(expertsByRank(got, twoRanks.Slots), expertsByRank(target, twoRanks.Slots))
 				}
--- a/agent/group/coordinate.go
+++ b/agent/group/coordinate.go
@@ -100,15 +100,19 @@
 func (s *Set) newLeadership(name string, rank int, spec *resource.Group) *leadership {
 	now := clock.Now()
 	ranks := len(spec.Ranks)
-	fence := mapswitch.NextFence(max(s.observedFences[name], s.member.Promised()), rank, time.Now())
+	fence := mapswitch.NextFence(max(s.observedFences[name], s.member.Promised()), rank, s.env.Incarnation, time.Now())
 	known := s.demandOf(name, shapeOf(spec), now)
-	return &leadership{
+	l := &leadership{
 		set: s, name: name, rank: rank, spec: *spec, chunks: chunks(ranks, rank),
 		coord:   mapswitch.NewCoordinator(ranks, fence, s.env.Timing.Switch, now),
 		answers: make(chan answer, 4*ranks), polls: make(chan pollResult, 1), plans: make(chan plan, 1),
 		demand: known.estimate, lifetime: known.lifetime,
 		budget: newBudget(s.env.Timing.Link, ranks, spec.Layers, spec.Experts), lastPlan: now,
 	}
+	if received := s.maps.latest(name); received.Validate(shapeOf(spec)) == nil {
+		l.maps.add(received) // in the slots in which the other ranks have it, too
+	}
+	return l
 }
 
 func shapeOf(g *resource.Group) expertmap.Shape {
--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -297,6 +297,9 @@
 	}
 	r := s.member.Handle(ctx, o)
 	s.logOrder(w, o, r)
+	if r.OK && o.Phase == mapswitch.PhasePrepare {
+		s.maps.store(w.GetGroup(), o.Map)
+	}
 	if r.OK && o.Phase != mapswitch.PhaseRead {
 		s.env.Recorder.Record(timeline.Event{
 			Kind: timeline.KindMapSwitch, Group: w.GetGroup(), Subject: w.GetCoordinator(), Choice: o.Phase.String(),
--- a/agent/group/maplog.go
+++ b/agent/group/maplog.go
@@ -11,7 +11,7 @@
 
 // Sources of the map in use.
 const (
-	mapSent      mapSource = "sent"      // this coordinator ordered it
+	mapSent      mapSource = "sent"      // this coordinator ordered it, or an earlier one
 	mapInitial   mapSource = "initial"   // computed, as engines begin with it
 	mapAssembled mapSource = "assembled" // from the experts that the ranks report
 )
--- a/agent/group/maps.go
+++ b/agent/group/maps.go
@@ -3,45 +3,48 @@
 import (
 	"sync"
 
+	"baywall.example/agent/mapswitch"
 	"baywall.example/core/expertmap"
 	"baywall.example/core/wire"
 )
 
-// mapCache stores the latest map received for each group. It is safe for concurrent use.
+// mapCache stores the map of the latest order to prepare that this rank accepted, for each
+// group. It is safe for concurrent use.
 type mapCache struct {
 	mu   sync.Mutex
 	last map[string]expertmap.Map
 }
 
-// resolve returns the map of an order to prepare, and whether it could be decoded.
+// resolve returns the map of an order to prepare, and whether it could be decoded. Changes
+// can be decoded only if they result in the map that the coordinator has.
 func (c *mapCache) resolve(w *wire.SwitchOrder) (expertmap.Map, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	m, ok := c.decodeMap(w)
-	if !ok {
-		return m, false
-	}
-	if c.last == nil {
-		c.last = make(map[string]expertmap.Map)
-	}
-	c.last[w.GetGroup()] = m
-	return m, true
-}
-
-func (c *mapCache) decodeMap(w *wire.SwitchOrder) (expertmap.Map, bool) {
 	version := w.GetMap().GetVersion()
 	if w.GetChanges() != nil {
-		return applyChanges(c.last[w.GetGroup()], w.GetChanges(), version)
+		m, ok := applyChanges(c.latest(w.GetGroup()), w.GetChanges(), version)
+		return m, ok && mapswitch.IsVersionOf(version, m)
 	}
 	m, err := expertmap.Unpack(version, w.GetPackedMap())
 	return m, err == nil
 }
 
+// store stores the map of an order that was accepted.
+func (c *mapCache) store(group string, m expertmap.Map) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last == nil {
+		c.last = make(map[string]expertmap.Map)
+	}
+	c.last[group] = m
+}
+
 // version returns the version of a group's latest map, 0 = none.
-func (c *mapCache) version(group string) uint64 {
+func (c *mapCache) version(group string) uint64 { return c.latest(group).Version }
+
+// latest returns a group's latest map, without layers if there is none.
+func (c *mapCache) latest(group string) expertmap.Map {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.last[group].Version
+	return c.last[group]
 }
 
 // maxKnownMaps is the number of maps that a coordinator stores: those in use and in
--- a/agent/group/orderlog_test.go
+++ b/agent/group/orderlog_test.go
@@ -30,14 +30,15 @@
 	s := NewSet(Environment{VM: "a", Incarnation: 1, Engine: world.engines.all[0], Directory: world, Recorder: timeline.NewRecorder("a", 10, zerolog.Nop()), Log: zerolog.New(&lines)})
 	s.member.Recovered()
 	var orders []*wire.SwitchOrder // read, whole map, changes, hold
-	for _, o := range []mapswitch.Order{{Phase: mapswitch.PhaseRead}, {Phase: mapswitch.PhasePrepare, Version: 5}, {Phase: mapswitch.PhasePrepare, Version: 6}, {Phase: mapswitch.PhaseHold, Version: 6}} {
+	first, second := expertmap.RoundRobin(smallGroup), expertmap.RoundRobin(smallGroup)
+	second.Layers[0][smallGroup.Slots-1] = 3
+	first.Version, second.Version = mapswitch.NewVersion(5, first), mapswitch.NewVersion(6, second)
+	for _, o := range []mapswitch.Order{{Phase: mapswitch.PhaseRead}, {Phase: mapswitch.PhasePrepare, Version: first.Version}, {Phase: mapswitch.PhasePrepare, Version: second.Version}, {Phase: mapswitch.PhaseHold, Version: second.Version}} {
 		o.Fence, o.Step, o.Epoch, o.Incarnation = 9, 40, 1, 1
 		w := orderToWire("g", "c", o)
 		w.Shape = shapeToWire(smallGroup)
 		orders = append(orders, w)
 	}
-	first, second := expertmap.RoundRobin(smallGroup), expertmap.RoundRobin(smallGroup)
-	first.Version, second.Version, second.Layers[0][smallGroup.Slots-1] = 5, 6, 3
 	orders[1].PackedMap, orders[2].Changes = first.Pack(), changesBetween(first, second)
 	for _, i := range []int{0, 1, 1, 2, 3, 3, 1} {
 		s.Handle(t.Context(), orders[i])
@@ -45,7 +46,7 @@
 	line := func(message string, base uint64, m expertmap.Map) orderLine {
 		return orderLine{message, "prepare", expertmap.FormatDigest(m.Digest(smallGroup.Slots)), m.Version, base, expertmap.FormatDigest(m.RankDigest(0, smallGroup.Slots))}
 	}
-	want := []orderLine{line("switch order accepted", 0, first), line("switch order accepted", 5, second), {Message: "switch order accepted", Phase: "hold", Version: 6}, line("switch order refused", 0, first)}
+	want := []orderLine{line("switch order accepted", 0, first), line("switch order accepted", first.Version, second), {Message: "switch order accepted", Phase: "hold", Version: second.Version}, line("switch order refused", 0, first)}
 	for decoder := json.NewDecoder(&lines); decoder.More(); want = want[1:] {
 		var got orderLine
 		is.NoErr(decoder.Decode(&got))
--- a/agent/mapswitch/clock_test.go
+++ b/agent/mapswitch/clock_test.go
@@ -22,11 +22,11 @@
 		for range rapid.IntRange(2, 12).Draw(t, "coordinators") {
 			rank := rapid.IntRange(0, 95).Draw(t, "rank")
 			now := drawWall(t, start)
-			withoutHistory := NextFence(0, rank, now)
-			fence := NextFence(highest, rank, now)
+			withoutHistory := NextFence(0, rank, 1, now)
+			fence := NextFence(highest, rank, 1, now)
 			is.True(fence > highest)
 			is.True(fence >= withoutHistory)
-			is.True(firstVersion(fence) > firstVersion(highest))
+			is.True(firstVersionCounter(fence) > firstVersionCounter(highest))
 			highest = fence
 		}
 	})
@@ -36,11 +36,11 @@
 // smaller than the one that the ranks have promised.
 func TestCoordinatorWithClockSetBackStartsOverWithLargerFence(t *testing.T) {
 	is := is.New(t)
-	before := NextFence(0, 0, start.Add(40*time.Minute))
-	first := NewCoordinator(2, NextFence(0, 1, start), Timing{}, start)
+	before := NextFence(0, 0, 1, start.Add(40*time.Minute))
+	first := NewCoordinator(2, NextFence(0, 1, 1, start), Timing{}, start)
 	order := first.Tick(start)[0]
 	first.Receive(order.Rank, order.Order, Reply{Superseded: true, Fence: before}, start)
 	is.Equal(first.Stage(), StageSuperseded)
-	second := NewCoordinator(2, NextFence(first.HighestFence(), 1, start), Timing{}, start)
+	second := NewCoordinator(2, NextFence(first.HighestFence(), 1, 1, start), Timing{}, start)
 	is.True(second.Fence() > before)
 }
--- a/agent/mapswitch/content_test.go
+++ b/agent/mapswitch/content_test.go
@@ -10,7 +10,6 @@
 
 	"baywall.example/agent/mapswitch"
 	"baywall.example/agent/rank"
-	"baywall.example/core/expertmap"
 )
 
 // newScriptedWorld returns two ranks that copy experts until the test ends the copies, and the
@@ -74,14 +73,14 @@
 	is.Equal(w.ranks[0].inUse, w.ranks[1].inUse)
 }
 
-// versionsOf returns the versions that a coordinator assigns to three maps, each of which replaces
-// the one before. The ranks report no version, as no copy is complete.
-func versionsOf(c *mapswitch.Coordinator, now time.Time) (out []uint64) {
+// versionsOf returns the versions that a rank's coordinator assigns to three maps, each of which
+// replaces the one before. The ranks report no version, as no copy is complete.
+func versionsOf(c *mapswitch.Coordinator, rank int, now time.Time) (out []uint64) {
 	for _, o := range c.Tick(now) {
 		c.Receive(o.Rank, o.Order, mapswitch.Reply{OK: true, Fence: c.Fence()}, now)
 	}
-	for range 3 {
-		c.Propose(expertmap.Map{}, now)
+	for i := range 3 {
+		c.Propose(mapOf(int32(10*rank+i), 3), now)
 		out = append(out, c.Tick(now)[0].Order.Version)
 	}
 	return out
@@ -102,9 +101,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			before := mapswitch.NextFence(0, 0, now.Add(c.ahead))
+			before := mapswitch.NextFence(0, 0, 1, now.Add(c.ahead))
 			start := func(rank int, at time.Time) []uint64 {
-				return versionsOf(mapswitch.NewCoordinator(3, mapswitch.NextFence(before, rank, at), mapswitch.Timing{}, at), at)
+				return versionsOf(mapswitch.NewCoordinator(3, mapswitch.NextFence(before, rank, 1, at), mapswitch.Timing{}, at), rank, at)
 			}
 			seen := make(map[uint64]bool)
 			for _, v := range append(start(1, now.Add(time.Second)), start(2, now.Add(time.Second+c.apart))...) {
--- a/agent/mapswitch/coordinator.go
+++ b/agent/mapswitch/coordinator.go
@@ -9,30 +9,6 @@
 	"baywall.example/core/vm"
 )
 
-// fenceRankBits is the width of the rank in a fencing number. The rank makes the numbers
-// of two coordinators differ.
-const fenceRankBits = 16
-
-// NextFence returns a fencing number for a rank's coordinator that is larger than the
-// highest one seen. Its upper part is at least the wall clock in milliseconds: a
-// restarted agent no longer knows which numbers its predecessor used, and must not reuse
-// one of them.
-func NextFence(highest uint64, rank int, wall time.Time) uint64 {
-	counter := max(highest>>fenceRankBits+1, uint64(wall.UnixMilli()))
-	return counter<<fenceRankBits | uint64(rank)
-}
-
-// versionRankBits is the width of the rank in a version.
-const versionRankBits = 10
-
-// firstVersion returns the lowest version that the fence's coordinator assigns to a map.
-// Versions are unique, and larger than those of any earlier coordinator, because an order
-// of an earlier coordinator may still be in flight.
-func firstVersion(fence uint64) uint64 {
-	rank := fence & (1<<fenceRankBits - 1)
-	return fence>>fenceRankBits<<versionRankBits | rank&(1<<versionRankBits-1)
-}
-
 // Stage is a state of a Coordinator.
 type Stage int
 
@@ -108,7 +84,7 @@
 	maxHeldStep   uint64 // the latest step that any rank is known to have held
 	unarmedStep   uint64 // step that ranks hold and none is armed for, 0 = none
 	epoch         uint64 // of the group, as all ranks reported it when they were read
-	version       uint64 // largest version seen on any rank
+	counter       uint64 // largest counter of a version seen on any rank, or assigned
 	leadEstimator leadEstimator
 	held          time.Time // when ranks were first seen to hold a step without a switch in progress
 	// committed is the version of the latest switch, 0 = none yet.
@@ -127,7 +103,10 @@
 // ranks.
 func NewCoordinator(ranks int, fence uint64, timing Timing, now time.Time) *Coordinator {
 	timing.provision()
-	c := &Coordinator{timing: timing, fence: fence, highestFence: fence, lockHolder: lockHolderOf(fence, ranks), ranks: make([]rankState, ranks)}
+	c := &Coordinator{
+		timing: timing, fence: fence, highestFence: fence, counter: firstVersionCounter(fence),
+		lockHolder: lockHolderOf(fence, ranks), ranks: make([]rankState, ranks),
+	}
 	c.enter(StageReading, now)
 	return c
 }
@@ -136,8 +115,7 @@
 // the coordinator's own rank, so that the group can continue when the coordinator's VM
 // freezes.
 func lockHolderOf(fence uint64, ranks int) int {
-	rank := int(fence & (1<<fenceRankBits - 1))
-	return (rank + 1) % ranks
+	return (fenceRank(fence) + 1) % ranks
 }
 
 // Stage returns the coordinator's current stage.
@@ -225,8 +203,8 @@
 	if c.stage != StageIdle && c.stage != StagePreparing && c.stage != StageHeld {
 		return false
 	}
-	c.version = max(c.version+1, firstVersion(c.fence))
-	m.Version = c.version
+	c.counter++
+	m.Version = NewVersion(c.counter, m)
 	c.target = m
 	c.enter(StagePreparing, now)
 	return true
@@ -235,11 +213,26 @@
 // Tick applies timeouts and returns the orders that are due.
 func (c *Coordinator) Tick(now time.Time) []Outgoing {
 	if c.stage == StagePreparing && now.Sub(c.since) > c.timing.Prepare {
-		c.enter(StageIdle, now) // no step is held yet, so the switch can be abandoned
+		c.abandon(now)
 	}
 	return c.due(now)
 }
 
+// abandonedStep is how much the counter of the next version exceeds that of a map which
+// some rank did not prepare: one minute. The rank may have had a larger version than it
+// reports, from a coordinator whose clock was ahead.
+const abandonedStep = uint64(time.Minute/time.Millisecond) / versionUnit
+
+// abandon ends a switch that some rank does not prepare.
+func (c *Coordinator) abandon(now time.Time) {
+	c.counter += abandonedStep
+	if c.unarmedStep != 0 {
+		c.enter(StageHeld, now)
+		return
+	}
+	c.enter(StageIdle, now)
+}
+
 func (c *Coordinator) due(now time.Time) []Outgoing {
 	if c.stage == StageIdle || c.stage == StageSuperseded || c.stage == StageHeld {
 		return nil
@@ -447,7 +440,7 @@
 	}
 	c.unarmedStep = 0
 	for _, r := range c.ranks {
-		c.version = max(c.version, r.state.Active, r.state.Loaded)
+		c.counter = max(c.counter, versionCounter(r.state.Active), versionCounter(r.state.Loaded))
 	}
 	for _, r := range c.ranks {
 		if r.state.Activate != 0 {
--- a/agent/mapswitch/coordinator_test.go
+++ b/agent/mapswitch/coordinator_test.go
@@ -24,7 +24,7 @@
 
 func idleCoordinator(t *testing.T, timing Timing) *Coordinator {
 	t.Helper()
-	c := NewCoordinator(2, NextFence(0, 0, start), timing, start)
+	c := NewCoordinator(2, NextFence(0, 0, 1, start), timing, start)
 	answerAll(c, c.Tick(start), engine.ExpertState{Step: 1, Epoch: 1}, start)
 	if c.Stage() != StageIdle {
 		t.Fatalf("stage %s", c.Stage())
--- a/agent/mapswitch/ranks_explore_test.go
+++ b/agent/mapswitch/ranks_explore_test.go
@@ -83,6 +83,37 @@
 	}
 }
 
+// TestRandomSchedulesUnderFurtherConditions explores schedules of ranks that behave as the platform
+// permits. The last two cases are of ranks that go further.
+func TestRandomSchedulesUnderFurtherConditions(t *testing.T) {
+	everything := conditions{slowCopies: true, equalStarts: true, clocksApart: true, idle: true, lateOrders: true, restarts: true}
+	cases := []struct {
+		name      string
+		schedules uint64
+		allow     conditions
+	}{
+		{"slow copies", rankSchedules / 4, conditions{slowCopies: true}},
+		{"equal starts", rankSchedules / 4, conditions{equalStarts: true}},
+		{"clocks apart", rankSchedules / 4, conditions{clocksApart: true}},
+		{"idle group", rankSchedules / 4, conditions{idle: true}},
+		{"late orders", rankSchedules / 4, conditions{lateOrders: true}},
+		{"restarts of all agents", rankSchedules / 4, conditions{restarts: true}},
+		{"slow copies with clocks apart and restarts", rankSchedules, conditions{slowCopies: true, clocksApart: true, restarts: true}},
+		{"late orders of an idle group", rankSchedules / 4, conditions{idle: true, lateOrders: true}},
+		{"everything", rankSchedules, everything},
+		{"prepared until the next copy is complete", rankSchedules, conditions{slowCopies: true, keepsCopies: true}},
+		{"a second hold replaces the first", rankSchedules, conditions{twoHolds: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if seed, problem := exploreRanks(c.schedules, rankBugs{}, c.allow); problem != "" {
+				rankSchedule(seed, rankBugs{}, c.allow, t.Logf)
+				t.Fatalf("seed %d: %s", seed, problem)
+			}
+		})
+	}
+}
+
 func TestInjectedBugsOfUnfencedRanksAreFound(t *testing.T) {
 	cases := []struct {
 		name string
--- a/agent/mapswitch/world_test.go
+++ b/agent/mapswitch/world_test.go
@@ -151,7 +151,7 @@
 			highest = max(highest, c.HighestFence())
 		}
 	}
-	fence := NextFence(highest, rank, w.now.Add(w.ranks[rank].skew))
+	fence := NextFence(highest, rank, w.ranks[rank].incarnation, w.now.Add(w.ranks[rank].skew))
 	w.coords = append(w.coords, &simCoordinator{NewCoordinator(len(w.ranks), fence, timing, w.now), rank})
 }
 
--- a/core/expertmap/pack.go
+++ b/core/expertmap/pack.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"io"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 )
 
@@ -17,13 +18,7 @@
 // initial map of 96 ranks, 16 layers and 3 slots takes 0.5 kB instead of 7 kB, a planned
 // one 5 kB.
 func (m Map) Pack() []byte {
-	raw := binary.AppendUvarint(nil, uint64(len(m.Layers)))
-	for _, row := range m.Layers {
-		raw = binary.AppendUvarint(raw, uint64(len(row)))
-		for _, e := range row {
-			raw = binary.AppendUvarint(raw, uint64(e+1))
-		}
-	}
+	raw := m.appendSlots(nil)
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
 	if err != nil {
@@ -34,6 +29,21 @@
 	return out.Bytes()
 }
 
+// Checksum returns a checksum of the map's slots. Unlike Digest, it depends on the order of
+// the experts within a rank's slots.
+func (m Map) Checksum() uint64 { return xxhash.Sum64(m.appendSlots(nil)) }
+
+func (m Map) appendSlots(raw []byte) []byte {
+	raw = binary.AppendUvarint(raw, uint64(len(m.Layers)))
+	for _, row := range m.Layers {
+		raw = binary.AppendUvarint(raw, uint64(len(row)))
+		for _, e := range row {
+			raw = binary.AppendUvarint(raw, uint64(e+1))
+		}
+	}
+	return raw
+}
+
 // Unpack decodes the packed slots of a map of the given version.
 func Unpack(version uint64, packed []byte) (Map, error) {
 	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxPacked))
