--- a/standin/soak/cmd/soak/faults.go
+++ b/standin/soak/cmd/soak/faults.go
@@ -95,6 +95,11 @@
 	{"lethal prompt part", false, (*faults).sendLethalPart},
 	{"unframed answers", true, (*faults).answerUnframed},
 	{"backend server back at once", false, (*faults).restartAtOnce},
+	{"coordinators killed in series", false, (*faults).killCoordinators},
+	{"coordinator paused in a switch", false, (*faults).pauseCoordinator},
+	{"coordinator paused, its successor killed", false, (*faults).pauseCoordinatorKillSuccessor},
+	{"agents of a group killed together", false, (*faults).killAgents},
+	{"rank crashed in a switch", false, (*faults).crashRank},
 }
 
 // focused returns the kinds whose names contain one of the words.
--- a/standin/soak/cmd/soak/main.go
+++ b/standin/soak/cmd/soak/main.go
@@ -32,7 +32,9 @@
 	kinds   int    // number of fault kinds to use, 0 = all
 	focus   string // comma-separated words in the names of the kinds in focus
 	size    size
+	lists   string // order of the experts that ranks report: listsAsSent, listsSorted, "" = the seed decides
 	keep    string // folder for the logs of failed seeds, "" = temporary
+	keepAll bool   // keep the logs of all seeds
 	verbose bool
 }
 
@@ -54,6 +56,8 @@
 	flag.IntVar(&o.size.groups, "groups", 2, "groups of ranks")
 	flag.IntVar(&o.size.ranks, "ranks", 3, "ranks of a group")
 	flag.IntVar(&o.size.rate, "rate", 60, "requests a second")
+	flag.StringVar(&o.lists, "lists", "", "order in which ranks report their experts: "+listsAsSent+" or "+listsSorted+" (default: the seed decides)")
+	flag.BoolVar(&o.keepAll, "keep-all", false, "keep the logs of all seeds")
 	flag.StringVar(&o.keep, "keep", "", "folder for the logs of seeds that fail (default: a temporary one)")
 	flag.BoolVar(&o.verbose, "v", false, "print every fault")
 	flag.Parse()
@@ -101,7 +105,7 @@
 	if err := w.start(ctx); err != nil {
 		return nil, fmt.Errorf("%w; logs in %s", err, w.dir)
 	}
-	r := &report{seed: seed, processes: len(w.gateways) + len(w.agents)}
+	r := &report{seed: seed, processes: len(w.gateways) + len(w.agents), ranks: w.rankSettings, switchesExpected: o.stressesSwitches()}
 	load := newLoad(w)
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	load.begin(loadCtx, o.size.rate)
@@ -120,7 +124,7 @@
 	stopLoad()
 	load.wait()
 	r.check(w, load, f, watcher, healedAt)
-	if len(r.violations) > 0 {
+	if len(r.violations) > 0 || o.keepAll {
 		r.logs = w.keepLogs(o.keep)
 	}
 	return r, nil
--- a/standin/soak/cmd/soak/process.go
+++ b/standin/soak/cmd/soak/process.go
@@ -25,6 +25,7 @@
 type process struct {
 	vm       string
 	settings string
+	log      string // file
 	child    *fleet.Process
 
 	mu           sync.Mutex
--- a/standin/soak/cmd/soak/report.go
+++ b/standin/soak/cmd/soak/report.go
@@ -16,7 +16,12 @@
 	processes int
 	outcomes  map[standin.Outcome]int
 	injected  map[string]int
-	switches  uint64 // largest map version in use at the end
+	ranks     standin.GroupSettings
+	version   uint64        // largest map version in use at the end
+	switches  int           // of all groups
+	held      time.Duration // for how long groups were held, in total
+	// switchesExpected is whether a run without any switch shows nothing.
+	switchesExpected bool
 	// quarantined counts the lethal requests that ended at least three backend servers.
 	quarantined  int
 	limits       int           // announced by backend servers
@@ -59,13 +64,7 @@
 		r.checkAttempt(w, f, a)
 	}
 	r.checkRecovery(l, healedAt)
-	for _, g := range w.groups {
-		for _, m := range g.MixedPasses() {
-			r.violatedf("group %s: %s", g.Name, m)
-		}
-		version, _ := g.State()
-		r.switches = max(r.switches, version)
-	}
+	r.checkMaps(w)
 	r.checkLeft(w, l, f, probes)
 	r.checkLethal(w, l, f)
 	r.checkLimits(w, l, f, probes)
@@ -78,6 +77,21 @@
 	r.checkInForce(watcher)
 }
 
+// checkMaps reports the passes that ranks of a group began with different maps, and a run that
+// shows nothing about that because no group switched maps.
+func (r *report) checkMaps(w *world) {
+	for _, g := range w.groups {
+		for _, m := range g.MixedPasses() {
+			r.violatedf("group %s: ranks began a pass with different maps: %s", g.Name, m)
+		}
+		version, switches, held := g.State()
+		r.version, r.switches, r.held = max(r.version, version), r.switches+switches, r.held+held
+	}
+	if r.switchesExpected && r.switches == 0 {
+		r.violatedf("the run shows nothing about expert maps: no group switched")
+	}
+}
+
 // checkLeft reports requests that a backend server received after it had left. Requests
 // that a gateway sent during a pause or shortly after it are allowed.
 func (r *report) checkLeft(w *world, l *load, f *faults, probes map[string]standin.Attempt) {
@@ -195,7 +209,8 @@
 // String formats the report for people to read.
 func (r *report) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d processes, maps up to version %d, requests:", r.seed, r.processes, r.switches)
+	fmt.Fprintf(&b, "seed %d: %d processes, %d switches to maps up to version %d (held %v; copies of %v, %.2f unanswered, sorted lists %t), requests:",
+		r.seed, r.processes, r.switches, r.version, r.held, r.ranks.CopyTime, r.ranks.Unanswered, r.ranks.SortedLists)
 	for o := standin.Served; o <= standin.TimedOut; o++ {
 		if r.outcomes[o] > 0 {
 			fmt.Fprintf(&b, " %d %s", r.outcomes[o], o)
@@ -213,6 +228,9 @@
 	fmt.Fprintf(&b, "\n  %d faults: %s", total, strings.Join(names, ", "))
 	if len(r.violations) == 0 {
 		b.WriteString("\n  every promise kept")
+		if r.logs != "" {
+			b.WriteString("; logs: " + r.logs)
+		}
 		return b.String()
 	}
 	for _, line := range r.violations[:min(len(r.violations), maxPrinted)] {
--- a/standin/soak/cmd/soak/world.go
+++ b/standin/soak/cmd/soak/world.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -155,9 +156,11 @@
 	cancel      context.CancelFunc
 	faults      *faults
 	seed        uint64
-	cold        standin.Service // load limit of the plain service's backend servers after a start
-	subnet      byte            // second byte of all addresses
-	assignedIDs int             // number of runner ids assigned so far
+	// rankSettings decide how ranks answer orders; their seed differs from group to group.
+	rankSettings standin.GroupSettings
+	cold         standin.Service // load limit of the plain service's backend servers after a start
+	subnet       byte            // second byte of all addresses
+	assignedIDs  int             // number of runner ids assigned so far
 }
 
 func newWorld(b fleet.Binaries, o options, seed uint64) (*world, error) {
@@ -169,6 +172,7 @@
 	w := &world{
 		dir: dir, seed: seed, rnd: rand.New(rand.NewPCG(seed, 1)), store: standin.NewStore(), ledger: standin.NewLedger(),
 		subnet: byte(100 + os.Getpid()%100), cold: o.cold(),
+		rankSettings: o.rankSettings(seed),
 	}
 	w.reconciler = standin.NewReconciler(w.store)
 	w.config = newConfig(w.reconciler, w.cold)
@@ -179,7 +183,9 @@
 		w.backends = append(w.backends, &backend{service: plainService, address: w.vmAddress(2, i, 9000), zone: zone(i)})
 	}
 	for g := range s.groups {
-		group := standin.NewGroup(fmt.Sprintf("g%d", g), s.ranks, shape)
+		settings := w.rankSettings
+		settings.Seed += uint64(g)
+		group := standin.NewGroup(fmt.Sprintf("g%d", g), s.ranks, shape, settings)
 		w.groups = append(w.groups, group)
 		for rank := range s.ranks {
 			i := g*s.ranks + rank
@@ -211,11 +217,8 @@
 }
 
 func (w *world) newProcess(name, binary, command string) *process {
-	settings := filepath.Join(w.dir, name+".yaml")
-	return &process{
-		vm: name, settings: settings,
-		child: fleet.NewProcess(binary, command, settings, filepath.Join(w.dir, name+".log")),
-	}
+	settings, log := filepath.Join(w.dir, name+".yaml"), filepath.Join(w.dir, name+".log")
+	return &process{vm: name, settings: settings, log: log, child: fleet.NewProcess(binary, command, settings, log)}
 }
 
 // start starts the stand-ins and the programs and waits until all gateways are ready.
@@ -393,8 +396,14 @@
 	_ = os.RemoveAll(w.dir)
 }
 
-// keepLogs moves the processes' logs to a folder and returns it.
+// keepLogs moves the processes' logs and the groups' histories to a folder and returns it.
 func (w *world) keepLogs(folder string) string {
+	for _, g := range w.groups {
+		history := strings.Join(g.History(), "\n") + "\n"
+		if err := os.WriteFile(filepath.Join(w.dir, g.Name+"-history.log"), []byte(history), 0o644); err != nil {
+			return err.Error()
+		}
+	}
 	if folder == "" {
 		folder = os.TempDir()
 	}
