--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -47,6 +47,8 @@
 	lethalPartSeed = 101
 	// restartSeed has backend servers that crash under half sent answers and are back at once.
 	restartSeed = 60
+	// switchSeed has coordinators, agents and ranks that end in the middle of switches of maps.
+	switchSeed = 1001
 )
 
 // Runs the real programs as processes for a short time, with the same faults each time.
@@ -71,6 +73,10 @@
 		}
 		return r
 	}
+	o.focus, o.kinds = "coordinator,together,in a switch", 34
+	if r := runOne(t, switchSeed, o); r.switches == 0 {
+		t.Error("no group switched maps")
+	}
 	o.focus, o.kinds = "back at once", 29
 	runOne(t, restartSeed, o)
 	o.focus, o.kinds = "lethal,unframed,killed", 28
