--- a/standin/soak/cmd/soak/faults.go
+++ b/standin/soak/cmd/soak/faults.go
@@ -115,7 +115,7 @@
 
 // injectAll injects faults for o.length and waits until they are over. If o.kinds is not 0,
 // it uses only that many kinds from the start of the list. With o.focus, half of the
-// faults are of the kinds in focus.
+// faults are of the kinds in focus, or all with o.only.
 func (f *faults) injectAll(ctx context.Context, o options) {
 	among := o.kinds
 	if among == 0 {
@@ -132,7 +132,7 @@
 	rnd := f.world.rnd
 	for end := time.Now().Add(o.length); time.Now().Before(end) && ctx.Err() == nil; {
 		kind := kinds[rnd.IntN(among)]
-		if len(focus) > 0 && rnd.IntN(2) == 0 {
+		if len(focus) > 0 && (rnd.IntN(2) == 0 || o.only) {
 			kind = focus[rnd.IntN(len(focus))]
 		}
 		d := draw{
@@ -140,7 +140,7 @@
 			duration: minFault + time.Duration(rnd.Int64N(int64(maxFault-minFault))),
 			variant:  rnd.IntN(3),
 		}
-		gap := minGap + time.Duration(rnd.Int64N(int64(gapSpread)))
+		gap := o.gap + minGap + time.Duration(rnd.Int64N(int64(gapSpread)))
 		f.pending.Add(1)
 		go func() {
 			defer f.pending.Done()
--- a/standin/soak/cmd/soak/main.go
+++ b/standin/soak/cmd/soak/main.go
@@ -29,8 +29,10 @@
 	seed    uint64
 	seeds   int
 	length  time.Duration
-	kinds   int    // number of fault kinds to use, 0 = all
-	focus   string // comma-separated words in the names of the kinds in focus
+	kinds   int           // number of fault kinds to use, 0 = all
+	focus   string        // comma-separated words in the names of the kinds in focus
+	only    bool          // no other kinds than those in focus
+	gap     time.Duration // added to the time between two faults
 	size    size
 	lists   string // order of the experts that ranks report: listsAsSent, listsSorted, "" = the seed decides
 	keep    string // folder for the logs of failed seeds, "" = temporary
@@ -50,6 +52,8 @@
 	flag.IntVar(&o.seeds, "seeds", 1, "number of seeds, one world each")
 	flag.IntVar(&o.kinds, "kinds", 0, "how many kinds of faults there are, in the order of the list; 0 for all")
 	flag.StringVar(&o.focus, "focus", "", "half of the faults are those whose names contain one of these words, separated by commas")
+	flag.BoolVar(&o.only, "only", false, "all faults are of the kinds in focus")
+	flag.DurationVar(&o.gap, "gap", 0, "additional time between two faults")
 	flag.DurationVar(&o.length, "for", defaultLength, "how long the faults of one seed last")
 	flag.IntVar(&o.size.gateways, "gateways", 4, "entry VMs")
 	flag.IntVar(&o.size.plain, "plain", 3, "backend servers of the plain service")
--- a/standin/soak/cmd/soak/switches.go
+++ b/standin/soak/cmd/soak/switches.go
@@ -132,14 +132,16 @@
 
 func (f *faults) group(d draw) int { return d.which % len(f.world.groups) }
 
-// killCoordinators kills the coordinator of a group in the middle of a switch, and up to three
-// successors as soon as they have taken over.
+// killCoordinators kills the coordinator of a group, in the middle of a switch or at any time, and
+// up to two successors as soon as they have taken over.
 func (f *faults) killCoordinators(ctx context.Context, d draw) {
 	group := f.group(d)
-	f.world.awaitSwitch(ctx, group, d)
+	if d.which/len(f.world.groups)%2 == 0 {
+		f.world.awaitSwitch(ctx, group, d)
+	}
 	c := f.world.coordinator(group)
 	c.agent.signal(syscall.SIGKILL)
-	for range d.variant + 1 {
+	for range d.variant {
 		c = f.world.awaitSuccessor(ctx, group, c)
 		wait.Sleep(ctx, time.Duration(d.which)%maxIntoSwitch)
 		c.agent.signal(syscall.SIGKILL)
