--- a/standin/soak/cmd/soak/config.go
+++ b/standin/soak/cmd/soak/config.go
@@ -21,14 +21,15 @@
 type config struct {
 	reconciler *standin.Reconciler
 	cold       standin.Service // load limit of the plain service's backend servers after a start
+	shape      standin.Shape   // of the groups' expert maps
 
 	mu      sync.Mutex
 	version uint64
 	at      time.Time // when the current version was published
 }
 
-func newConfig(reconciler *standin.Reconciler, cold standin.Service) *config {
-	return &config{reconciler: reconciler, cold: cold}
+func newConfig(reconciler *standin.Reconciler, cold standin.Service, shape standin.Shape) *config {
+	return &config{reconciler: reconciler, cold: cold, shape: shape}
 }
 
 // versionPath returns the path prefix of the route that a version adds.
@@ -57,7 +58,7 @@
 	if c.version > 1 {
 		routes = append(routes, route(versionPath(c.version-1), standin.KindSafe, plainService, 2))
 	}
-	services := []standin.Service{{Name: plainService, ColdS: c.cold.ColdS, ColdPerS: c.cold.ColdPerS}, {Name: modelService, Slots: slots, Shape: &shape}}
+	services := []standin.Service{{Name: plainService, ColdS: c.cold.ColdS, ColdPerS: c.cold.ColdPerS}, {Name: modelService, Slots: slots, Shape: &c.shape}}
 	c.reconciler.Put(standin.ConfigKey, standin.EncodeConfig(c.version, routes, services, map[string]string{"team": teamKey, "surge": surgeKey}))
 	c.at = time.Now()
 }
--- a/standin/soak/cmd/soak/main.go
+++ b/standin/soak/cmd/soak/main.go
@@ -26,18 +26,19 @@
 
 // options are the command's flags.
 type options struct {
-	seed    uint64
-	seeds   int
-	length  time.Duration
-	kinds   int           // number of fault kinds to use, 0 = all
-	focus   string        // comma-separated words in the names of the kinds in focus
-	only    bool          // no other kinds than those in focus
-	gap     time.Duration // added to the time between two faults
-	size    size
-	lists   string // order of the experts that ranks report: listsAsSent, listsSorted, "" = the seed decides
-	keep    string // folder for the logs of failed seeds, "" = temporary
-	keepAll bool   // keep the logs of all seeds
-	verbose bool
+	seed       uint64
+	seeds      int
+	length     time.Duration
+	kinds      int           // number of fault kinds to use, 0 = all
+	focus      string        // comma-separated words in the names of the kinds in focus
+	only       bool          // no other kinds than those in focus
+	gap        time.Duration // added to the time between two faults
+	size       size
+	lists      string  // order of the experts that ranks report: listsAsSent, listsSorted, "" = the seed decides
+	unanswered float64 // share of orders to ranks that get no answer
+	keep       string  // folder for the logs of failed seeds, "" = temporary
+	keepAll    bool    // keep the logs of all seeds
+	verbose    bool
 }
 
 // size is the number of processes of a world and the request rate.
@@ -61,6 +62,7 @@
 	flag.IntVar(&o.size.ranks, "ranks", 3, "ranks of a group")
 	flag.IntVar(&o.size.rate, "rate", 60, "requests a second")
 	flag.StringVar(&o.lists, "lists", "", "order in which ranks report their experts: "+listsAsSent+" or "+listsSorted+" (default: the seed decides)")
+	flag.Float64Var(&o.unanswered, "unanswered", unansweredShare, "share of orders to ranks that get no answer")
 	flag.BoolVar(&o.keepAll, "keep-all", false, "keep the logs of all seeds")
 	flag.StringVar(&o.keep, "keep", "", "folder for the logs of seeds that fail (default: a temporary one)")
 	flag.BoolVar(&o.verbose, "v", false, "print every fault")
--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -61,7 +61,7 @@
 		t.Fatal(err)
 	}
 	defer clean()
-	o := options{length: 6 * time.Second, size: size{gateways: 3, plain: 3, groups: 1, ranks: 2, rate: 30}, keep: t.TempDir()}
+	o := options{length: 6 * time.Second, size: size{gateways: 3, plain: 3, groups: 1, ranks: 2, rate: 30}, keep: t.TempDir(), unanswered: unansweredShare}
 	runOne := func(t *testing.T, seed uint64, o options) *report {
 		r, err := runSeed(t.Context(), b, o, seed)
 		if err != nil {
--- a/standin/soak/cmd/soak/switches.go
+++ b/standin/soak/cmd/soak/switches.go
@@ -18,7 +18,7 @@
 	// switchKinds is the smallest number of fault kinds with which ranks leave orders unanswered
 	// and demand shifts so often that groups switch maps all the time.
 	switchKinds = 30
-	// unansweredShare is the share of orders to ranks that get no answer then.
+	// unansweredShare is the usual share of orders to ranks that get no answer then.
 	unansweredShare = 0.1
 	// shiftSteps is how many steps demand stays the same then: 1.2 s.
 	shiftSteps = 80
@@ -51,7 +51,7 @@
 	}
 	rnd := rand.New(rand.NewPCG(seed, 1<<32))
 	s := standin.GroupSettings{
-		Seed: seed, Unanswered: unansweredShare, ShiftSteps: shiftSteps,
+		Seed: seed, Unanswered: o.unanswered, ShiftSteps: shiftSteps,
 		CopyTime: copyTimes[rnd.IntN(len(copyTimes))], SortedLists: rnd.IntN(2) == 0,
 	}
 	if o.lists != "" {
--- a/standin/soak/cmd/soak/world.go
+++ b/standin/soak/cmd/soak/world.go
@@ -30,8 +30,15 @@
 // scheduling turns all scheduling settings of the gateways on.
 const scheduling = "scheduling:\n  queue: true\n  fair_share: true\n  server_speed: true\n  concurrency_limit: true\n"
 
-// shape is the shape of the groups' expert maps.
-var shape = standin.Shape{Sets: 2, Experts: 12, Places: 6, Spare: 2}
+// shape returns the shape of the groups' expert maps. Where groups switch all the time, most experts
+// are on several ranks, so that most lists of experts are a valid map.
+func (o options) shape() standin.Shape {
+	s := standin.Shape{Sets: 2, Experts: 12, Places: 6, Spare: 2}
+	if o.stressesSwitches() {
+		s.Places = 8
+	}
+	return s
+}
 
 // relay is a fault proxy in front of one address.
 type relay struct {
@@ -175,7 +182,7 @@
 		rankSettings: o.rankSettings(seed),
 	}
 	w.reconciler = standin.NewReconciler(w.store)
-	w.config = newConfig(w.reconciler, w.cold)
+	w.config = newConfig(w.reconciler, w.cold, o.shape())
 	for i := range s.gateways {
 		w.gateways = append(w.gateways, w.newGateway(b, i))
 	}
@@ -185,7 +192,7 @@
 	for g := range s.groups {
 		settings := w.rankSettings
 		settings.Seed += uint64(g)
-		group := standin.NewGroup(fmt.Sprintf("g%d", g), s.ranks, shape, settings)
+		group := standin.NewGroup(fmt.Sprintf("g%d", g), s.ranks, o.shape(), settings)
 		w.groups = append(w.groups, group)
 		for rank := range s.ranks {
 			i := g*s.ranks + rank
