--- a/standin/soak/cmd/soak/main.go
+++ b/standin/soak/cmd/soak/main.go
@@ -26,14 +26,19 @@
 
 // options are the command's flags.
 type options struct {
-	seed    uint64
-	seeds   int
-	length  time.Duration
-	kinds   int    // number of fault kinds to use, 0 = all
-	focus   string // comma-separated words in the names of the kinds in focus
-	size    size
-	keep    string // folder for the logs of failed seeds, "" = temporary
-	verbose bool
+	seed       uint64
+	seeds      int
+	length     time.Duration
+	kinds      int           // number of fault kinds to use, 0 = all
+	focus      string        // comma-separated words in the names of the kinds in focus
+	only       bool          // no other kinds than those in focus
+	gap        time.Duration // added to the time between two faults
+	size       size
+	lists      string  // order of the experts that ranks report: listsAsSent, listsSorted, "" = the seed decides
+	unanswered float64 // share of orders to ranks that get no answer
+	keep       string  // folder for the logs of failed seeds, "" = temporary
+	keepAll    bool    // keep the logs of all seeds
+	verbose    bool
 }
 
 // size is the number of processes of a world and the request rate.
@@ -48,12 +53,17 @@
 	flag.IntVar(&o.seeds, "seeds", 1, "number of seeds, one world each")
 	flag.IntVar(&o.kinds, "kinds", 0, "how many kinds of faults there are, in the order of the list; 0 for all")
 	flag.StringVar(&o.focus, "focus", "", "half of the faults are those whose names contain one of these words, separated by commas")
+	flag.BoolVar(&o.only, "only", false, "all faults are of the kinds in focus")
+	flag.DurationVar(&o.gap, "gap", 0, "additional time between two faults")
 	flag.DurationVar(&o.length, "for", defaultLength, "how long the faults of one seed last")
 	flag.IntVar(&o.size.gateways, "gateways", 4, "entry VMs")
 	flag.IntVar(&o.size.plain, "plain", 3, "backend servers of the plain service")
 	flag.IntVar(&o.size.groups, "groups", 2, "groups of ranks")
 	flag.IntVar(&o.size.ranks, "ranks", 3, "ranks of a group")
 	flag.IntVar(&o.size.rate, "rate", 60, "requests a second")
+	flag.StringVar(&o.lists, "lists", "", "order in which ranks report their experts: "+listsAsSent+" or "+listsSorted+" (default: the seed decides)")
+	flag.Float64Var(&o.unanswered, "unanswered", unansweredShare, "share of orders to ranks that get no answer")
+	flag.BoolVar(&o.keepAll, "keep-all", false, "keep the logs of all seeds")
 	flag.StringVar(&o.keep, "keep", "", "folder for the logs of seeds that fail (default: a temporary one)")
 	flag.BoolVar(&o.verbose, "v", false, "print every fault")
 	flag.Parse()
@@ -101,7 +111,7 @@
 	if err := w.start(ctx); err != nil {
 		return nil, fmt.Errorf("%w; logs in %s", err, w.dir)
 	}
-	r := &report{seed: seed, processes: len(w.gateways) + len(w.agents)}
+	r := &report{seed: seed, processes: len(w.gateways) + len(w.agents), ranks: w.rankSettings, switchesExpected: o.stressesSwitches()}
 	load := newLoad(w)
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	load.begin(loadCtx, o.size.rate)
@@ -120,7 +130,7 @@
 	stopLoad()
 	load.wait()
 	r.check(w, load, f, watcher, healedAt)
-	if len(r.violations) > 0 {
+	if len(r.violations) > 0 || o.keepAll {
 		r.logs = w.keepLogs(o.keep)
 	}
 	return r, nil
--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -47,6 +47,8 @@
 	lethalPartSeed = 101
 	// restartSeed has backend servers that crash under half sent answers and are back at once.
 	restartSeed = 60
+	// switchSeed has coordinators, agents and ranks that end in the middle of switches of maps.
+	switchSeed = 1001
 )
 
 // Runs the real programs as processes for a short time, with the same faults each time.
@@ -59,7 +61,7 @@
 		t.Fatal(err)
 	}
 	defer clean()
-	o := options{length: 6 * time.Second, size: size{gateways: 3, plain: 3, groups: 1, ranks: 2, rate: 30}, keep: t.TempDir()}
+	o := options{length: 6 * time.Second, size: size{gateways: 3, plain: 3, groups: 1, ranks: 2, rate: 30}, keep: t.TempDir(), unanswered: unansweredShare}
 	runOne := func(t *testing.T, seed uint64, o options) *report {
 		r, err := runSeed(t.Context(), b, o, seed)
 		if err != nil {
@@ -71,6 +73,10 @@
 		}
 		return r
 	}
+	o.focus, o.kinds = "coordinator,together,in a switch", 34
+	if r := runOne(t, switchSeed, o); r.switches == 0 {
+		t.Error("no group switched maps")
+	}
 	o.focus, o.kinds = "back at once", 29
 	runOne(t, restartSeed, o)
 	o.focus, o.kinds = "lethal,unframed,killed", 28
