--- a/review/cmd/review-backlog/main.go
+++ b/review/cmd/review-backlog/main.go
@@ -200,7 +200,7 @@
 func (c *testCase) startRunners(ctx context.Context, w *rig.World) error {
 	ledger := standin.NewLedger()
 	for g := range groups {
-		group := standin.NewGroup(fmt.Sprintf("g%d", g), ranks, standin.Shape{Sets: shape.Sets, Experts: shape.Experts, Places: shape.Places, Spare: shape.Spare}, standin.GroupSettings{})
+		group := standin.NewGroup(fmt.Sprintf("g%d", g), ranks, standin.Shape{Sets: shape.Sets, Experts: shape.Experts, Places: shape.Places, Spare: shape.Spare})
 		go group.Run(ctx)
 		for rank := range ranks {
 			i := g*ranks + rank
--- a/standin/soak/cmd/soak/world.go
+++ b/standin/soak/cmd/soak/world.go
@@ -192,7 +192,7 @@
 	for g := range s.groups {
 		settings := w.rankSettings
 		settings.Seed += uint64(g)
-		group := standin.NewGroup(fmt.Sprintf("g%d", g), s.ranks, o.shape(), settings)
+		group := standin.NewGroupWith(fmt.Sprintf("g%d", g), s.ranks, o.shape(), settings)
 		w.groups = append(w.groups, group)
 		for rank := range s.ranks {
 			i := g*s.ranks + rank
