Bound what a backend server may send in place of an answer

A server that sent a head without end cost its gateway up to gigabytes, so that the gateway and every request there ended. http.ReadResponse reads a head of any size, and its error about a malformed one quotes the whole line. A foreign answer's body was read to its end, and a body that never ends was passed on until the deadline.

An exchange beyond a bound ends as one with a malformed answer does: ErrLost, its connection closed.

--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -35,7 +35,8 @@
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
 	// bufferSize is the size of a connection's read buffer, in bytes: an event of
-	// a stream and the headers of an answer fit into it.
+	// a stream and the headers of an answer fit into it. The lines between two chunks of a body,
+	// and its trailer, must.
 	bufferSize = 2048
 	// maxIdlePerServer bounds the idle connections to one backend server; a
 	// gateway rarely has more requests in flight to one.
@@ -50,7 +51,8 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
+	reader  *bufio.Reader // reads from the limiter
+	limiter *headLimiter
 	opened  time.Time
 	expires time.Time // not reused after this time
 }
@@ -132,7 +134,8 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize), opened: clock.Now()}
+	limiter := &headLimiter{conn: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limiter, bufferSize), limiter: limiter, opened: clock.Now()}
 }
 
 // usable reports whether an idle connection is open and has no unread bytes:
--- a/entry/upstream/doc.go
+++ b/entry/upstream/doc.go
@@ -10,4 +10,7 @@
 // nothing left to read, and is checked again before it is reused. An answer that
 // carries another request id than the one sent belongs to an earlier request and
 // is skipped.
+//
+// What a server sends is bounded in bytes and time (bounds.go), as a faulty one may send bytes
+// without end in place of an answer.
 package upstream
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -57,7 +56,7 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Body fails with ErrLost unless it ends as its framing announced.
+	// Body fails with ErrLost unless it ends as its framing announced and within maxBody.
 	Body io.Reader
 	// Reused reports whether the connection had carried an earlier request.
 	Reused bool
@@ -73,7 +72,9 @@
 	resp    *http.Response
 	stop    func() bool
 	written atomic.Bool
-	ended   bool
+	// bodyBytes is the number of bytes of the body that were read.
+	bodyBytes int64
+	ended     bool
 }
 
 // Do sends the request and returns once the head of the answer has been read. The
@@ -130,23 +131,26 @@
 
 func (a *Answer) exchange(r *Request) error {
 	if err := a.send(r); err != nil {
-		return eris.Wrapf(ErrLost, "write to %s: %v", a.pool.address, err)
+		return lost(err, "write to %s", a.pool.address)
 	}
 	for range maxStaleAnswers {
-		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
+		resp, err := a.conn.readHead(r.Method)
 		if err != nil {
-			return eris.Wrapf(ErrLost, "read from %s after %d other answers: %v", a.pool.address, a.Skipped, err)
+			return lost(err, "read from %s after %d other answers", a.pool.address, a.Skipped)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim answer
 		}
 		if !r.answeredBy(resp, a.Reused) {
 			a.Skipped++
-			if err := skip(resp); err != nil {
-				return eris.Wrapf(ErrLost, "answer to another request from %s: %v", a.pool.address, err)
+			if err := a.conn.skip(resp); err != nil {
+				return lost(err, "answer to another request from %s", a.pool.address)
 			}
 			continue
 		}
+		if resp.ContentLength > maxBody {
+			return lost(errBodyTooLarge, "read from %s", a.pool.address)
+		}
 		a.accept(resp)
 		return nil
 	}
@@ -164,15 +168,6 @@
 	return r.Rejects != nil && r.Rejects(resp.StatusCode, resp.Header)
 }
 
-// skip reads over an answer that does not belong to the request.
-func skip(resp *http.Response) error {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return errors.New("body is delimited by the end of the connection")
-	}
-	_, err := io.Copy(io.Discard, resp.Body)
-	return err
-}
-
 func (a *Answer) accept(resp *http.Response) {
 	a.resp = resp
 	a.Status = resp.StatusCode
@@ -224,15 +219,19 @@
 	return b.Bytes()
 }
 
-// bodyReader records when the body has ended as announced.
+// bodyReader bounds the body and records when it has ended as announced.
 type bodyReader struct{ a *Answer }
 
 func (r bodyReader) Read(p []byte) (int, error) {
 	n, err := r.a.resp.Body.Read(p)
-	if err == io.EOF {
+	r.a.bodyBytes += int64(n)
+	switch {
+	case r.a.bodyBytes > maxBody:
+		return n, lost(errBodyTooLarge, "read from %s", r.a.pool.address)
+	case err == io.EOF:
 		r.a.ended = true
-	} else if err != nil {
-		err = eris.Wrapf(ErrLost, "read from %s: %v", r.a.pool.address, err)
+	case err != nil:
+		return n, lost(err, "read from %s", r.a.pool.address)
 	}
 	return n, err
 }
