Do not pass on bytes of a stream that are no events

A stream of lines or blank lines that are no events was passed on to its caller as events until the deadline: any two blank lines ended one. The caller's answer had begun, so it was aborted instead of being given by another server. A line longer than 1 MB ended the attempt.

An event now has at least one field or comment, and everything since the event before it fits into 256 kB, the size up to which an answer is buffered. Blank lines between the last event and the end of a stream are no part of an event. The attempt is lost before anything is passed on, so a stream goes on at another server.

--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 
 	"baywall.example/core/clock"
 	"baywall.example/entry/balance"
@@ -25,11 +27,16 @@
 const (
 	// eventBuffer is the size of a stream's read buffer, in bytes.
 	eventBuffer = 2048
-	// maxEvent is the largest event, in bytes.
-	maxEvent = 1 << 20
+	// maxEvent is the largest event, in bytes, with everything since the event before it. Events
+	// hold a token or a few; the largest ones repeat a whole answer, which is buffered up to the
+	// same size.
+	maxEvent = maxBuffered
 )
 
-var errEvent = errors.New("event too large")
+var errEvent = fmt.Errorf("no complete event in %d bytes", maxEvent)
+
+// eventFields are the names of the fields of an event. A comment has an empty name.
+var eventFields = [...]string{"data", "event", "id", "retry", ""}
 
 // event is one event of a text/event-stream, including its terminating blank line.
 type event struct {
@@ -47,39 +54,51 @@
 	return &eventReader{in: bufio.NewReaderSize(in, eventBuffer)}
 }
 
-// next returns the next complete event. io.EOF means that the stream ended between two
-// events, io.ErrUnexpectedEOF that it ended within one.
+// next returns the next complete event: its last line is a blank one, and at least one has a
+// field or a comment, so that bytes which are no events are not passed on. io.EOF means that the
+// stream ended between two events, io.ErrUnexpectedEOF that it ended within one.
 func (r *eventReader) next() (event, error) {
 	r.buf = r.buf[:0]
 	var id string
-	lineStart := 0 // in buf; a line may be longer than the read buffer
+	complete := false // whether a blank line ends the event
+	lineStart := 0    // in buf; a line may be longer than the read buffer
 	for {
 		part, err := r.in.ReadSlice('\n')
 		r.buf = append(r.buf, part...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(r.buf) < maxEvent {
+		if len(r.buf) > maxEvent {
+			return event{}, errEvent
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if err == io.EOF && len(r.buf) > 0 {
+		if err == io.EOF && len(bytes.TrimRight(r.buf, "\r\n")) > 0 {
 			return event{}, io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return event{}, err
 		}
-		if len(r.buf) > maxEvent {
-			return event{}, errEvent
-		}
 		line := r.buf[lineStart:]
 		text := bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			id = string(bytes.TrimPrefix(value, []byte(" ")))
 		}
-		if len(text) == 0 && lineStart > 0 {
+		if len(text) == 0 && complete {
 			return event{raw: r.buf, id: id}, nil
 		}
+		complete = complete || isEventLine(text)
 		lineStart = len(r.buf)
 	}
 }
 
+// isEventLine reports whether a line has a field of an event, or a comment.
+func isEventLine(text []byte) bool {
+	if len(text) == 0 {
+		return false
+	}
+	name, _, _ := bytes.Cut(bytes.TrimPrefix(text, []byte("\uFEFF")), []byte(":"))
+	return slices.Contains(eventFields[:], string(name))
+}
+
 // buffered reports whether part of another event has already been read.
 func (r *eventReader) buffered() bool { return r.in.Buffered() > 0 }
 
