Read bodies through one bounded reader

core/bounded has the reader that fails beyond a limit in place of cutting off, and the bounds that gateways and agents share. entry/upstream uses it for bodies that are skipped or passed on; its bounds and errors are as before.

--- a/entry/upstream/bounds.go
+++ b/entry/upstream/bounds.go
@@ -11,14 +11,15 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"baywall.example/core/bounded"
 )
 
 // A faulty server may send bytes without end where an answer is expected. These bounds end the
 // exchange with ErrLost, as a malformed answer does.
 const (
-	// maxHeadBytes bounds the head of an answer, in bytes: status line and header fields. Heads
-	// of ordinary servers have a few hundred bytes, with cookies and policies a few thousand.
-	maxHeadBytes = 64 << 10
+	// maxHeadBytes bounds the head of an answer, in bytes.
+	maxHeadBytes = bounded.MaxHead
 	// maxHeadLines bounds the lines of a head, as a short line takes more memory than its bytes.
 	// Ordinary heads have fewer than a hundred.
 	maxHeadLines = 256
@@ -29,9 +30,8 @@
 	// time for reading it. A skipped answer was sent earlier, so it is there or on its way.
 	maxSkippedBody = 256 << 10
 	skipTimeout    = time.Second
-	// maxBody bounds the body of an answer, in bytes. A stream of 100,000 tokens with an event of
-	// 1 kB each stays below it.
-	maxBody = 128 << 20
+	// maxBody bounds the body of an answer, in bytes.
+	maxBody = bounded.MaxAnswer
 	// maxErrorText bounds how much of an error is quoted, in characters: the error about a
 	// malformed head quotes the line.
 	maxErrorText = 200
@@ -95,9 +95,9 @@
 		return errSkippedBody
 	}
 	_ = c.SetReadDeadline(time.Now().Add(skipTimeout)) // fails only if the connection is closed
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBody+1))
+	_, err := io.Copy(io.Discard, bounded.NewReader(resp.Body, maxSkippedBody))
 	_ = c.SetReadDeadline(time.Time{})
-	if n > maxSkippedBody || errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, bounded.ErrTooLarge) || errors.Is(err, os.ErrDeadlineExceeded) {
 		return errSkippedBody
 	}
 	return err
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"baywall.example/core/bounded"
 	"baywall.example/core/clock"
 )
 
@@ -72,9 +74,7 @@
 	resp    *http.Response
 	stop    func() bool
 	written atomic.Bool
-	// bodyBytes is the number of bytes of the body that were read.
-	bodyBytes int64
-	ended     bool
+	ended   bool
 }
 
 // Do sends the request and returns once the head of the answer has been read. The
@@ -173,7 +173,7 @@
 	a.Status = resp.StatusCode
 	a.Header = resp.Header
 	a.Length = resp.ContentLength
-	a.Body = bodyReader{a}
+	a.Body = bodyReader{a, bounded.NewReader(resp.Body, maxBody)}
 }
 
 func (a *Answer) send(r *Request) error {
@@ -220,16 +220,18 @@
 }
 
 // bodyReader bounds the body and records when it has ended as announced.
-type bodyReader struct{ a *Answer }
+type bodyReader struct {
+	a  *Answer
+	in *bounded.Reader
+}
 
 func (r bodyReader) Read(p []byte) (int, error) {
-	n, err := r.a.resp.Body.Read(p)
-	r.a.bodyBytes += int64(n)
+	n, err := r.in.Read(p)
 	switch {
-	case r.a.bodyBytes > maxBody:
-		return n, lost(errBodyTooLarge, "read from %s", r.a.pool.address)
 	case err == io.EOF:
 		r.a.ended = true
+	case errors.Is(err, bounded.ErrTooLarge):
+		return n, lost(errBodyTooLarge, "read from %s", r.a.pool.address)
 	case err != nil:
 		return n, lost(err, "read from %s", r.a.pool.address)
 	}
