--- a/core/bounded/bounded.go
+++ b/core/bounded/bounded.go
@@ -2,6 +2,7 @@
 package bounded
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/rotisserie/eris"
@@ -15,6 +16,8 @@
 	// MaxAnswer bounds the body of an answer to a caller's request, in bytes. A stream of 100,000
 	// tokens with an event of 1 kB each stays below it.
 	MaxAnswer = 128 << 20
+	// maxErrorText bounds how much of an error's text is kept, in characters.
+	maxErrorText = 200
 )
 
 // ErrTooLarge means that more bytes came than allowed.
@@ -45,3 +48,7 @@
 
 // ReadAll reads to the end. It fails with ErrTooLarge if there are more than limit bytes.
 func ReadAll(in io.Reader, limit int64) ([]byte, error) { return io.ReadAll(NewReader(in, limit)) }
+
+// ErrorText returns the start of an error's text. An error of net/http about a malformed head quotes
+// the whole line, which then stands in logs.
+func ErrorText(err error) string { return fmt.Sprintf("%.*s", maxErrorText, err.Error()) }
--- a/core/platform/platform.go
+++ b/core/platform/platform.go
@@ -14,13 +14,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"baywall.example/core/bounded"
 	"baywall.example/core/configuration"
 	"baywall.example/core/resource"
 	"baywall.example/core/vm"
@@ -101,7 +101,7 @@
 	return &Client{
 		base:   base,
 		wait:   wait,
-		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: bounded.MaxHead}},
 		shards: make(map[string]shardState),
 	}
 }
@@ -190,10 +190,10 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return Value{}, eris.Wrapf(ErrUnavailable, "%s: %v", key, err)
+		return Value{}, eris.Wrapf(ErrUnavailable, "%s: %s", key, bounded.ErrorText(err))
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxValueBytes))
+	raw, err := bounded.ReadAll(resp.Body, maxValueBytes)
 	if err != nil {
 		return Value{}, eris.Wrapf(ErrUnavailable, "%s: %v", key, err)
 	}
--- a/entry/upstream/bounds.go
+++ b/entry/upstream/bounds.go
@@ -32,9 +32,6 @@
 	skipTimeout    = time.Second
 	// maxBody bounds the body of an answer, in bytes.
 	maxBody = bounded.MaxAnswer
-	// maxErrorText bounds how much of an error is quoted, in characters: the error about a
-	// malformed head quotes the line.
-	maxErrorText = 200
 )
 
 var (
@@ -105,5 +102,5 @@
 
 // lost returns ErrLost with the start of its cause's text.
 func lost(cause error, format string, args ...any) error {
-	return eris.Wrapf(ErrLost, "%s: %.*s", fmt.Sprintf(format, args...), maxErrorText, cause.Error())
+	return eris.Wrapf(ErrLost, "%s: %s", fmt.Sprintf(format, args...), bounded.ErrorText(cause))
 }
