Bound heads at 32 kB in place of 64

Small interim answers that fill a head of 64 kB cost an exchange of net/http's transport 1.2 MB; an exchange with a faulty server is to cost well under 1 MB. Real heads have a few kilobytes.

--- a/core/bounded/bounded.go
+++ b/core/bounded/bounded.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// MaxHead bounds the head of an HTTP answer, in bytes: status line and header fields. Heads of
-	// ordinary servers have a few hundred bytes, with cookies and policies a few thousand. It is
-	// the MaxResponseHeaderBytes of an http.Transport, which has 10 MB by default.
-	MaxHead = 64 << 10
+	// MaxHead bounds the head of an HTTP answer, in bytes: status line, header fields and interim
+	// answers. Heads of ordinary servers have a few hundred bytes, with cookies and policies a few
+	// thousand; proxies take 8 to 64 kB by default. It is the MaxResponseHeaderBytes of an
+	// http.Transport, which has 10 MB by default.
+	MaxHead = 32 << 10
 	// MaxAnswer bounds the body of an answer to a caller's request, in bytes. A stream of 100,000
 	// tokens with an event of 1 kB each stays below it.
 	MaxAnswer = 128 << 20
