Bound what an engine of the own interface may send

An engine that sent a head or interim answers without end cost its agent up to 176 MB for each exchange, as net/http allows 10 MB; a body without end was passed on until the deadline; a refused order's answer stood in logs with up to 4 MB.

Heads are bounded as those of backend servers are, the body of an answer by 128 MB, after which it counts as broken off; errors quote 200 characters.

--- a/agent/engine/ended.go
+++ b/agent/engine/ended.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"baywall.example/core/bounded"
 )
 
 // EndedError means that the backend server's process ended before it sent a complete
@@ -114,7 +116,7 @@
 		return false
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReportSize))
+	_, err = io.Copy(io.Discard, bounded.NewReader(resp.Body, maxReportSize))
 	return err == nil && used.opened().Before(since)
 }
 
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -24,6 +24,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"baywall.example/core/bounded"
 	"baywall.example/core/clock"
 	"baywall.example/core/notice"
 	"baywall.example/core/wire"
@@ -69,7 +70,12 @@
 	dialTimeout     = time.Second
 	exchangeTimeout = 2 * time.Second
 	maxIdle         = 256
-	maxReportSize   = 4 << 20
+	// maxReportSize bounds an engine's report, in bytes.
+	maxReportSize = 4 << 20
+	// maxAnswerSize bounds the body of an answer to a caller's request, in bytes.
+	maxAnswerSize = bounded.MaxAnswer
+	// excerptSize is how much of a refused order's answer is quoted, in bytes.
+	excerptSize = 200
 )
 
 // Client talks to one backend server. It is safe for concurrent use.
@@ -97,9 +103,13 @@
 		}
 		return track(conn), nil
 	}
-	c.keepAlive = &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
-	c.singleUse = &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
-	c.monitor = &http.Transport{DialContext: dial, MaxConnsPerHost: 1, DisableCompression: true}
+	transport := func() *http.Transport {
+		return &http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: bounded.MaxHead}
+	}
+	c.keepAlive, c.singleUse, c.monitor = transport(), transport(), transport()
+	c.keepAlive.MaxIdleConnsPerHost = maxIdle
+	c.singleUse.DisableKeepAlives = true
+	c.monitor.MaxConnsPerHost = 1
 	return c
 }
 
@@ -135,21 +145,28 @@
 	resp, err := transport.RoundTrip(used.attach(req))
 	if err != nil {
 		if used.abandon() {
-			return nil, eris.Wrapf(ErrDial, "%v (connection: %v)", err, &used)
+			return nil, eris.Wrapf(ErrDial, "%s (connection: %v)", bounded.ErrorText(err), &used)
 		}
-		return nil, c.ClassifyFailure(ctx, fmt.Errorf("%w (connection: %v)", err, &used))
+		return nil, c.ClassifyFailure(ctx, fmt.Errorf("%s (connection: %v)", bounded.ErrorText(err), &used))
 	}
 	c.endCounter.markRunning()
 	if echo := resp.Header.Get(HeaderRequestID); echo != "" && echo != r.ID {
 		resp.Body.Close()
 		return nil, eris.Wrapf(ErrWrongRequest, "sent %s, got %s", r.ID, echo)
 	}
+	resp.Body = boundedBody{bounded.NewReader(resp.Body, maxAnswerSize), resp.Body}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		resp.Body = provenBody{ReadCloser: resp.Body, client: c, ctx: ctx, sent: sent}
 	}
 	return resp, nil
 }
 
+// boundedBody is the body of an answer, which fails beyond maxAnswerSize.
+type boundedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // Load is the load that a backend server reports. It lags behind the actual load.
 type Load struct {
 	Running int     `json:"running"`
@@ -245,15 +262,15 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return eris.Wrapf(ErrFailed, "%s: %v", path, err)
+		return eris.Wrapf(ErrFailed, "%s: %s", path, bounded.ErrorText(err))
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReportSize))
+	raw, err := bounded.ReadAll(resp.Body, maxReportSize)
 	if err != nil {
 		return eris.Wrapf(ErrFailed, "%s: %v", path, err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return eris.Wrapf(ErrRefused, "%s: status %d: %s", path, resp.StatusCode, raw)
+		return eris.Wrapf(ErrRefused, "%s: status %d: %s", path, resp.StatusCode, raw[:min(len(raw), excerptSize)])
 	}
 	if err := json.Unmarshal(raw, out); err != nil {
 		return eris.Wrapf(ErrFailed, "%s: %v", path, err)
