Bound what a peer may send before it is known, and what it only announces

A connection to a link's address could make the process hold 4,096 windows of 256 kB within the second before its Hello was due. A message of 6 MB took its memory when it was announced, as often as it was announced, for as long as the link was up. Dial waited for the Hello of a peer that never sends one without end, with the pool's lock for that VM held.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/binary"
 	"io"
 	"net"
 	"sync/atomic"
@@ -11,7 +13,6 @@
 	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
-	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
@@ -45,6 +46,11 @@
 	keepAlive = time.Second
 	// writeTimeout is the longest a write to a peer that does not read may block.
 	writeTimeout = 3 * time.Second
+	// callTimeout is the longest that a call may take to arrive on a stream that was opened for
+	// it. It is longer than writeTimeout, within which the sender has to get rid of it.
+	callTimeout = 5 * time.Second
+	// maxPreallocated is up to which size memory for a message is taken before its bytes come.
+	maxPreallocated = 16 << 10
 	// streamBuffer is the size of a stream's read buffer, in bytes.
 	streamBuffer = 1024
 )
@@ -81,6 +87,7 @@
 type Link struct {
 	local       *Local
 	session     *yamux.Session
+	conn        *unidentifiedConn
 	Remote      vm.ID
 	Incarnation vm.Incarnation
 	Role        vm.Role
@@ -118,8 +125,8 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
 	}
-	l := &Link{local: local}
-	l.session, err = yamux.Client(newCoalescingConn(local.countTraffic(conn)), sessionConfig(local.Log))
+	l := &Link{local: local, conn: &unidentifiedConn{Conn: local.countTraffic(conn)}}
+	l.session, err = yamux.Client(newCoalescingConn(l.conn), sessionConfig(local.Log))
 	if err != nil {
 		conn.Close()
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
@@ -133,19 +140,15 @@
 }
 
 func (l *Link) sendHello(ctx context.Context) error {
-	s, err := l.Open(ctx)
+	reply, err := l.Call(ctx, &wire.Call{Body: &wire.Call_Hello{Hello: l.local.hello()}})
 	if err != nil {
 		return err
 	}
-	defer s.Close()
-	if err := s.SendCall(&wire.Call{Body: &wire.Call_Hello{Hello: l.local.hello()}}); err != nil {
-		return err
-	}
-	reply, err := s.RecvReply()
-	if err != nil {
+	if err := l.identify(reply.GetHello()); err != nil {
 		return err
 	}
-	return l.identify(reply.GetHello())
+	l.conn.identified.Store(true)
+	return nil
 }
 
 func (l *Link) identify(h *wire.Hello) error {
@@ -174,8 +177,8 @@
 }
 
 func accept(conn net.Conn, local *Local, authorize Authorizer, handler Handler) {
-	l := &Link{local: local}
-	session, err := yamux.Server(newCoalescingConn(local.countTraffic(conn)), sessionConfig(local.Log))
+	l := &Link{local: local, conn: &unidentifiedConn{Conn: local.countTraffic(conn)}}
+	session, err := yamux.Server(newCoalescingConn(l.conn), sessionConfig(local.Log))
 	if err != nil {
 		conn.Close()
 		return
@@ -210,6 +213,7 @@
 			return err
 		}
 	}
+	l.conn.identified.Store(true)
 	return s.SendReply(&wire.Reply{Body: &wire.Reply_Hello{Hello: l.local.hello()}})
 }
 
@@ -232,7 +236,9 @@
 
 func (l *Link) serveStream(ctx context.Context, handler Handler, s *Stream) {
 	defer s.Close()
+	s.SetReadDeadline(time.Now().Add(callTimeout))
 	call, err := s.RecvCall()
+	s.SetReadDeadline(time.Time{})
 	if err != nil {
 		if eris.Is(err, ErrProtocol) {
 			l.local.Log.Warn().Str("vm", string(l.Remote)).Err(err).Msg("malformed message; closing the link")
@@ -371,18 +377,55 @@
 }
 
 func (s *Stream) recv(m proto.Message) error {
-	err := protodelim.UnmarshalOptions{MaxSize: MaxMessage}.UnmarshalFrom(s.reader, m)
-	if err == nil {
-		return nil
+	size, err := s.recvSize()
+	if err != nil {
+		return err
+	}
+	raw, err := s.recvBytes(size)
+	if err != nil {
+		return eris.Wrapf(ErrLost, "receive: %v", err)
 	}
-	var tooLarge *protodelim.SizeTooLargeError
-	if eris.As(err, &tooLarge) || eris.Is(err, proto.Error) {
+	if err := proto.Unmarshal(raw, m); err != nil {
 		return eris.Wrapf(ErrProtocol, "receive: %v", err)
 	}
-	if eris.Is(err, io.EOF) {
-		return eris.Wrap(ErrLost, "receive: end of stream")
+	return nil
+}
+
+// recvSize receives the size of the next message, a varint.
+func (s *Stream) recvSize() (int, error) {
+	prefix := make([]byte, 0, binary.MaxVarintLen64)
+	for {
+		b, err := s.reader.ReadByte()
+		if eris.Is(err, io.EOF) {
+			return 0, eris.Wrap(ErrLost, "receive: end of stream")
+		}
+		if err != nil {
+			return 0, eris.Wrapf(ErrLost, "receive: %v", err)
+		}
+		prefix = append(prefix, b)
+		if b < 0x80 || len(prefix) == binary.MaxVarintLen64 {
+			break
+		}
+	}
+	size, n := protowire.ConsumeVarint(prefix)
+	if n < 0 || size > MaxMessage {
+		return 0, eris.Wrapf(ErrProtocol, "receive: message of %d bytes, allowed: %d", size, MaxMessage)
 	}
-	return eris.Wrapf(ErrLost, "receive: %v", err)
+	return int(size), nil
+}
+
+// recvBytes receives a message of the size. It takes memory only as its bytes come, as a peer may
+// announce many large messages and send none. The result is valid until the next receive.
+func (s *Stream) recvBytes(size int) ([]byte, error) {
+	if size <= s.reader.Size() {
+		raw, err := s.reader.Peek(size)
+		_, _ = s.reader.Discard(len(raw)) // they are in the buffer
+		return raw, err
+	}
+	var raw bytes.Buffer
+	raw.Grow(min(size, maxPreallocated) + bytes.MinRead)
+	_, err := io.CopyN(&raw, s.reader, int64(size))
+	return raw.Bytes(), err
 }
 
 // countingConn counts the bytes sent and received on a connection.
