Bound a state that another gateway sends by its unpacked size

A message of at most 6 MB could unpack to 200 values of 4 MB, all held at once, and a value over 4 MB was cut off as if it were whole. A state is bounded as a list of the store is, 32 MB, and a value that is larger than allowed fails. TestPackedValuesWithoutEnd: taken before, refused now.

--- a/entry/gateway/state.go
+++ b/entry/gateway/state.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"compress/flate"
-	"io"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"baywall.example/core/bounded"
 	"baywall.example/core/source"
 	"baywall.example/core/wire"
 )
@@ -19,6 +19,9 @@
 	// maxUnpackedSize bounds the decompressed size of a value, in bytes. Stores hold up to
 	// a megabyte.
 	maxUnpackedSize = 4 << 20
+	// maxStateSize bounds the keys and values of a whole state, in bytes, as much as those of a
+	// list of the store.
+	maxStateSize = 32 << 20
 )
 
 // errState means that a state from another gateway could not be decoded.
@@ -97,13 +100,14 @@
 		Position: at(w.GetRevision()), Changed: source.Position{Term: w.GetChangedEra(), Revision: w.GetChanged()},
 		Base: at(w.GetBase()),
 	}
+	var u unpacker
 	if w.GetAfter() == 0 {
 		out.Items = make(map[string]source.Item, len(w.GetItems()))
 	} else {
 		out.After = at(w.GetAfter())
 	}
 	for _, i := range w.GetItems() {
-		item, err := itemFromWire(i)
+		item, err := u.item(i)
 		if err != nil {
 			return source.State{}, err
 		}
@@ -114,14 +118,14 @@
 		out.Events = append(out.Events, source.Event{Item: item, Removed: i.GetRemoved()})
 	}
 	for _, i := range w.GetKept() {
-		item, err := itemFromWire(i)
+		item, err := u.item(i)
 		if err != nil {
 			return source.State{}, err
 		}
 		out.RetainedItems = append(out.RetainedItems, item)
 	}
 	for _, i := range w.GetGone() {
-		item, err := itemFromWire(i)
+		item, err := u.item(i)
 		if err != nil {
 			return source.State{}, err
 		}
@@ -131,6 +135,20 @@
 	return out, nil
 }
 
+// unpacker decodes the items of a state, up to maxStateSize.
+type unpacker struct {
+	size int // of the keys and values, in bytes
+}
+
+func (u *unpacker) item(w *wire.SourceItem) (source.Item, error) {
+	item, err := itemFromWire(w)
+	u.size += len(item.Key) + len(item.Value)
+	if err == nil && u.size > maxStateSize {
+		return source.Item{}, eris.Wrapf(errState, "over %d bytes", maxStateSize)
+	}
+	return item, err
+}
+
 func itemFromWire(w *wire.SourceItem) (source.Item, error) {
 	out := source.Item{
 		Key: w.GetKey(), Value: w.GetValue(), Position: source.Position{Term: w.GetEra(), Revision: w.GetRevision()},
@@ -138,7 +156,7 @@
 	if !w.GetPacked() {
 		return out, nil
 	}
-	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(w.GetValue())), maxUnpackedSize))
+	raw, err := bounded.ReadAll(flate.NewReader(bytes.NewReader(w.GetValue())), maxUnpackedSize)
 	if err != nil {
 		return source.Item{}, eris.Wrapf(errState, "%s: %v", w.GetKey(), err)
 	}
--- a/entry/gateway/state_test.go
+++ b/entry/gateway/state_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"baywall.example/core/link"
 	"baywall.example/core/source"
 	"baywall.example/core/wire"
 	"baywall.example/entry/balance"
@@ -81,3 +83,26 @@
 	w.gateway.applyBackends(update)
 	is.Equal(w.gateway.inst.entriesRefused.Get(), uint64(2))
 }
+
+// Values that unpack to more than a gateway can hold, each or together.
+func TestPackedValuesWithoutEnd(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		size, items int
+	}{{"one", endless, 1}, {"many", maxUnpackedSize, 200}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var p packer
+			value := p.pack(source.Item{Value: make([]byte, c.size)})
+			reply := &wire.SourceReply{}
+			for i := range c.items {
+				reply.Items = append(reply.Items, &wire.SourceItem{Key: fmt.Sprint(i), Value: value, Packed: true})
+			}
+			is.True(proto.Size(reply) < link.MaxMessage)
+			grown := watchMemory()
+			_, err := stateFromWire(reply, time.Now())
+			is.True(errors.Is(err, errState))
+			is.True(grown() < gatewayMemory)
+		})
+	}
+}
