Read what came while the gateway was paused in a head

A gateway that is paused between two parts of a head finds the head's time over when it goes on, though the rest waits in the connection: the attempt counted as lost. Reads go on for 50 ms after the bound. TestAnswerThatCameDuringAPauseIsRead fails without (head incomplete after 1s).

--- a/entry/upstream/bounds.go
+++ b/entry/upstream/bounds.go
@@ -30,6 +30,9 @@
 	// time for reading it. A skipped answer was sent earlier, so it is there or on its way.
 	maxSkippedBody = 256 << 10
 	skipTimeout    = time.Second
+	// pauseGrace is the time after headTimeout and skipTimeout in which bytes are still read. If this
+	// process was paused meanwhile, what came in time waits in the connection.
+	pauseGrace = 50 * time.Millisecond
 	// maxBody bounds the body of an answer, in bytes.
 	maxBody = bounded.MaxAnswer
 )
@@ -47,6 +50,7 @@
 type headLimiter struct {
 	conn    net.Conn
 	reading bool // whether a head is being read
+	timed   bool // whether the time is bounded, and pauseGrace has not begun
 	// bytes and lines of the head that were read so far. Those that were in the buffer when the
 	// head began are not counted.
 	bytes, lines int
@@ -59,6 +63,11 @@
 		return 0, errHeadTooLarge
 	}
 	n, err := l.conn.Read(p)
+	if l.timed && errors.Is(err, os.ErrDeadlineExceeded) {
+		l.timed = false
+		_ = l.conn.SetReadDeadline(time.Now().Add(pauseGrace)) // fails only if the connection is closed
+		n, err = l.conn.Read(p)
+	}
 	if l.reading {
 		l.bytes += n
 		l.lines += bytes.Count(p[:n], []byte{'\n'})
@@ -66,16 +75,25 @@
 	return n, err
 }
 
+// limitTime bounds the time for what is read until the function that it returns is called.
+func (c *conn) limitTime(d time.Duration) (unlimit func()) {
+	c.limiter.timed = true
+	_ = c.SetReadDeadline(time.Now().Add(d)) // fails only if the connection is closed
+	return func() {
+		c.limiter.timed = false
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
 // readHead waits for the head of an answer and reads it. The wait is bounded by the context of the
 // exchange, as a server may take long to answer.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
+	defer c.limitTime(headTimeout)()
 	c.limiter.reading, c.limiter.bytes, c.limiter.lines = true, 0, 0
-	_ = c.SetReadDeadline(time.Now().Add(headTimeout)) // fails only if the connection is closed
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	_ = c.SetReadDeadline(time.Time{})
 	c.limiter.reading = false
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, errHeadTooLong
@@ -91,9 +109,8 @@
 	if resp.ContentLength > maxSkippedBody {
 		return errSkippedBody
 	}
-	_ = c.SetReadDeadline(time.Now().Add(skipTimeout)) // fails only if the connection is closed
+	defer c.limitTime(skipTimeout)()
 	_, err := io.Copy(io.Discard, bounded.NewReader(resp.Body, maxSkippedBody))
-	_ = c.SetReadDeadline(time.Time{})
 	if errors.Is(err, bounded.ErrTooLarge) || errors.Is(err, os.ErrDeadlineExceeded) {
 		return errSkippedBody
 	}
--- a/entry/upstream/bounds_test.go
+++ b/entry/upstream/bounds_test.go
@@ -170,3 +170,46 @@
 	runtime.ReadMemStats(&after)
 	return after.TotalAlloc - before.TotalAlloc, took, err
 }
+
+// pausedConn stands for a process that is paused after it has read the first part of an answer.
+type pausedConn struct {
+	net.Conn
+	pause time.Duration
+	reads int
+}
+
+// Read implements net.Conn.
+func (c *pausedConn) Read(p []byte) (int, error) {
+	if c.reads++; c.reads == 2 {
+		time.Sleep(c.pause)
+	}
+	return c.Conn.Read(p)
+}
+
+// A gateway that is paused while it reads a head or skips an answer reads what came meanwhile.
+func TestAnswerThatCameDuringAPauseIsRead(t *testing.T) {
+	long := "X: " + strings.Repeat("x", 8*bufferSize) + "\r\n"
+	for _, c := range []struct{ name, other, fields string }{
+		{"in a head", "", long},
+		{"in a skipped answer", "HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 9000), ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, func(_ int, r *http.Request, conn net.Conn) bool {
+				_, _ = io.WriteString(conn, c.other+strings.Replace(whole(r, "hello"), "\r\n", "\r\n"+c.fields, 1))
+				return true
+			})
+			p := s.pool()
+			defer p.Close()
+			raw, err := net.Dial("tcp4", s.listener.Addr().String())
+			is.NoErr(err)
+			idle := newConn(&pausedConn{Conn: raw, pause: headTimeout + headTimeout/10})
+			idle.expires = time.Now().Add(time.Minute)
+			p.put(idle)
+			body, reused, err := do(p, request("1"))
+			is.NoErr(err)
+			is.True(reused)
+			is.Equal(body, "hello")
+		})
+	}
+}
