Bound lists and states at 16 MB in place of 32

With garbage, a state of 32 MB grew the heap by more than a quarter of a small entry VM: TestPackedValuesWithoutEnd failed in one run with the race detector at load 27. The largest configuration has a megabyte. Three runs with the race detector at load 23, and three without, pass; TestListWithoutEnd ends after 16 pages.

--- a/entry/gateway/state.go
+++ b/entry/gateway/state.go
@@ -21,7 +21,7 @@
 	maxUnpackedSize = 4 << 20
 	// maxStateSize bounds the keys and values of a whole state, in bytes, as much as those of a
 	// list of the store.
-	maxStateSize = 32 << 20
+	maxStateSize = 16 << 20
 )
 
 // errState means that a state from another gateway could not be decoded.
