Open no link in a slot that was removed from its pool

Callers saw nothing that is known. TestLinksChurnWhileListChanges hung for 7 minutes; an entry VM that is stopped would not end, and a server that is listed again could have two links.

Cause: Get found the slot of a VM under the pool's lock, Retain removed and closed it, and Get dialed in it. Nobody could close that link. The goroutine dump shows one live link, a pool that was closed, and no lock held. Get after Close opened a link, too.

Change: a removed slot is marked under its own lock, and Get takes the present one; a closed pool opens no link; Lookup adds no slot.

Measured: the two deterministic tests fail before and pass after.

--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -25,12 +25,16 @@
 	onUp    func(*Link)
 	onDown  func(*Link)
 
-	mu    sync.Mutex
-	slots map[vm.ID]*slot
+	mu     sync.Mutex
+	slots  map[vm.ID]*slot
+	closed bool
 }
 
+// slot holds the link to one VM. No link is opened in a slot that was removed from its pool,
+// as the pool could not close it.
 type slot struct {
 	mu       sync.Mutex
+	removed  bool
 	link     *Link
 	address  string
 	backoff  time.Duration
@@ -44,20 +48,35 @@
 	return &Pool{local: local, handler: handler, onUp: onUp, onDown: onDown, slots: make(map[vm.ID]*slot)}
 }
 
+// errRemoved means that a slot was removed from its pool before it was locked.
+var errRemoved = eris.New("link: slot removed")
+
 // Get returns the link to the VM and dials if there is none. During the backoff after a
-// failed dial it fails immediately. The callback for a new link runs without any lock
-// held, as it may use the pool.
+// failed dial, and once the pool is closed, it fails immediately. The callback for a new
+// link runs without any lock held, as it may use the pool.
 func (p *Pool) Get(ctx context.Context, v vm.VM) (*Link, error) {
-	l, isNew, err := p.getOrDial(ctx, p.slot(v.ID), v)
-	if isNew {
-		p.watch(l)
+	for {
+		s := p.slot(v.ID)
+		if s == nil {
+			return nil, eris.Wrapf(ErrUnreachable, "%s: the pool is closed", v.ID)
+		}
+		l, isNew, err := p.getOrDial(ctx, s, v)
+		if eris.Is(err, errRemoved) {
+			continue
+		}
+		if isNew {
+			p.watch(l)
+		}
+		return l, err
 	}
-	return l, err
 }
 
 func (p *Pool) getOrDial(ctx context.Context, s *slot, v vm.VM) (l *Link, isNew bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.removed {
+		return nil, false, errRemoved
+	}
 	s.lastUsed = clock.Now()
 	if s.link != nil && !s.link.Closed() && s.address == v.Link {
 		return s.link, false, nil
@@ -103,7 +122,12 @@
 
 // Lookup returns the open link to a VM if there is one; it does not dial.
 func (p *Pool) Lookup(id vm.ID) (*Link, bool) {
-	s := p.slot(id)
+	p.mu.Lock()
+	s := p.slots[id]
+	p.mu.Unlock()
+	if s == nil {
+		return nil, false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.link == nil || s.link.Closed() {
@@ -112,9 +136,19 @@
 	return s.link, true
 }
 
-// Retain closes the links to VMs for which keep returns false.
+// Retain closes the links to VMs for which keep returns false, also those that are being
+// dialed.
 func (p *Pool) Retain(keep func(vm.ID) bool) {
 	p.mu.Lock()
+	drop := p.remove(keep)
+	p.mu.Unlock()
+	for _, s := range drop {
+		s.close()
+	}
+}
+
+// remove removes the slots of VMs for which keep returns false. The caller holds the lock.
+func (p *Pool) remove(keep func(vm.ID) bool) []*slot {
 	var drop []*slot
 	for id, s := range p.slots {
 		if !keep(id) {
@@ -122,10 +156,7 @@
 			delete(p.slots, id)
 		}
 	}
-	p.mu.Unlock()
-	for _, s := range drop {
-		s.close()
-	}
+	return drop
 }
 
 // CloseIdle closes the links that Get has not returned since the given time. Each link
@@ -155,12 +186,23 @@
 	return out
 }
 
-// Close closes every link.
-func (p *Pool) Close() { p.Retain(func(vm.ID) bool { return false }) }
+// Close closes every link, also those that are being dialed, and ends the pool: no link is
+// opened after it has returned.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	drop := p.remove(func(vm.ID) bool { return false })
+	p.mu.Unlock()
+	for _, s := range drop {
+		s.close()
+	}
+}
 
+// close closes the link of a slot that was removed from its pool.
 func (s *slot) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.removed = true
 	if s.link != nil {
 		s.link.Close()
 	}
@@ -177,9 +219,13 @@
 	return out
 }
 
+// slot returns the slot of a VM, or nil if the pool is closed.
 func (p *Pool) slot(id vm.ID) *slot {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
 	s := p.slots[id]
 	if s == nil {
 		s = &slot{}
