Watch the link of a backend server that is listed again

Cause: a caller that found a server before it left the list may link to it after that. The directory did not watch such a link, and when the server was listed again, it counted as linked: it got requests without load reports and could not become suspect until the link broke. A worker could also be started while Run waited for the last one.

Change: a link to a server that is not listed is closed, so it is made anew; no worker is started once the directory has stopped.

--- a/entry/backend/directory.go
+++ b/entry/backend/directory.go
@@ -30,6 +30,7 @@
 
 	mu       sync.Mutex
 	backends map[vm.ID]*Backend
+	stopped  bool // no further worker is started
 	usable   atomic.Pointer[map[string]*Choice]
 }
 
@@ -64,13 +65,14 @@
 }
 
 // NewDirectory returns an empty directory. The handler serves the links of its
-// pool. The callbacks run for each new link and for each report.
+// pool. The callbacks run for each new link to a listed VM and for each report.
 func NewDirectory(local *link.Local, handler link.Handler, recorder *timeline.Recorder, onUp func(*link.Link), onReport func(vm.ID, *wire.Report)) *Directory {
 	d := &Directory{recorder: recorder, onReport: onReport, backends: make(map[vm.ID]*Backend)}
 	d.usable.Store(&map[string]*Choice{})
 	d.pool = link.NewPool(local, handler, func(l *link.Link) {
-		d.linkUp(l)
-		onUp(l)
+		if d.linkUp(l) {
+			onUp(l)
+		}
 	}, d.linkDown)
 	return d
 }
@@ -164,14 +166,36 @@
 	d.recorder.Record(timeline.Event{Kind: timeline.KindSuspect, Subject: string(b.VM().ID), Reason: reason})
 }
 
-func (d *Directory) linkUp(l *link.Link) {
+// linkUp starts to watch a new link. If its VM is not listed, linkUp closes the link and
+// returns false: nobody would watch it once the VM is listed again.
+func (d *Directory) linkUp(l *link.Link) bool {
 	b, ok := d.Find(l.Remote)
 	if !ok {
-		return
+		l.Close()
+		return false
 	}
 	b.linked(l)
 	d.recorder.Record(timeline.Event{Kind: timeline.KindLinkUp, Subject: string(l.Remote)})
-	d.workers.Go(func() { d.watch(b, l) })
+	d.startWorker(func() { d.watch(b, l) })
+	return true
+}
+
+// startWorker runs f in a goroutine that Run waits for, unless Run has ended.
+func (d *Directory) startWorker(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.stopped {
+		d.workers.Go(f)
+	}
+}
+
+// stop closes all links and waits for the workers.
+func (d *Directory) stop() {
+	d.pool.Close()
+	d.mu.Lock()
+	d.stopped = true
+	d.mu.Unlock()
+	d.workers.Wait()
 }
 
 func (d *Directory) linkDown(l *link.Link) {
@@ -221,8 +245,7 @@
 		d.relink(ctx, wanted)
 		select {
 		case <-ctx.Done():
-			d.pool.Close()
-			d.workers.Wait()
+			d.stop()
 			return
 		case <-ticker.C:
 		}
--- a/entry/backend/directory_test.go
+++ b/entry/backend/directory_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
@@ -31,13 +32,18 @@
 }
 
 func startAgent(t *testing.T, id vm.ID) vm.VM {
+	t.Helper()
+	return startAgentWith(t, id, silentAgent{})
+}
+
+func startAgentWith(t *testing.T, id vm.ID, agent link.Handler) vm.VM {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	go func() { _ = link.Accept(ln, local(id, vm.RoleBackend), nil, silentAgent{}) }()
+	go func() { _ = link.Accept(ln, local(id, vm.RoleBackend), nil, agent) }()
 	return vm.VM{ID: id, Role: vm.RoleBackend, Link: ln.Addr().String(), Services: []string{"s"}, State: vm.StateLive}
 }
 
@@ -83,3 +89,36 @@
 	is.True(ups.Load() > 0)
 	is.Equal(len(d.Pool().Links()), 0)
 }
+
+// watchedAgent accepts links and counts the streams on which reports are awaited.
+type watchedAgent struct{ watches chan struct{} }
+
+func (a watchedAgent) ServeStream(ctx context.Context, _ *link.Link, _ *link.Stream, call *wire.Call) {
+	if call.GetWatch() != nil {
+		a.watches <- struct{}{}
+	}
+	<-ctx.Done()
+}
+
+// A link to a backend server may be established just after the server has left the list. When
+// the server is listed again, its reports must be received all the same.
+func TestServerThatIsListedAgainIsWatched(t *testing.T) {
+	is := is.New(t)
+	agent := watchedAgent{watches: make(chan struct{}, 10)}
+	v := startAgentWith(t, "a", agent)
+	recorder := timeline.NewRecorder("e", 64, zerolog.Nop())
+	d := NewDirectory(local("e", vm.RoleEntry), nil, recorder, func(*link.Link) {}, func(vm.ID, *wire.Report) {})
+	defer d.stop()
+	d.SetList(vm.List{Revision: 1, VMs: []vm.VM{v}})
+	b, ok := d.Find(v.ID)
+	is.True(ok)
+	d.SetList(vm.List{Revision: 2})
+	_, _ = d.Link(t.Context(), b) // by a caller that found the server before
+	d.SetList(vm.List{Revision: 3, VMs: []vm.VM{v}})
+	d.relink(t.Context(), func(string) bool { return true })
+	select {
+	case <-agent.watches:
+	case <-time.After(5 * time.Second):
+		t.Fatal("no reports are awaited")
+	}
+}
