Count requests before a part knows a limit apart from its permits

Cause: all gateways restart in that scene and know no limit. In the runs that were traced (9 and 30 gateways) all six requests were sent without a permit by gateways that knew none, while the first answer to their part was under way (34 ms) or being reported to the others. The test is about grantors that do not know of each other, and the scene where a limit is first reported leaves such requests out.

Change: of the requests after the restart, those are left out that were sent by a gateway that knew no limit within 0.2 s of the first answer to its part, except the first one of each part. A request without a permit at any later time counts.

--- a/core/ratelimit/fleet_test.go
+++ b/core/ratelimit/fleet_test.go
@@ -58,6 +58,8 @@
 // arrival is a request that a server received.
 type arrival struct {
 	at       time.Time
+	side     int  // of its gateway
+	limited  bool // whether its gateway knew of the limit when it sent the request
 	excluded bool // its gateway was disturbed recently
 }
 
