--- a/agent/mapswitch/doc.go
+++ b/agent/mapswitch/doc.go
@@ -16,8 +16,15 @@
 // later step. No step is held twice, because an order to release it may still be in
 // flight. A new coordinator takes a larger fencing number, reads all ranks and continues
 // where the previous one stopped. Two coordinators at a time are safe, as ranks obey only
-// the larger number. A step is released without a switch only if the ranks have not all
-// loaded the same version: in that case no rank can have been armed for it.
+// the larger number.
+//
+// Orders may be carried out late, after newer ones, and an order to release names only a
+// step. A step is therefore released only once all ranks are armed, so that a late order to
+// release it finds that it has begun or that all ranks are still armed. If ranks hold a step
+// that belongs to no switch (StageHeld), for example after a late order to hold, the
+// coordinator is to propose the map in use again, for which no rank copies anything, and that
+// switch takes the step. Engines that load nothing while they hold a step are the exception,
+// see Timing.LoadWhileHeld.
 //
 // The lock holder is not the coordinator's own rank, and the order to hold may be sent by
 // a VM without a rank (an Outgoing of PhaseHold that is not Resent). If the sender
@@ -32,11 +39,12 @@
 // the epoch in which the group was formed. In a new epoch all ranks start over with the
 // initial map.
 //
-// An order of an earlier coordinator or agent may take effect late. Versions are unique
-// and increase, and each step is used only once. A coordinator repeats orders that may be
-// in flight instead of undoing them, so a late order finds that its step has begun or
-// that its effect is already in place. Where a late order could still do harm to an
-// engine, a restarted member waits until every order of its predecessor has expired.
+// An order of an earlier coordinator or agent may take effect late. Versions increase, and
+// each contains a checksum of its map (numbers.go), so that a version that a rank has loaded
+// is the coordinator's map, whoever ordered it. A coordinator repeats orders that may be in
+// flight instead of undoing them, so a late order finds that its step has begun or that its
+// effect is already in place. Where a late order could still do harm to an engine, a
+// restarted member waits until every order of its predecessor has expired.
 //
 // Limits: a rank that never answers blocks a decision. The group then waits at step S;
 // removing the rank requires a new epoch of the group, not a switch. For example, a VM
