Explore groups with slow copies, clocks apart, restarts and late holds

Cause: the world of unfenced ranks assumed that a prepared version is reported at once, that clocks agree and that the agents of a group do not restart together.

Change: a test that takes these assumptions out one at a time, in combinations and all at once. The existing tests explore as many schedules as before.

--- a/agent/mapswitch/ranks_explore_test.go
+++ b/agent/mapswitch/ranks_explore_test.go
@@ -83,6 +83,38 @@
 	}
 }
 
+// everything allows all conditions at once.
+var everything = conditions{slowCopies: true, equalStarts: true, clocksApart: true, idle: true, lateOrders: true, restarts: true, twoHolds: true}
+
+// Each condition runs alone, so that a failure names the one that breaks the rule, and together
+// with those that break it only in combination.
+func TestRandomSchedulesUnderFurtherConditions(t *testing.T) {
+	cases := []struct {
+		name      string
+		schedules uint64
+		allow     conditions
+	}{
+		{"slow copies", rankSchedules / 4, conditions{slowCopies: true}},
+		{"equal starts", rankSchedules / 4, conditions{equalStarts: true}},
+		{"clocks apart", rankSchedules / 4, conditions{clocksApart: true}},
+		{"idle group", rankSchedules / 4, conditions{idle: true}},
+		{"late orders", rankSchedules / 4, conditions{lateOrders: true}},
+		{"restarts of all agents", rankSchedules / 4, conditions{restarts: true}},
+		{"two holds", rankSchedules, conditions{twoHolds: true}},
+		{"slow copies with clocks apart and restarts", rankSchedules, conditions{slowCopies: true, clocksApart: true, restarts: true}},
+		{"late orders and two holds in an idle group", rankSchedules, conditions{idle: true, lateOrders: true, twoHolds: true}},
+		{"everything", rankSchedules, everything},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if seed, problem := exploreRanks(c.schedules, rankBugs{}, c.allow); problem != "" {
+				rankSchedule(seed, rankBugs{}, c.allow, t.Logf)
+				t.Fatalf("seed %d: %s", seed, problem)
+			}
+		})
+	}
+}
+
 func TestInjectedBugsOfUnfencedRanksAreFound(t *testing.T) {
 	cases := []struct {
 		name string
--- a/agent/mapswitch/ranks_world_test.go
+++ b/agent/mapswitch/ranks_world_test.go
@@ -164,6 +164,7 @@
 	clocksApart bool // wall clocks differ, some by 10 s, and may step back
 	idle        bool // the group makes no steps for some time
 	lateOrders  bool // late orders stay in flight for long, and prepare orders may leave the sequence number unchanged
+	restarts    bool // all agents may restart at once
 	twoHolds    bool // in some runs, a second hold replaces the first one instead of being refused
 }
 
@@ -285,6 +286,14 @@
 	w.coords = append(w.coords, &rankCoordinator{mapswitch.NewCoordinator(len(w.ranks), fence, timing, w.now), i})
 }
 
+func (w *rankWorld) restartAll() {
+	for i := range w.ranks {
+		w.restart(i)
+	}
+	w.coords = w.coords[:0]
+	w.lead(w.choose(len(w.ranks)))
+}
+
 // actions lists what can happen next; the first entries belong to a run without faults.
 func (w *rankWorld) actions() []func() {
 	out := []func(){w.tick}
@@ -323,6 +332,9 @@
 	if w.allow.clocksApart {
 		out = append(out, func() { w.setClock(w.choose(len(w.ranks))) })
 	}
+	if w.allow.restarts {
+		out = append(out, w.restartAll)
+	}
 	if w.allow.idle {
 		out = append(out, func() { w.inactive = !w.inactive; w.note("group is idle: %t", w.inactive) })
 	}
