--- a/standin/soak/cmd/soak/faults.go
+++ b/standin/soak/cmd/soak/faults.go
@@ -100,6 +100,7 @@
 	{"coordinator paused, its successor killed", false, (*faults).pauseCoordinatorKillSuccessor},
 	{"agents of a group killed together", false, (*faults).killAgents},
 	{"rank crashed in a switch", false, (*faults).crashRank},
+	{"coordinator killed between switches", false, (*faults).killIdleCoordinator},
 }
 
 // focused returns the kinds whose names contain one of the words.
--- a/standin/soak/cmd/soak/switches.go
+++ b/standin/soak/cmd/soak/switches.go
@@ -148,6 +148,20 @@
 	}
 }
 
+// killIdleCoordinator kills the coordinator of a group that uses a map which a coordinator ordered,
+// while no switch is in progress: the next one has to learn the map from the ranks.
+func (f *faults) killIdleCoordinator(ctx context.Context, d draw) {
+	group := f.group(d)
+	g := f.world.groups[group]
+	idle := func() bool {
+		version, _, _ := g.State()
+		return version != 0 && !g.Switching()
+	}
+	for end := time.Now().Add(switchLimit); !idle() && time.Now().Before(end) && wait.Sleep(ctx, switchPoll); {
+	}
+	f.world.coordinator(group).agent.signal(syscall.SIGKILL)
+}
+
 // pauseCoordinator pauses the coordinator of a group in the middle of a switch.
 func (f *faults) pauseCoordinator(ctx context.Context, d draw) {
 	group := f.group(d)
