Stand-in of the platform: count orders of invalid maps, and of versions with a second content

Most maps that an agent puts together wrongly leave an expert on no rank and are refused, so that no pass shows them. The soak prints how many such orders there were; they are no broken promise by themselves.

--- a/standin/soak/cmd/soak/report.go
+++ b/standin/soak/cmd/soak/report.go
@@ -20,6 +20,7 @@
 	version   uint64        // largest map version in use at the end
 	switches  int           // of all groups
 	held      time.Duration // for how long groups were held, in total
+	wrongMaps standin.WrongMaps
 	// switchesExpected is whether a run without any switch shows nothing.
 	switchesExpected bool
 	// quarantined counts the lethal requests that ended at least three backend servers.
@@ -86,6 +87,9 @@
 		}
 		version, switches, held := g.State()
 		r.version, r.switches, r.held = max(r.version, version), r.switches+switches, r.held+held
+		wrong := g.WrongMaps()
+		r.wrongMaps.Invalid += wrong.Invalid
+		r.wrongMaps.Ambiguous += wrong.Ambiguous
 	}
 	if r.switchesExpected && r.switches == 0 {
 		r.violatedf("the run shows nothing about expert maps: no group switched")
@@ -209,8 +213,8 @@
 // String formats the report for people to read.
 func (r *report) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d processes, %d switches to maps up to version %d (held %v; copies of %v, %.2f unanswered, sorted lists %t), requests:",
-		r.seed, r.processes, r.switches, r.version, r.held, r.ranks.CopyTime, r.ranks.Unanswered, r.ranks.SortedLists)
+	fmt.Fprintf(&b, "seed %d: %d processes, %d switches to maps up to version %d (held %v, orders of %d invalid maps and %d second contents; copies of %v, %.2f unanswered, sorted lists %t), requests:",
+		r.seed, r.processes, r.switches, r.version, r.held, r.wrongMaps.Invalid, r.wrongMaps.Ambiguous, r.ranks.CopyTime, r.ranks.Unanswered, r.ranks.SortedLists)
 	for o := standin.Served; o <= standin.TimedOut; o++ {
 		if r.outcomes[o] > 0 {
 			fmt.Fprintf(&b, " %d %s", r.outcomes[o], o)
