--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"baywall.example/platform/standin"
 	"baywall.example/standin/fleet"
 )
 
@@ -114,8 +115,8 @@
 }
 
 // Coordinators, agents and ranks end or stand still in the middle of switches, while ranks leave
-// orders unanswered. Each pass of a group must use one map on all its ranks, and there must be
-// switches.
+// orders unanswered. Each pass of a group must use one map on all its ranks, there must be switches,
+// and no rank may be ordered a map that its coordinator did not plan.
 func TestRanksUseOneMapWhileCoordinatorsEnd(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -125,14 +126,19 @@
 		length: 5 * time.Second, size: size{gateways: 2, plain: 2, groups: 2, ranks: 3, rate: 40}, keep: t.TempDir(),
 		kinds: 35, only: true, unanswered: unansweredShare, noSurge: true,
 	}
+	runOne := func(t *testing.T, seed uint64, o options) {
+		if r := runTest(t, b, seed, o); r.wrongMaps != (standin.WrongMaps{}) {
+			t.Errorf("ranks were ordered wrong maps: %+v", r.wrongMaps)
+		}
+	}
 	t.Run("all faults", func(t *testing.T) {
 		o := o
 		o.focus, o.lists = "coordinator,together,in a switch", listsAsSent
-		runTest(t, b, 5001, o)
+		runOne(t, 5001, o)
 	})
 	t.Run("takeovers with sorted lists", func(t *testing.T) {
 		o := o
 		o.focus, o.gap, o.lists, o.length = "coordinator killed between switches", 700*time.Millisecond, listsSorted, 8*time.Second
-		runTest(t, b, 7001, o)
+		runOne(t, 7001, o)
 	})
 }
