--- a/standin/soak/cmd/soak/switches.go
+++ b/standin/soak/cmd/soak/switches.go
@@ -47,7 +47,7 @@
 // rankSettings returns how the ranks of a seed answer orders.
 func (o options) rankSettings(seed uint64) standin.GroupSettings {
 	if !o.stressesSwitches() {
-		return standin.GroupSettings{}
+		return standin.GroupSettings{CopyTime: copyTimes[0]}
 	}
 	rnd := rand.New(rand.NewPCG(seed, 1<<32))
 	s := standin.GroupSettings{
