Make the simulated loss of members depend on a seed only

TestLossDetectionTimeAndCostDoNotGrowWithFleet failed once of five runs and could not be repeated: members ticked, and those that were lost were drawn, in the order of a map, and a heartbeat carried lost members in the order of a map, of which at most 64 fit.

Change: members tick in an order drawn from the seed, another one in each tick; a heartbeat's lost members are shuffled by the table's source of random numbers. The test takes -loss-seeds for more fleets of each size. Bounds and sizes are as before.

--- a/core/cluster/activity.go
+++ b/core/cluster/activity.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -148,8 +150,9 @@
 	return float64(reached) / float64(len(t.namedSeeds))
 }
 
-// reportedLost returns the addresses of recently lost peers to report in a heartbeat.
-func (t *Table) reportedLost(now time.Time) []string {
+// reportedLost returns the addresses of recently lost peers to report in a heartbeat, in a
+// random order as not all of them may fit.
+func (t *Table) reportedLost(rnd *rand.Rand, now time.Time) []string {
 	var actives, standbys []string
 	for address, at := range t.lost {
 		switch p := t.peers[address]; {
@@ -161,10 +164,18 @@
 			standbys = append(standbys, address)
 		}
 	}
-	out := append(actives, standbys...)
+	out := append(shuffle(actives, rnd), shuffle(standbys, rnd)...)
 	return out[:min(len(out), maxReportedLost)]
 }
 
+// shuffle shuffles addresses in place, in a way that depends only on the source of random
+// numbers.
+func shuffle(addresses []string, rnd *rand.Rand) []string {
+	slices.Sort(addresses)
+	rnd.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
 // receiveLost processes the losses that another member reports. A peer from which this
 // member has received a recent heartbeat is not marked lost. An accepted loss is passed on
 // only if monitoring is enabled: otherwise all active members detect it themselves.
--- a/core/cluster/heartbeat.go
+++ b/core/cluster/heartbeat.go
@@ -15,7 +15,7 @@
 		Address: self.Address, Front: self.Front, Ready: self.Ready,
 		CatalogVersion: self.CatalogVersion, Retained: self.Retained, StoreFailing: self.StoreFailing,
 		BackendsEra: self.StoreChanged.Term, BackendsRevision: self.StoreChanged.Revision,
-		Rank: self.Rank.wire(), Paces: t.slowdowns.report(now), Lost: t.reportedLost(now),
+		Rank: self.Rank.wire(), Paces: t.slowdowns.report(now), Lost: t.reportedLost(rnd, now),
 		Found: self.Found[:min(len(self.Found), maxFound)], Active: self.Active, Millicores: self.Millicores, Arrivals: self.Arrivals,
 	}
 	if t.sequence%contactsEvery == 0 || now.Sub(t.joined) < discoveryTime {
--- a/core/cluster/scale_test.go
+++ b/core/cluster/scale_test.go
@@ -1,7 +1,11 @@
 package cluster
 
 import (
+	"cmp"
+	"flag"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"runtime/debug"
 	"slices"
 	"testing"
@@ -19,13 +23,15 @@
 // detectionLimit is the time after which no member may list a lost active member.
 const detectionLimit = 1500 * time.Millisecond
 
-// joined returns a fleet whose members have joined: they know each other.
-func joined(n int) *fleet {
+// joined returns a fleet whose members have joined: they know each other. The seed determines
+// all that is random in the fleet.
+func joined(n int, seed uint64) *fleet {
 	var addresses []string
 	for i := range n {
 		addresses = append(addresses, fmt.Sprintf("10.0.%d.%d:1", i/200, i%200))
 	}
 	f := newFleet(addresses[:3], addresses...)
+	f.rnd = rand.New(rand.NewPCG(seed, 2))
 	for i, a := range addresses {
 		self := f.selves[a]
 		self.Active, self.Zone = i%10 == 0, fmt.Sprintf("z%d", i/10%5)
@@ -46,12 +52,13 @@
 // and by standbys.
 func (f *fleet) runNodes(d time.Duration) (actives, standbys int) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
-		for a, t := range f.tables {
-			active := f.selves[a].Active
+		for _, a := range f.shuffled() {
+			t, active := f.tables[a], f.selves[a].Active
 			if every := int(standbyTick / tick); !active && int(f.now.UnixNano()/int64(tick))%every != int(t.peerHash())%every {
 				continue
 			}
 			out, _ := t.Tick(f.selves[a], f.rnd, f.now)
+			sortByAddress(out)
 			for _, d := range out {
 				if to := f.tables[d.Address]; to != nil && !f.cut[a] && !f.cut[d.Address] {
 					to.Receive(d.Heartbeat, f.now)
@@ -67,6 +74,21 @@
 	return actives, standbys
 }
 
+// addresses returns the addresses of all members in a fixed order.
+func (f *fleet) addresses() []string { return slices.Sorted(maps.Keys(f.tables)) }
+
+// shuffled returns the addresses of all members in the order in which they tick, which is
+// another one in each tick and depends on the seed only.
+func (f *fleet) shuffled() []string {
+	out := f.addresses()
+	f.rnd.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+func sortByAddress(out []Datagram) {
+	slices.SortFunc(out, func(a, b Datagram) int { return cmp.Compare(a.Address, b.Address) })
+}
+
 // peerHash spreads the ticks of standbys over time.
 func (t *Table) peerHash() uint8 { return uint8(rendezvous.Hash(t.self)) }
 
@@ -103,38 +125,47 @@
 // grow with the fleet.
 func TestLossDetectionTimeAndCostDoNotGrowWithFleet(t *testing.T) {
 	for _, n := range sizes {
-		t.Run(fmt.Sprintf("%d members", n), func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			defer debug.SetGCPercent(debug.SetGCPercent(400)) // the largest fleet has a million Peer values
-			f := joined(n)
-			f.runNodes(time.Second)
-			actives, standbys := f.runNodes(time.Second)
-			active, standby := actives/((n+9)/10), standbys/(n-(n+9)/10)
-			one := f.lose(map[string]bool{"10.0.0.10:1": true}, 4*time.Second)
-			f.runNodes(time.Second)
-			lost := make(map[string]bool)
-			for a := range f.tables {
-				if f.rnd.IntN(100) < 55 {
-					lost[a] = true
-				}
-			}
-			half := f.lose(lost, 4*time.Second)
-			t.Logf("%d members: one lost %v, %d lost %v, %d datagrams a second from an active member, %d from a standby",
-				n, one, len(lost), half, active, standby)
-			is.True(one <= detectionLimit)
-			is.True(half <= detectionLimit)
-			is.True(active <= 340) // as in a fleet of 100
-			is.True(standby <= 20)
-		})
+		for seed := range *lossSeeds {
+			t.Run(fmt.Sprintf("%d members, seed %d", n, seed+1), func(t *testing.T) {
+				t.Parallel()
+				checkLossDetection(t, n, seed+1)
+			})
+		}
+	}
+}
+
+// lossSeeds is the number of random fleets of each size in which losses are detected.
+var lossSeeds = flag.Uint64("loss-seeds", 1, "fleets of each size in which losses are detected")
+
+func checkLossDetection(t *testing.T, n int, seed uint64) {
+	is := is.New(t)
+	defer debug.SetGCPercent(debug.SetGCPercent(400)) // the largest fleet has a million Peer values
+	f := joined(n, seed)
+	f.runNodes(time.Second)
+	actives, standbys := f.runNodes(time.Second)
+	active, standby := actives/((n+9)/10), standbys/(n-(n+9)/10)
+	one := f.lose(map[string]bool{"10.0.0.10:1": true}, 4*time.Second)
+	f.runNodes(time.Second)
+	lost := make(map[string]bool)
+	for _, a := range f.addresses() {
+		if f.rnd.IntN(100) < 55 {
+			lost[a] = true
+		}
 	}
+	half := f.lose(lost, 4*time.Second)
+	t.Logf("%d members: one lost %v, %d lost %v, %d datagrams a second from an active member, %d from a standby",
+		n, one, len(lost), half, active, standby)
+	is.True(one <= detectionLimit)
+	is.True(half <= detectionLimit)
+	is.True(active <= 340) // as in a fleet of 100
+	is.True(standby <= 20)
 }
 
 // A member that receives nothing considers all others lost and reports them to members
 // that still receive its heartbeats.
 func TestLossReportsOfMemberThatReceivesNothingAreRejected(t *testing.T) {
 	is := is.New(t)
-	f := joined(120)
+	f := joined(120, 1)
 	f.runNodes(time.Second)
 	const unreachable = "10.0.0.10:1"
 	table := f.tables[unreachable]
@@ -171,7 +202,7 @@
 // again soon after it resumes.
 func TestMemberThatResumesIsListedAgainSoon(t *testing.T) {
 	is := is.New(t)
-	f := joined(254)
+	f := joined(254, 1)
 	f.runNodes(time.Second)
 	const frozen = "10.0.0.10:1"
 	is.True(f.lose(map[string]bool{frozen: true}, 4*time.Second) <= detectionLimit)
