Refuse a request in an outage while its caller can still retry

Callers saw refusals (rate-limit, not-run) 2.5 to 5 s after a request with a deadline of 5 s, so that no time was left for a retry.

Cause: a request may wait for a service that serves nobody if the outage is expected to end in time. Once it waited as a late request, it was not asked again, and waited until its deadline: with one server that refuses connections it was refused after 5.0 s. If the servers came back before that, they were cold and at their imposed limit, which late requests get no permit for, so it was refused then.

Change: while the service serves nobody, a request waits for at most 45% of its time to its deadline, unless it was interrupted or may have run. A request that waits for a slot of servers that serve waits as before.

Weighed: that late requests also wait on for a permit within the same bound. To wait on beyond the bound would break the callers' time for a retry.

--- a/entry/admission/admission_test.go
+++ b/entry/admission/admission_test.go
@@ -150,3 +150,21 @@
 	s.Observe(now)
 	is.Equal(s.RecoversIn(now), defaultOutage)
 }
+
+func TestMayKeepWaitingInOutage(t *testing.T) {
+	cases := []struct {
+		name string
+		r    Request
+		want bool
+	}{
+		{"just arrived", Request{Deadline: 5 * time.Second}, true},
+		{"most of its time left", Request{Age: 2 * time.Second, Deadline: 5 * time.Second}, true},
+		{"nearly half of its time used", Request{Age: 2300 * ms, Deadline: 5 * time.Second}, false},
+		{"interrupted", Request{Age: 4 * time.Second, Deadline: 5 * time.Second, Interrupted: true}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(MayKeepWaitingInOutage(c.r), c.want)
+		})
+	}
+}
--- a/entry/admission/doc.go
+++ b/entry/admission/doc.go
@@ -27,7 +27,9 @@
 //
 // Waiting: a late request waits at the gateway if it is expected to get a slot before its
 // caller leaves, and is refused at once otherwise. The expected wait follows from the
-// number of late requests that wait before it and from the quota.
+// number of late requests that wait before it and from the quota. In an outage no request
+// waits for half of its time to its deadline, unless it was interrupted or may have run: the
+// estimate was wrong then, and its caller can still retry.
 //
 // Retry-After: refused callers are asked to retry at the rate at which late requests are
 // served, and not before the service is expected to serve again. A retry cannot be told
--- a/entry/admission/urgency.go
+++ b/entry/admission/urgency.go
@@ -11,6 +11,8 @@
 	// Limit is the age at which the caller leaves if it has received nothing by then, or
 	// nothing more of an interrupted stream.
 	Limit time.Duration
+	// Deadline is the age at which the request's deadline passes.
+	Deadline time.Duration
 	// FirstAnswer is the usual time from sending a request to the beginning of its
 	// answer, 0 = unknown.
 	FirstAnswer time.Duration
--- a/entry/admission/wait.go
+++ b/entry/admission/wait.go
@@ -81,3 +81,17 @@
 		return delay*safetyFactor < r.SlotWait()
 	}
 }
+
+// outageWaitFraction is the fraction of a request's time until its deadline for which it
+// waits for a service that serves nobody. It is below a half, so that a caller that is
+// refused can retry with at least half of its time, the way of the refusal included.
+const outageWaitFraction = 0.45
+
+// MayKeepWaitingInOutage reports whether a request that waits for a service that serves
+// nobody goes on waiting. The wait began because the service was expected to serve again
+// earlier than the bound; beyond it, nothing is known of when it will, and the request would
+// meet servers that are at their limits or have more urgent requests to serve. An interrupted
+// request waits until its caller leaves, as that has used its retry already.
+func MayKeepWaitingInOutage(r Request) bool {
+	return r.Interrupted || r.Age < time.Duration(outageWaitFraction*float64(r.Deadline))
+}
--- a/entry/gateway/waiting.go
+++ b/entry/gateway/waiting.go
@@ -110,6 +110,13 @@
 	return s.outage.Observe(now)
 }
 
+// inOutage reports whether the service has served nobody since an outage began.
+func (s *serviceState) inOutage(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outage.RecoversIn(now) > 0
+}
+
 // adjustWaiting counts a late request that starts (1) or stops (-1) waiting.
 func (s *serviceState) adjustWaiting(change int, interrupted bool) {
 	s.mu.Lock()
@@ -141,7 +148,7 @@
 // on.
 func (q *request) admissionRequest(now time.Time) admission.Request {
 	return admission.Request{
-		Age: now.Sub(q.began), Objective: q.route.Objective, Limit: q.callerGivesUpAt().Sub(q.began),
+		Age: now.Sub(q.began), Objective: q.route.Objective, Limit: q.callerGivesUpAt().Sub(q.began), Deadline: q.deadline.Sub(q.began),
 		FirstAnswer: q.state.firstAnswer(), Interrupted: q.interrupted,
 	}
 }
@@ -260,7 +267,7 @@
 		}
 		q.leaveSlotQueue()
 		admissionRequest := q.admissionRequest(now)
-		keepWaiting := queued || q.mayWait(admissionRequest, now)
+		keepWaiting := q.mayKeepWaiting(queued, found, admissionRequest, now)
 		switch found {
 		case balance.Limited:
 			keepWaiting = q.mayWaitForPermit(admissionRequest, now)
@@ -324,6 +331,17 @@
 	return admission.MayWait(admissionRequest, q.situation(now))
 }
 
+// mayKeepWaiting reports whether the request waits for a server, or goes on waiting for one
+// if it is queued already.
+func (q *request) mayKeepWaiting(queued bool, found balance.Availability, r admission.Request, now time.Time) bool {
+	if !queued && !q.mayWait(r, now) {
+		return false
+	}
+	// AllBusy may also mean that interrupted requests look for a server first.
+	serves := found == balance.AllBusy && !q.state.inOutage(now)
+	return serves || q.sequence.MayHaveRun() || admission.MayKeepWaitingInOutage(r)
+}
+
 // awaitCatalog waits until a process that has just started has a configuration.
 func (q *request) awaitCatalog() *catalog.Snapshot {
 	waitLimit := startWaitLimit
--- a/entry/gateway/waiting_test.go
+++ b/entry/gateway/waiting_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -12,7 +13,9 @@
 	"baywall.example/core/contract"
 	"baywall.example/core/source"
 	"baywall.example/entry/admission"
+	"baywall.example/entry/balance"
 	"baywall.example/entry/catalog"
+	"baywall.example/entry/retry"
 )
 
 // Callers choose their deadlines freely: a deadline neither tells whether a request is a
@@ -53,6 +56,52 @@
 	is.True(time.Since(began) < 2*time.Second) // its caller gives up then, not at its deadline
 }
 
+// While a service serves nobody, a request whose caller can retry is refused in time for that:
+// before half of the time until its deadline has passed.
+func TestRequestIsRefusedInTimeForARetryWhileServiceServesNobody(t *testing.T) {
+	is := is.New(t)
+	const deadline = 4 * time.Second
+	q := waitingInOutage(deadline)
+	now := q.began
+	for q.mayKeepWaiting(true, balance.Unavailable, q.admissionRequest(now), now) && now.Before(q.deadline) {
+		now = now.Add(waitPollInterval)
+	}
+	is.True(now.Sub(q.began) < deadline/2)
+	is.True(now.Sub(q.began) > deadline/4)
+	is.True(q.mayKeepWaiting(true, balance.AllBusy, q.admissionRequest(now), now)) // servers serve: it waits for a slot
+	q.state.serviceDown(now)
+	is.True(!q.mayKeepWaiting(true, balance.AllBusy, q.admissionRequest(now), now)) // interrupted requests go first
+	q.sequence.Abandon()
+	is.True(q.mayKeepWaiting(true, balance.Unavailable, q.admissionRequest(now), now)) // no definite outcome yet
+}
+
+// The same through the gateway: the only server refuses connections.
+func TestRequestForAServiceWhoseServersAreGoneIsRefusedInTime(t *testing.T) {
+	is := is.New(t)
+	const deadline = 5 * time.Second
+	w := &testGateway{}
+	w.run(t, fixedStore{
+		item(t, "catalog", catalog.Content{Version: 1, Routes: routes(), Teams: []catalog.Team{{Name: "team", Keys: []string{"key"}}}}),
+		item(t, "backends/b", balance.Info{ID: "b", Service: "s", Address: freeAddress(t), Slots: 40}),
+	})
+	began := time.Now()
+	resp, _, err := w.get(t, t.Context(), "/many/x", func(h http.Header) { h.Set("T-Deadline", strconv.Itoa(int(deadline.Milliseconds()))) })
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 503)
+	is.Equal(resp.Header.Get(headerOutcome), "not-run")
+	t.Logf("refused after %v", time.Since(began))
+	is.True(time.Since(began) < deadline/2)
+}
+
+// waitingInOutage returns a request that waits for a service.
+func waitingInOutage(deadline time.Duration) *request {
+	began := time.Unix(1_700_000_000, 0)
+	return &request{
+		route: &catalog.Route{Name: "r", Kind: catalog.KindIdempotent, Objective: 200 * time.Millisecond},
+		state: &serviceState{}, began: began, deadline: began.Add(deadline), sequence: retry.Sequence{Idempotent: true},
+	}
+}
+
 // delayedStore answers every List call after a delay.
 type delayedStore struct {
 	fixedStore
