--- a/standin/soak/cmd/soak/world.go
+++ b/standin/soak/cmd/soak/world.go
@@ -167,7 +167,7 @@
 	rankSettings standin.GroupSettings
 	cold         standin.Service // load limit of the plain service's backend servers after a start
 	subnet       byte            // second byte of all addresses
-	assignedIDs  int             // number of runner ids assigned so far
+	assignedIDs  int             // number of backend server ids assigned so far
 }
 
 func newWorld(b fleet.Binaries, o options, seed uint64) (*world, error) {
