Commit no version while ranks hold two steps

What was seen (review): ranks of one group switch to one version at different steps, so that passes are made with two maps.

Cause: two coordinators can each have had a rank hold a step, one of the orders late. A third one committed the loaded version at the lower step, while an order of the second to arm a rank for the higher step was in flight; carried out late, it moved the rank's arming to that step.

Change: where ranks hold different steps, the version is not committed.

--- a/agent/mapswitch/coordinator.go
+++ b/agent/mapswitch/coordinator.go
@@ -463,6 +463,9 @@
 	loaded := c.ranks[0].state.Loaded
 	for _, r := range c.ranks {
 		c.maxHeldStep = max(c.maxHeldStep, r.state.Hold)
+		if r.state.Hold != 0 && held != 0 && r.state.Hold != held && c.timing.LoadWhileHeld {
+			loaded = 0 // ranks may have been ordered to use the version from either step on
+		}
 		if r.state.Hold != 0 && (held == 0 || r.state.Hold < held) {
 			held = r.state.Hold
 		}
