Start over with a larger fencing number where a rank does not prepare a version

What was seen (review): a group is held for good. A coordinator that abandons a switch made its next version a minute larger, but its successor did not know that; a late order to prepare that version then replaced the prepared one while ranks were being armed.

Change: the coordinator that abandons a switch is superseded by one with a fencing number that exceeds the abandoned version by a minute, and all ranks promise it.

--- a/agent/mapswitch/coordinator.go
+++ b/agent/mapswitch/coordinator.go
@@ -218,19 +218,17 @@
 	return c.due(now)
 }
 
-// abandonedStep is how much the counter of the next version exceeds that of a map which
-// some rank did not prepare: one minute. The rank may have had a larger version than it
-// reports, from a coordinator whose clock was ahead.
+// abandonedStep is how much the counters of the next coordinator's versions exceed that of a
+// map which some rank did not prepare: one minute. The rank may have had a larger version
+// than it reports, from a coordinator whose clock was ahead.
 const abandonedStep = uint64(time.Minute/time.Millisecond) / versionUnit
 
-// abandon ends a switch that some rank does not prepare.
+// abandon ends a switch that some rank does not prepare. The coordinator starts over with a
+// larger fencing number, so that all ranks are read again and promise to refuse the abandoned
+// version.
 func (c *Coordinator) abandon(now time.Time) {
-	c.counter += abandonedStep
-	if c.unarmedStep != 0 {
-		c.enter(StageHeld, now)
-		return
-	}
-	c.enter(StageIdle, now)
+	c.highestFence = max(c.highestFence, fenceOf(c.counter+abandonedStep))
+	c.enter(StageSuperseded, now)
 }
 
 func (c *Coordinator) due(now time.Time) []Outgoing {
--- a/agent/mapswitch/numbers.go
+++ b/agent/mapswitch/numbers.go
@@ -66,6 +66,10 @@
 
 func versionCounter(version uint64) uint64 { return version >> versionChecksumBits }
 
+// fenceOf returns the lowest fencing number whose first version exceeds the counter of a
+// version.
+func fenceOf(counter uint64) uint64 { return counter * versionUnit << fenceCounterShift }
+
 // firstVersionCounter returns the counter that all versions of the fence's coordinator
 // exceed.
 func firstVersionCounter(fence uint64) uint64 { return fenceCounter(fence) / versionUnit }
