Keep the magnitude of fencing numbers, and learn a shape only from the present coordinator

Cause (review): fencing numbers of 2^64 in place of 2^57 would make a coordinator of the program before, during an upgrade, assign versions above 2^53. An order of a superseded coordinator could change the shape by which the next accepted map is divided among ranks. The metric of maps whose content does not match was registered but never raised.

Change: the counter of a fencing number stands where it stood; 6 bits of the incarnation fit below the rank. The shape is learned only from fencing numbers that are not smaller than the promised one. Changes whose result does not match although their base is known raise baywall_map_mismatches_total.

Result: TestAnOrderOfASupersededCoordinatorTeachesNoShape fails before, passes now.

--- a/agent/group/content_test.go
+++ b/agent/group/content_test.go
@@ -106,3 +106,22 @@
 	order.Group = "another"
 	is.True(!s.Handle(t.Context(), order).GetOk())
 }
+
+// shapeRecorder records the shapes that it is taught.
+type shapeRecorder struct {
+	*agents
+	learned []expertmap.Shape
+}
+
+func (r *shapeRecorder) LearnShape(s expertmap.Shape) { r.learned = append(r.learned, s) }
+
+// The shape decides how an accepted map is divided among the ranks.
+func TestAnOrderOfASupersededCoordinatorTeachesNoShape(t *testing.T) {
+	is := is.New(t)
+	s := newIdleSet(twoRanks, "a")
+	r := &shapeRecorder{agents: s.env.Directory.(*agents)}
+	s.env.Directory = r
+	s.Handle(t.Context(), &wire.SwitchOrder{Group: "g", Fence: 2, Phase: wire.SwitchPhase_SWITCH_READ})
+	s.Handle(t.Context(), &wire.SwitchOrder{Group: "g", Fence: 1, Phase: wire.SwitchPhase_SWITCH_RELEASE, Shape: &wire.EngineShape{Layers: 9, Experts: 9, Slots: 9}})
+	is.Equal(len(r.learned), 0)
+}
--- a/agent/group/group.go
+++ b/agent/group/group.go
@@ -282,7 +282,7 @@
 
 // Handle carries out a coordinator's order.
 func (s *Set) Handle(ctx context.Context, w *wire.SwitchOrder) *wire.SwitchReply {
-	if w.GetShape() != nil {
+	if w.GetShape() != nil && w.GetFence() >= s.member.Promised() {
 		s.env.Directory.LearnShape(shapeFromWire(w.GetShape()))
 	}
 	if w.GetPhase() == wire.SwitchPhase_SWITCH_COUNTS {
@@ -291,6 +291,9 @@
 	s.recordOrder(w)
 	o, ok := s.decode(w)
 	if !ok {
+		if base := w.GetChanges().GetBase(); base != 0 && base == s.maps.version(w.GetGroup()) {
+			s.env.MapMismatches.Inc()
+		}
 		r := mapswitch.Reply{Reason: "changes to a map that is not known", BaseUnknown: true, Fence: s.member.Promised()}
 		s.logOrder(w, o, r)
 		return &wire.SwitchReply{Reason: r.Reason, BaseUnknown: r.BaseUnknown, Fence: r.Fence}
--- a/agent/mapswitch/numbers.go
+++ b/agent/mapswitch/numbers.go
@@ -10,13 +10,13 @@
 // A fencing number consists of a counter in milliseconds, the coordinator's rank and a part
 // of its incarnation:
 //
-//	counter (42 bits) | rank (10 bits) | incarnation (12 bits)
+//	counter (48 bits) | rank (10 bits) | incarnation (6 bits)
 //
 // The counter is at least the wall clock, so that a restarted agent, which no longer knows
 // the numbers of its predecessor, normally exceeds them. If its clock was set back, the
-// incarnation makes the number differ from those that the predecessor has used.
+// incarnation makes the number differ from most that the predecessor may have used.
 const (
-	fenceIncarnationBits = 12
+	fenceIncarnationBits = 6
 	fenceRankBits        = 10
 	fenceCounterShift    = fenceRankBits + fenceIncarnationBits
 )
