--- a/agent/mapswitch/lateorders_test.go
+++ b/agent/mapswitch/lateorders_test.go
@@ -113,3 +113,33 @@
 	}
 	is.True(w.noneHeld())
 }
+
+// A rank is armed late for a version that another rank can no longer load, while the coordinator
+// prepares the map in use under a held step.
+func TestAGroupGoesOnAfterALateArmWhileAStepIsHeld(t *testing.T) {
+	is := is.New(t)
+	w := newScriptedWorld(0)
+	w.allow = conditions{}
+	w.exchange(-1)
+	w.prepared()
+	w.exchangeUntil(mapswitch.StageCommitting)
+	armed := w.ranks[0].prepared.version
+	w.ranks[0].late = append(w.ranks[0].late, rank.Order{Kind: rank.OrderArm, Epoch: w.epoch, AnySequence: true, Version: armed, Step: w.ranks[1].held})
+	w.ranks[1].do(rank.Order{Kind: rank.OrderPrepare, Epoch: w.epoch, AnySequence: true, Version: armed + 1<<20, Map: [][][]int32{{{9}, {9}}}})
+	w.restart(0)
+	w.restart(1)
+	w.replies = nil
+	w.takeOver(0)
+	w.exchangeUntil(mapswitch.StageHeld)
+	w.ranks[0].carryOutLate()
+	for range 300 {
+		if w.coords[0].Stage() == mapswitch.StageSuperseded {
+			w.lead(0)
+			w.coords = w.coords[1:]
+		}
+		w.exchange(-1)
+		w.advance()
+	}
+	is.True(!w.mixed)
+	is.True(w.noneHeld())
+}
