--- a/agent/mapswitch/doc.go
+++ b/agent/mapswitch/doc.go
@@ -42,8 +42,8 @@
 // An order of an earlier coordinator or agent may take effect late. Versions increase, and
 // each contains a checksum of its map (numbers.go), so that a version that a rank has loaded
 // is the coordinator's map, whoever ordered it. A coordinator repeats orders that may be in
-// flight instead of undoing them, so a late order finds that its step has begun or that its
-// effect is already in place. Where a late order could still do harm to an engine, a
+// flight instead of undoing them. If it cannot, as ranks hold two steps, it assigns a new
+// version, for which late orders are void. Where a late order could still do harm to an engine, a
 // restarted member waits until every order of its predecessor has expired.
 //
 // Limits: a rank that never answers blocks a decision. The group then waits at step S;
--- a/agent/rank/engine.go
+++ b/agent/rank/engine.go
@@ -52,8 +52,9 @@
 	shape func() Shape
 	log   zerolog.Logger
 
-	loading atomic.Uint64 // version that the rank has begun to load
-	ordered atomic.Uint64 // version of the latest prepare order that the rank accepted
+	// loading is the version whose order to load is not sent again, 0 = none. ordered is the
+	// version of the latest such order that the rank accepted; it is never reset.
+	loading, ordered atomic.Uint64
 
 	mu      sync.Mutex
 	pending *Order // sent, without an answer or a visible effect
