Review, case 4: half an answer passes for whole once its runner's id is back

Cause as seen: whether an answer without a length is whole is told by the id of the incarnation that runs at the address afterwards, and a runner may start again under its id. Behind a cut the runner crashes in the middle of its answer and starts again; the check finds its id and takes the half for whole (MIXED, ORDER).

--- a/review/second/cmd/second-cases/main.go
+++ b/review/second/cmd/second-cases/main.go
@@ -16,7 +16,9 @@
 	notRun
 )
 
-var cases = map[string]func(record *rig.Record, trouble bool) int{}
+var cases = map[string]func(record *rig.Record, trouble bool) int{
+	"reborn": playReborn,
+}
 
 func main() {
 	if len(os.Args) < 3 {
