--- a/review/second/cmd/second-cases/main.go
+++ b/review/second/cmd/second-cases/main.go
@@ -17,7 +17,8 @@
 )
 
 var cases = map[string]func(record *rig.Record, trouble bool) int{
-	"reborn": playReborn,
+	"reborn":  playReborn,
+	"doubled": playDoubled,
 }
 
 func main() {
