--- a/review/second/cmd/second-cases/main.go
+++ b/review/second/cmd/second-cases/main.go
@@ -18,6 +18,7 @@
 
 var cases = map[string]func(record *rig.Record, trouble bool) int{
 	"reborn":  playReborn,
+	"foreign": playForeign,
 	"doubled": playDoubled,
 }
 
