Find fractions given for whole numbers of inlined settings

Cause: the check looked a field up by its own name only, so that a fraction for a field of an inlined struct was truncated without an error. Needed by the machine's settings, which several processes share. The new case of TestParseNamesFileLineFieldAndValue failed before.

--- a/core/settings/numbers.go
+++ b/core/settings/numbers.go
@@ -42,6 +42,9 @@
 	return k >= reflect.Int && k <= reflect.Uintptr
 }
 
+// inlineOption marks a struct whose fields belong to the struct that it is in.
+const inlineOption = "inline"
+
 // fieldType returns the type of the field at a path of YAML names, or nil if there is no
 // such field.
 func fieldType(t reflect.Type, path []string) reflect.Type {
@@ -55,9 +58,16 @@
 	switch t.Kind() {
 	case reflect.Struct:
 		for i := range t.NumField() {
-			if tag, _, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ","); tag == name {
+			tag, options, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ",")
+			if tag == name {
 				return element(t.Field(i).Type, indexed, path[1:])
 			}
+			if options != inlineOption {
+				continue
+			}
+			if found := fieldType(t.Field(i).Type, path); found != nil {
+				return found
+			}
 		}
 	case reflect.Map:
 		return fieldType(t.Elem(), path[1:])
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -8,10 +8,16 @@
 	"baywall.example/core/settings"
 )
 
+// Part is inlined in sample.
+type Part struct {
+	Count int `yaml:"count"`
+}
+
 type sample struct {
 	Name string        `yaml:"name"`
 	Wait time.Duration `yaml:"wait"`
 	Size int           `yaml:"size"`
+	Part `yaml:",inline"`
 	Link struct {
 		Listen string `yaml:"listen"`
 		Other  string `yaml:"other"`
@@ -40,6 +46,7 @@
 		{"out of range", strings.Replace(valid, "5s", "2h", 1), []string{"f.yaml:2", "wait", "2h0m0s", "from 1s to 1m0s"}},
 		{"port out of range", strings.Replace(valid, "7000", "70000", 1), []string{"f.yaml:4", "link.listen", "127.0.0.1:70000", "port"}},
 		{"fraction for a whole number", valid + "size: 0.5\n", []string{"f.yaml:5", "size", "0.5", "whole number"}},
+		{"fraction for a whole number of an inlined part", valid + "count: 0.5\n", []string{"f.yaml:5", "count", "0.5", "whole number"}},
 		{"port zero", strings.Replace(valid, "7000", "0", 1), []string{"f.yaml:4", "link.listen"}},
 		{"host name", strings.Replace(valid, "127.0.0.1", "localhost", 1), []string{"f.yaml:4", "localhost:7000"}},
 		{"duplicate address", valid + "  other: 127.0.0.1:7000\n", []string{"f.yaml:5", "link.other", "127.0.0.1:7000", "link.listen"}},
