Bound what clients can make a process hold, in one package

core/inbound: listeners that bound their connections, the time of heads, idle connections and unread answers, and one memory budget for heads, bodies and buffered answers of a process.

Found by its own tests: a bound on the time of a single write ends a client that reads slowly, as the kernel reports room only in steps of a third of its buffer; so what the peer has acknowledged is checked instead.

--- a/core/bounded/bounded.go
+++ b/core/bounded/bounded.go
@@ -53,3 +53,11 @@
 // ErrorText returns the start of an error's text. An error of net/http about a malformed head quotes
 // the whole line, which then stands in logs.
 func ErrorText(err error) string { return fmt.Sprintf("%.*s", maxErrorText, err.Error()) }
+
+// Text returns the start of a text that came from outside, for logs.
+func Text(text string) string {
+	if len(text) <= maxErrorText {
+		return text
+	}
+	return text[:maxErrorText]
+}
--- /dev/null
+++ b/core/inbound/doc.go
@@ -0,0 +1,28 @@
+// Package inbound accepts connections from clients that the process does not control, and bounds
+// what they can make it hold: memory, descriptors and time. All listeners of a process are in one
+// Set and share its memory budget.
+//
+// # Memory
+//
+// A connection by itself has a fixed cost, which its listener bounds by their number. What a request
+// takes beyond that is reserved before it is read: a head of many lines in the budget for heads, a
+// body and the buffered part of an answer in the budget for bodies. A reservation succeeds if it
+// takes at most half of what is free, so that small requests find room when large ones fill a
+// budget. It covers all that is still to come, so that whatever has begun to be read can be read to
+// its end. If there is no room, the request waits for a moment; meanwhile whoever has a reservation
+// and sends slowly is ended, the slowest first. Requests that are whole are never ended.
+//
+// # Connections
+//
+// When a listener has its largest number of connections, a new one takes the place of the one that
+// has kept the process waiting the longest: silent ones, unfinished heads, slow bodies and answers
+// that are not read come first, then idle connections that have been used before. Connections whose
+// request is in progress are never closed for that.
+//
+// # Time
+//
+// A head, an idle connection and the writing of a part of an answer have a time limit each. A body
+// has the deadline of its request.
+//
+// docs/design/inbound.md compares the alternatives.
+package inbound
--- /dev/null
+++ b/core/inbound/set.go
@@ -0,0 +1,118 @@
+package inbound
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"baywall.example/core/wait"
+)
+
+// ErrListen means that a listener could not be opened.
+var ErrListen = eris.New("inbound: cannot listen")
+
+const (
+	// sweepInterval is the time between two checks for connections that have exceeded a time limit.
+	sweepInterval = 250 * time.Millisecond
+	// reportInterval is the least time between two log lines of one listener.
+	reportInterval = time.Second
+	// headShare is the part of the memory budget that is for heads.
+	headShare = 0.25
+	// receiveBuffer is the size of a connection's receive buffer in bytes, of which the kernel takes
+	// the double. What waits there unread takes memory of the process's machine.
+	receiveBuffer = 16 << 10
+)
+
+// Set is the listeners of a process. It is safe for concurrent use.
+type Set struct {
+	settings Settings
+	log      zerolog.Logger
+	heads    *Budget
+	bodies   *Budget
+
+	mu        sync.Mutex
+	listeners []*Listener
+	metrics   *metrics.Set // nil until Register
+}
+
+// NewSet returns a set without listeners, for settings whose defaults are filled in.
+func NewSet(s Settings, log zerolog.Logger) *Set {
+	memory := int64(s.MemoryMB) * megabyte
+	heads := int64(headShare * float64(memory))
+	return &Set{settings: s, log: log, heads: NewBudget(heads), bodies: NewBudget(memory - heads)}
+}
+
+// Heads returns the budget for the heads of requests.
+func (s *Set) Heads() *Budget { return s.heads }
+
+// Bodies returns the budget for bodies and buffered answers.
+func (s *Set) Bodies() *Budget { return s.bodies }
+
+// Listeners returns the open listeners.
+func (s *Set) Listeners() []*Listener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*Listener(nil), s.listeners...)
+}
+
+// Options describe a listener.
+type Options struct {
+	// Name is the name of the listener in logs and metrics.
+	Name string
+	// Address is the IP:port to listen on.
+	Address string
+	// Connections bounds the number of connections, those of trusted peers not included. 0 means as
+	// many as the settings say.
+	Connections int
+	// Limits returns the limits in force. Nil means those of the settings.
+	Limits func() Limits
+	// Links is set for a listener for links between processes, where Conn.Trust ends the limits.
+	Links bool
+}
+
+// Listen opens a listener.
+func (s *Set) Listen(o Options) (*Listener, error) {
+	config := net.ListenConfig{Control: setReceiveBuffer}
+	raw, err := config.Listen(context.Background(), "tcp4", o.Address)
+	if err != nil {
+		return nil, eris.Wrapf(ErrListen, "%s: %v", o.Address, err)
+	}
+	l := newListener(s, raw, o)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listeners = append(s.listeners, l)
+	if s.metrics != nil {
+		l.register(s.metrics)
+	}
+	return l, nil
+}
+
+// setReceiveBuffer sets the size of the receive buffer, which accepted connections inherit.
+func setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+// Run closes connections that exceed a time limit, and reports what was closed and refused, until
+// the context ends.
+func (s *Set) Run(ctx context.Context) {
+	for wait.Sleep(ctx, sweepInterval) {
+		now := time.Now()
+		for _, l := range s.Listeners() {
+			l.sweep(now)
+			l.report(now)
+		}
+	}
+}
--- a/core/socket/socket_test.go
+++ b/core/socket/socket_test.go
@@ -65,3 +65,24 @@
 	is.True(Quiet(client))
 	is.True(time.Since(began) < 500*time.Millisecond)
 }
+
+func TestUnacknowledgedFallsWhileThePeerReads(t *testing.T) {
+	is := is.New(t)
+	client, server := pair(t)
+	is.NoErr(server.SetWriteDeadline(time.Now().Add(200 * time.Millisecond)))
+	_, _ = server.Write(make([]byte, 64<<20)) // until the buffers of both sides are full
+	full, err := Unacknowledged(server)
+	is.NoErr(err)
+	is.True(full > 0)
+	buf := make([]byte, 1<<20)
+	for range 1000 {
+		_, err := client.Read(buf)
+		is.NoErr(err)
+		if left, err := Unacknowledged(server); err != nil || left < full {
+			is.NoErr(err)
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("it did not fall")
+}
