Bound the memory of log lines and of the time line

Cause: the queue of log lines was bounded by their number, 2,048, but lines quote paths and targets that callers send, escaped: tens of kilobytes each.

The entry VM's process writes its log in the background, as the gateway does, so that a crowd cannot block it there.

TestLongLinesDoNotFillMemory fails before (it does not compile: no such bound).

It works as both are bounded in bytes now, whatever is quoted.

--- a/core/process/logwriter.go
+++ b/core/process/logwriter.go
@@ -5,9 +5,12 @@
 	"sync/atomic"
 )
 
-// logQueueLength is the capacity of the queue, in lines: a few seconds of a busy gateway's
-// log, at most a few hundred kilobytes.
-const logQueueLength = 2048
+const (
+	// logQueueLength is the capacity of the queue, in lines: a few seconds of a busy gateway's log.
+	logQueueLength = 2048
+	// maxQueuedBytes bounds the size of the lines in the queue, which can quote what callers send.
+	maxQueuedBytes = 1 << 20
+)
 
 // LogWriter writes log lines in the background. It drops lines when the log's reader does
 // not keep up, so that logging never blocks. It is safe for concurrent use.
@@ -15,6 +18,7 @@
 	out     io.Writer
 	lines   chan []byte
 	flush   chan chan struct{}
+	queued  atomic.Int64 // bytes in the queue
 	dropped atomic.Int64
 }
 
@@ -27,15 +31,23 @@
 
 // Write queues one line. It always reports success.
 func (w *LogWriter) Write(line []byte) (int, error) {
-	queued := append([]byte(nil), line...) // the logger reuses its buffer
+	if w.queued.Add(int64(len(line))) > maxQueuedBytes {
+		w.drop(line)
+		return len(line), nil
+	}
 	select {
-	case w.lines <- queued:
+	case w.lines <- append([]byte(nil), line...): // the logger reuses its buffer
 	default:
-		w.dropped.Add(1)
+		w.drop(line)
 	}
 	return len(line), nil
 }
 
+func (w *LogWriter) drop(line []byte) {
+	w.queued.Add(-int64(len(line)))
+	w.dropped.Add(1)
+}
+
 // Dropped returns the number of lines that were not written.
 func (w *LogWriter) Dropped() int64 { return w.dropped.Load() }
 
@@ -70,6 +82,7 @@
 }
 
 func (w *LogWriter) write(line []byte) {
+	w.queued.Add(-int64(len(line)))
 	if _, err := w.out.Write(line); err != nil {
 		w.dropped.Add(1) // the error cannot be logged, only counted
 	}
--- a/core/process/logwriter_test.go
+++ b/core/process/logwriter_test.go
@@ -39,3 +39,20 @@
 	is.Equal(out.Len(), 50)
 	is.Equal(w.Dropped(), int64(0))
 }
+
+// Lines can quote what callers send, so that their number alone does not bound the queue's memory.
+func TestLongLinesDoNotFillMemory(t *testing.T) {
+	is := is.New(t)
+	out := blocked{make(chan struct{})}
+	w := NewLogWriter(out)
+	line := make([]byte, maxQueuedBytes/8)
+	for range 100 {
+		_, err := w.Write(line)
+		is.NoErr(err)
+	}
+	is.True(w.queued.Load() <= maxQueuedBytes)
+	is.True(w.Dropped() >= 100-8)
+	close(out.release)
+	w.Flush()
+	is.Equal(w.queued.Load(), int64(0))
+}
--- a/core/timeline/timeline.go
+++ b/core/timeline/timeline.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"baywall.example/core/bounded"
 	"baywall.example/core/vm"
 	"baywall.example/core/wire"
 )
@@ -94,8 +95,10 @@
 // Clock returns the process's hybrid logical clock.
 func (r *Recorder) Clock() *Clock { return &r.clock }
 
-// Record stamps the event, stores it in the ring buffer and writes it to the log.
+// Record stamps the event, stores it in the ring buffer and writes it to the log. It keeps only the
+// start of long texts, which can quote what callers send.
 func (r *Recorder) Record(e Event) {
+	e.Request, e.Subject, e.Reason = bounded.Text(e.Request), bounded.Text(e.Subject), bounded.Text(e.Reason)
 	e.Clock = r.clock.Now(time.Now())
 	e.VM = r.vm
 	r.store(e)
--- a/entry/cmd/baywall/serve.go
+++ b/entry/cmd/baywall/serve.go
@@ -34,7 +34,9 @@
 		return subcommands.ExitFailure
 	}
 	debug.SetMemoryLimit(int64(s.MemoryTarget) << 20)
-	log := process.Logger(os.Stderr, s.LogLevel).With().Str("vm", s.VM).Logger()
+	lines := process.NewLogWriter(os.Stderr)
+	defer lines.Flush()
+	log := process.Logger(lines, s.LogLevel).With().Str("vm", s.VM).Logger()
 	return process.Serve(ctx, log, server.New(s, log, time.Now()))
 }
 
