Gateways: bound connections and heads on every HTTP listener, by the configuration

What callers saw: heads of legal size with thousands of short lines ended a process; silent connections took all descriptors; `max-header-bytes`, `header-timeout-ms` and `idle-timeout-ms` had no effect, and listeners other than the front had the library's limit of 1 MB.

Cause: net/http bounds a head by its bytes alone, while its memory is that of its lines, and nothing summed heads or counted connections.

Change: front, directory, readiness and metrics are listeners of package inbound; the front's limits are those of the configuration in force. New settings machine.memory_mb, machine.max_fds (passed by the template) and clients.*; counters and one line a second and listener.

It works as the cost of a head is reserved, by its lines, before the library parses them, and as a new connection takes the place of the one that has kept the process waiting the longest.

--- a/core/contract/contract.go
+++ b/core/contract/contract.go
@@ -83,6 +83,8 @@
 	ReasonRateLimit         Reason = "rate-limit"
 	ReasonBackoff           Reason = "rest"
 	ReasonEvacuated         Reason = "evacuated"
+	ReasonMemory            Reason = "memory"
+	ReasonSlowBody          Reason = "slow-body"
 )
 
 // Refusal reports why a request got no answer and whether it may have run.
--- a/entry/gateway/command.go
+++ b/entry/gateway/command.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/subcommands"
@@ -50,6 +51,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
+	debug.SetMemoryLimit(s.Machine.SoftMemoryLimit())
 	logWriter := process.NewLogWriter(os.Stdout)
 	log := process.Logger(logWriter, s.LogLevel).With().Str("vm", s.VM).Logger()
 	g, err := New(s, c.adapter, log, logWriter, time.Now())
--- a/entry/gateway/drain.go
+++ b/entry/gateway/drain.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"baywall.example/core/clock"
+	"baywall.example/core/inbound"
 )
 
 const (
@@ -32,8 +32,8 @@
 	linger(ctx)
 	err := g.front.Shutdown(ctx) // closes the listener and idle connections
 	g.log.Info().AnErr("cut_short", err).Int64("in_flight", g.inFlight.Load()).Dur("after", clock.Since(began)).Msg("left")
-	for _, s := range g.servers {
-		g.closeServer(s)
+	for _, l := range g.listeners.Listeners() {
+		g.closeListener(l)
 	}
 	g.cancel()
 	g.logWriter.Flush()
@@ -49,10 +49,10 @@
 	}
 }
 
-func (g *Gateway) closeServer(s *http.Server) {
+func (g *Gateway) closeListener(l *inbound.Listener) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	if err := s.Shutdown(ctx); err != nil {
-		g.log.Warn().Err(err).Msg("connections still in use at shutdown")
+	if err := l.Shutdown(ctx); err != nil {
+		g.log.Warn().Err(err).Str("listener", l.Name()).Msg("connections still in use at shutdown")
 	}
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,7 +12,7 @@
 
 	"baywall.example/core/clock"
 	"baywall.example/core/cluster"
-	"baywall.example/core/link"
+	"baywall.example/core/inbound"
 	"baywall.example/core/process"
 	"baywall.example/core/source"
 	"baywall.example/core/vm"
@@ -30,17 +27,8 @@
 // ErrStart means that the gateway could not start serving.
 var ErrStart = eris.New("gateway: cannot start")
 
-const (
-	// idleTimeout is how long a caller's idle connection is kept open. It is longer than
-	// any limit that operators publish, since callers rely on that limit.
-	idleTimeout = 75 * time.Second
-	// headerTimeout bounds the time that a caller may take to send its header.
-	headerTimeout = 15 * time.Second
-	// maxHeader is the largest header accepted from a caller, in bytes.
-	maxHeader = 64 << 10
-	// maintainInterval is the interval between runs of the periodic maintenance.
-	maintainInterval = follow.CheckInterval
-)
+// maintainInterval is the interval between runs of the periodic maintenance.
+const maintainInterval = follow.CheckInterval
 
 // Gateway is the process of an entry VM that dispatches requests straight to backend
 // servers. It implements process.Service and Directory.
@@ -75,10 +63,11 @@
 	leaving        atomic.Bool
 	inFlight       atomic.Int64
 
-	servers []*http.Server
-	front   *http.Server
-	run     conc.WaitGroup
-	cancel  context.CancelFunc
+	clientLog zerolog.Logger // for refusals that a crowd of clients can cause, sampled
+	listeners *inbound.Set
+	front     *inbound.Listener
+	run       conc.WaitGroup
+	cancel    context.CancelFunc
 }
 
 // New returns a gateway that has not been started.
@@ -92,6 +81,8 @@
 		return nil, eris.Wrapf(ErrStart, "%v", err)
 	}
 	g.node = node
+	g.listeners = inbound.NewSet(s.Clients, log)
+	g.clientLog = log.Sample(&zerolog.BurstSampler{Burst: clientLogBurst, Period: time.Second})
 	g.seeds.Store(&s.Seeds)
 	node.EnableMonitoring()
 	g.suspects = quarantine.NewTable(vm.ID(s.VM), node.Staleness, log)
@@ -125,6 +116,7 @@
 		permits:    g.limits.Counts,
 		logDropped: func() float64 { return float64(logWriter.Dropped()) },
 	})
+	g.listeners.Register(g.inst.set)
 	g.fairShares = newFairShares(g)
 	if g.fairShares != nil {
 		g.fairShares.waiting = g.slots.waits
@@ -155,32 +147,15 @@
 func (g *Gateway) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	g.front = &http.Server{
-		Handler: http.HandlerFunc(g.serveRequest), IdleTimeout: idleTimeout,
-		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
-	}
-	listeners := []struct {
-		address string
-		server  *http.Server
-	}{
-		{g.settings.Listen.Front, g.front},
-		{g.settings.Listen.Ready, &http.Server{Handler: g.adapter.Ready(g), ReadHeaderTimeout: headerTimeout}},
-		{g.settings.Listen.Directory, &http.Server{Handler: g.adapter.Directory(g), ReadHeaderTimeout: headerTimeout}},
-		{g.settings.Listen.Metrics, &http.Server{Handler: g.inst, ReadHeaderTimeout: headerTimeout}},
-	}
-	for _, l := range listeners {
-		if l.address == "" {
-			continue
-		}
-		if err := g.listen(l.address, l.server); err != nil {
-			cancel()
-			return err
-		}
+	if err := g.listenHTTP(); err != nil {
+		cancel()
+		return err
 	}
 	if err := g.listenPeers(ctx); err != nil {
 		cancel()
 		return err
 	}
+	g.run.Go(func() { g.listeners.Run(ctx) })
 	g.run.Go(func() { g.node.Run(ctx) })
 	g.run.Go(func() { g.follower.Run(ctx) })
 	g.run.Go(func() { g.maintain(ctx) })
@@ -191,38 +166,6 @@
 	return nil
 }
 
-func (g *Gateway) listen(address string, server *http.Server) error {
-	ln, err := net.Listen("tcp4", address)
-	if err != nil {
-		return eris.Wrapf(ErrStart, "%s: %v", address, err)
-	}
-	g.servers = append(g.servers, server)
-	g.run.Go(func() {
-		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			g.log.Error().Err(err).Str("address", address).Msg("listener failed")
-		}
-	})
-	return nil
-}
-
-// listenPeers accepts links from other gateways.
-func (g *Gateway) listenPeers(ctx context.Context) error {
-	ln, err := net.Listen("tcp4", g.settings.Listen.Peers)
-	if err != nil {
-		return eris.Wrapf(ErrStart, "%s: %v", g.settings.Listen.Peers, err)
-	}
-	context.AfterFunc(ctx, func() {
-		_ = ln.Close() // no further links are accepted
-		g.peering.pool.Close()
-	})
-	g.run.Go(func() {
-		if err := link.Accept(ln, g.peering.local, g.node.Authorize, g.peering); err != nil && ctx.Err() == nil {
-			g.log.Error().Err(err).Msg("link listener failed")
-		}
-	})
-	return nil
-}
-
 // maintain runs the periodic maintenance until the context ends.
 func (g *Gateway) maintain(ctx context.Context) {
 	ticker := time.NewTicker(maintainInterval)
--- a/entry/gateway/load_server_test.go
+++ b/entry/gateway/load_server_test.go
@@ -165,7 +165,7 @@
 	f.live = f.live[:last]
 	f.mu.Unlock()
 	g.cancel()
-	for _, s := range g.servers {
-		_ = s.Close() // closes all connections, as the end of the process does
+	for _, l := range g.listeners.Listeners() {
+		_ = l.Abort() // closes all connections, as the end of the process does
 	}
 }
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -10,7 +10,6 @@
 
 	"github.com/rs/zerolog"
 
-	"baywall.example/core/clock"
 	"baywall.example/core/contract"
 	"baywall.example/core/ratelimit"
 	"baywall.example/entry/admission"
@@ -101,12 +100,12 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{g: g, w: w, r: r, ctx: r.Context(), began: clock.Now(), id: r.Header.Get(g.headers.RequestID)}
-	q.log = g.log
+	q := g.newRequest(w, r)
 	if d := q.match(); d != nil {
 		q.refuse(d.status, d.refusal)
 		return
 	}
+	q.setDeadline()
 	if !q.readBody() {
 		return
 	}
@@ -156,13 +155,17 @@
 	return false
 }
 
-// prepare sets the deadline and the headers for backend servers.
-func (q *request) prepare() {
+// setDeadline sets the time until which the request has to be answered.
+func (q *request) setDeadline() {
 	q.timeout = q.callerTimeout()
 	q.deadline = q.began.Add(q.timeout)
 	if q.route.Timeout > 0 {
 		q.deadline = q.began.Add(min(q.timeout, q.route.Timeout))
 	}
+}
+
+// prepare sets the state for dispatching and the headers for backend servers.
+func (q *request) prepare() {
 	q.interrupted = q.r.Header.Get(q.g.headers.ResumeAfter) != ""
 	q.state = q.g.serviceStateOf(q.service)
 	if !q.interrupted {
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"baywall.example/core/inbound"
 	"baywall.example/core/settings"
 	"baywall.example/entry/retry"
 )
@@ -26,8 +27,10 @@
 	Store string `yaml:"store"`
 	// Follow sets how the store is followed.
 	Follow FollowSettings `yaml:"follow"`
-	// Machine describes the CPU resources of this VM.
+	// Machine describes the resources of this VM.
 	Machine MachineSettings `yaml:"machine"`
+	// Clients bounds what clients can make the process hold.
+	Clients inbound.Settings `yaml:"clients"`
 	// Entries sets what the directory tells callers about where to connect.
 	Entries EntriesSettings `yaml:"entries"`
 	// Retry bounds the retries of each service over all gateways.
@@ -78,8 +81,10 @@
 // lease returns how long the store keeps listing an entry whose writer has ended.
 func (f FollowSettings) lease() time.Duration { return 3*f.Heartbeat + leaseMargin }
 
-// MachineSettings describe the CPU resources of the VM.
+// MachineSettings describe the resources of the VM.
 type MachineSettings struct {
+	inbound.Machine `yaml:",inline"`
+
 	// CPUShare is the fraction of the time for which a core runs the process. From 0 to 1,
 	// default 0: not known.
 	CPUShare float64 `yaml:"cpu_share"`
@@ -122,6 +127,8 @@
 	s.Follow.Evacuation = settings.Or(s.Follow.Evacuation, s.Follow.Within)
 	s.Follow.Heartbeat = settings.Or(s.Follow.Heartbeat, defaultHeartbeat)
 	s.Machine.Cores = settings.Or(s.Machine.Cores, 1)
+	s.Machine.Provision()
+	s.Clients.Provision(s.Machine.Machine)
 	s.Entries.TTL = settings.Or(s.Entries.TTL, defaultTTL)
 	s.Entries.MaxAddresses = settings.Or(s.Entries.MaxAddresses, defaultMaxAddresses)
 	s.Retry.Provision()
@@ -151,6 +158,8 @@
 	c.Duration("follow.heartbeat", s.Follow.Heartbeat, 10*time.Millisecond, 10*time.Minute)
 	c.Float("machine.cpu_share", s.Machine.CPUShare, 0, 1)
 	c.Float("machine.cores", s.Machine.Cores, 0, 1024)
+	s.Machine.Check(&c, "machine.")
+	s.Clients.Check(&c, "clients.")
 	c.Duration("entries.ttl", s.Entries.TTL, time.Second, time.Hour)
 	c.Int("entries.most", s.Entries.MaxAddresses, 1, 1000)
 	s.Retry.Check(&c)
--- a/entry/gateway/waiting.go
+++ b/entry/gateway/waiting.go
@@ -370,6 +370,9 @@
 	// minRetryAfter is the Retry-After of a refusal that has nothing to do with capacity,
 	// such as one for an unknown key.
 	minRetryAfter = 250 * time.Millisecond
+	// memoryRetryAfter is the Retry-After while there is no room for a request's head or body: most of
+	// those that take the room are sent or ended within that time.
+	memoryRetryAfter = time.Second
 	// outageRetryAfter is the Retry-After while this process has no configuration because
 	// the store is unreachable, or while all servers are evacuated or leaving. Processes
 	// and groups of ranks are back about two seconds after a power loss, and operators take
@@ -400,6 +403,8 @@
 		if q.quarantined != nil {
 			return q.quarantined.Remaining
 		}
+	case contract.ReasonMemory:
+		return addJitter(max(r.RetryAfter, memoryRetryAfter))
 	case contract.ReasonStarting, contract.ReasonEvacuated, contract.ReasonDraining:
 		return addJitter(max(r.RetryAfter, outageRetryAfter))
 	}
