Gateways: read bodies within the memory budget and until their deadline

What callers saw: many large bodies at once, whole or stopped before their end, ended a process; a body that came byte by byte, or not at all, stayed for ever.

Cause: each body was read whole before anything was decided, by doubling a buffer, without a deadline and without a sum over requests.

Change: bodies are read through package inbound. Refusals: 503 memory with Retry-After for no room, 408 slow-body at the deadline or while others wait; both true, nothing was sent. A declared length over the limit is refused with 413 before it is read. After a refusal the process goes on reading for half a second, so that the answer is not lost to a reset. Ten such refusals a second have a line of their own.

It works as all that a body can still need is reserved before it is read: what has begun can end, and half of what is free stays for others, whatever the crowd's size.

--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"baywall.example/core/clock"
 	"baywall.example/core/contract"
+	"baywall.example/core/inbound"
 	"baywall.example/core/ratelimit"
 	"baywall.example/entry/admission"
 	"baywall.example/entry/balance"
@@ -135,26 +136,38 @@
 	return host
 }
 
-// readBody reads the whole body, so that it can be sent more than once.
+// readBody reads the whole body, so that it can be sent more than once, or refuses the request.
 func (q *request) readBody() bool {
 	limit := int64(defaultBody)
 	if s := q.g.catalog.Current(); s.Limits.BodyBytes > 0 {
 		limit = int64(s.Limits.BodyBytes)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	body, err := inbound.ReadBody(q.w, q.r, limit, time.Now().Add(clock.Until(q.deadline)))
 	if err == nil {
 		q.body = body
 		return true
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		q.refuse(http.StatusRequestEntityTooLarge, contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonBadRequest})
-		return false
-	}
-	q.refuse(http.StatusBadRequest, contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonBadRequest})
+	status, reason := bodyRefusal(err)
+	q.log = q.g.clientLog
+	q.refuse(status, contract.Refusal{Outcome: contract.NotRun, Reason: reason})
 	return false
 }
 
+// bodyRefusal returns the status and the reason of the refusal of a request whose body was not read.
+// 408 and 503 say that the request can be sent again.
+func bodyRefusal(err error) (status int, reason contract.Reason) {
+	switch {
+	case errors.Is(err, inbound.ErrBodyTooLarge):
+		return http.StatusRequestEntityTooLarge, contract.ReasonBadRequest
+	case errors.Is(err, inbound.ErrNoRoom):
+		return http.StatusServiceUnavailable, contract.ReasonMemory
+	case errors.Is(err, inbound.ErrBodySlow), errors.Is(err, inbound.ErrBodyTimeout):
+		return http.StatusRequestTimeout, contract.ReasonSlowBody
+	default:
+		return http.StatusBadRequest, contract.ReasonBadRequest
+	}
+}
+
 // setDeadline sets the time until which the request has to be answered.
 func (q *request) setDeadline() {
 	q.timeout = q.callerTimeout()
