Gateways: buffer answers within the memory budget

What callers saw: callers that do not read, or read slowly, made a gateway keep up to 512 kB for each of their answers, without a bound on the sum and for ever.

Cause: an answer of up to 256 kB is buffered, in a buffer that doubles, and a larger one copied with 32 kB more; nothing ended a write.

Change: beyond 8 kB the buffer needs room in the budget; without it the answer is passed on as it comes, which only means that it can't be replaced by another attempt. Log lines quote at most 200 characters of what callers send.

--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -10,8 +9,10 @@
 
 	"github.com/rs/zerolog"
 
+	"baywall.example/core/bounded"
 	"baywall.example/core/clock"
 	"baywall.example/core/contract"
+	"baywall.example/core/inbound"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/retry"
 	"baywall.example/entry/upstream"
@@ -23,26 +24,55 @@
 	headerReason  = "Baywall-Reason"
 )
 
+// unreservedBuffer is the size, in bytes, up to which an answer is buffered without room in the memory
+// budget: it is part of the cost of the caller's connection.
+const unreservedBuffer = 8 << 10
+
 // maxBuffered is the size, in bytes, up to which an answer is buffered before any of it is
 // sent to the caller. An answer that breaks off before that can be replaced by another
 // attempt.
 const maxBuffered = 256 << 10
 
+// copyBuffer is the size, in bytes, of the buffer for the rest of an answer. It is small, as callers
+// can make many answers wait by reading slowly.
+const copyBuffer = 4 << 10
+
+// bufferAnswer reads the start of an answer into memory, and reports whether it is the whole answer.
+// It reads up to maxBuffered bytes, or less if the process has no room for them.
+func (q *request) bufferAnswer(answer *upstream.Answer) (body []byte, whole bool, err error) {
+	size := int64(unreservedBuffer)
+	if answer.Length >= 0 {
+		size = min(size, answer.Length+1) // one more than announced tells that it is the whole answer
+	}
+	body = make([]byte, size)
+	n, err := io.ReadFull(answer.Body, body)
+	if err == io.EOF || err == io.ErrUnexpectedEOF {
+		return body[:n], true, nil
+	}
+	if err != nil || !inbound.Buffer(q.ctx, maxBuffered) {
+		return body[:n], false, err
+	}
+	body = append(make([]byte, 0, maxBuffered), body[:n]...)
+	more, err := io.ReadFull(answer.Body, body[n:maxBuffered])
+	if err == io.EOF || err == io.ErrUnexpectedEOF {
+		return body[:n+more], true, nil
+	}
+	return body[:n+more], false, err
+}
+
 // forwardAnswer forwards an answer that is not a stream.
 func (q *request) forwardAnswer(ctx context.Context, answer *upstream.Answer, server *balance.Server, stream *streamState) attempt {
-	var body bytes.Buffer
-	n, err := io.Copy(&body, io.LimitReader(answer.Body, maxBuffered))
+	body, whole, err := q.bufferAnswer(answer)
 	if err != nil {
 		return attempt{verdict: verdictLost, err: err}
 	}
-	whole := n < maxBuffered
 	if whole {
 		if l, err := q.proveWhole(ctx, answer, server); err != nil {
 			return attempt{verdict: verdictLost, err: err, liveness: l}
 		}
 	}
 	if answer.Status >= http.StatusInternalServerError && whole {
-		return attempt{verdict: verdictFailed, status: answer.Status, header: answer.Header, body: body.Bytes()}
+		return attempt{verdict: verdictFailed, status: answer.Status, header: answer.Header, body: body}
 	}
 	if stream.headerSent {
 		// A stream cannot be continued by an answer that is not a stream.
@@ -51,17 +81,18 @@
 	q.firstAnswer = clock.Since(q.began)
 	q.copyHeader(answer.Header)
 	if whole {
-		q.w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
+		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	q.w.WriteHeader(answer.Status)
-	if _, err := q.w.Write(body.Bytes()); err != nil {
+	if _, err := q.w.Write(body); err != nil {
 		return attempt{verdict: verdictCallerLeft, err: err}
 	}
 	if whole {
 		return attempt{verdict: verdictAnswered, status: answer.Status}
 	}
 	stream.headerSent = true
-	if _, err := io.Copy(q.w, answer.Body); err != nil {
+	body = nil // it was sent
+	if _, err := io.CopyBuffer(writerOnly{q.w}, answer.Body, make([]byte, copyBuffer)); err != nil {
 		return attempt{verdict: verdictCut, err: err}
 	}
 	if l, err := q.proveWhole(ctx, answer, server); err != nil {
@@ -70,6 +101,9 @@
 	return attempt{verdict: verdictAnswered, status: answer.Status}
 }
 
+// writerOnly hides that a writer can read from another by itself, with a larger buffer.
+type writerOnly struct{ io.Writer }
+
 // copyHeader copies the backend server's header fields to the answer.
 func (q *request) copyHeader(from http.Header) {
 	h := q.w.Header()
@@ -183,14 +217,14 @@
 // addLogFields adds the state on which the handling of the request was based to a log
 // event.
 func (q *request) addLogFields(e *zerolog.Event) *zerolog.Event {
-	e = e.Str("request", q.id).Uint64("catalog", q.version).Uint64("era", q.decidedState.at.Term).Uint64("revision", q.decidedState.at.Revision).
+	e = e.Str("request", bounded.Text(q.id)).Uint64("catalog", q.version).Uint64("era", q.decidedState.at.Term).Uint64("revision", q.decidedState.at.Revision).
 		Str("state_from", q.decidedState.source()).Dur("state_age", clock.Since(q.decidedState.appliedAt)).
 		Dur("elapsed", clock.Since(q.began)).Int("attempts", q.sequence.Attempts())
 	if q.route != nil {
 		e = e.Str("route", q.route.Name).Str("service", q.service).Str("team", q.team).
 			Dur("limit", q.timeout).Bool("interrupted", q.interrupted).Bool("repeated", q.repeated).Dur("waited", q.waited)
 	} else {
-		e = e.Str("host", q.r.Host).Str("path", q.r.URL.Path)
+		e = e.Str("host", bounded.Text(q.r.Host)).Str("path", bounded.Text(q.r.URL.Path))
 	}
 	if q.atLimit > 0 {
 		e = e.Int("servers_at_limit", q.atLimit)
@@ -249,7 +283,7 @@
 	}
 	if a.liveness.State != 0 {
 		e = e.Stringer("liveness", a.liveness.State).Str("answered", a.liveness.Answered).Stringer("fingerprint", q.fingerprints()[0]).
-			Str("method", q.r.Method).Str("target", q.r.RequestURI).Int("body_bytes", len(q.body)).Strs("prompt", q.g.adapter.PromptParts(q.r.Header))
+			Str("method", q.r.Method).Str("target", bounded.Text(q.r.RequestURI)).Int("body_bytes", len(q.body)).Strs("prompt", q.g.adapter.PromptParts(q.r.Header))
 	}
 	if q.unframed {
 		e = e.Bool("unframed", true)
