--- a/core/link/link.go
+++ b/core/link/link.go
@@ -88,6 +88,7 @@
 	local       *Local
 	session     *yamux.Session
 	conn        *unidentifiedConn
+	accepted    net.Conn // as the listener returned it, nil for a link that was dialed
 	Remote      vm.ID
 	Incarnation vm.Incarnation
 	Role        vm.Role
@@ -125,7 +126,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
 	}
-	l := &Link{local: local, conn: &unidentifiedConn{Conn: local.countTraffic(conn)}}
+	l := &Link{local: local, conn: newUnidentifiedConn(local.countTraffic(conn), maxUnidentified)}
 	l.session, err = yamux.Client(newCoalescingConn(l.conn), sessionConfig(local.Log))
 	if err != nil {
 		conn.Close()
@@ -165,19 +166,29 @@
 // Authorizer decides whether a VM may open a link; an error rejects the link.
 type Authorizer func(h *wire.Hello, remote net.Addr) error
 
+// trustable is implemented by connections whose listener bounds those of unknown peers.
+type trustable interface {
+	// Trust is called when the peer is known and may open a link.
+	Trust()
+}
+
 // Accept serves links on the listener until it is closed.
 func Accept(ln net.Listener, local *Local, authorize Authorizer, handler Handler) error {
+	rejected := local.Log.Sample(&zerolog.BurstSampler{Burst: rejectedLogBurst, Period: time.Second})
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
 			return eris.Wrapf(ErrLost, "accept: %v", err)
 		}
-		go accept(conn, local, authorize, handler)
+		go accept(conn, local, authorize, handler, rejected)
 	}
 }
 
-func accept(conn net.Conn, local *Local, authorize Authorizer, handler Handler) {
-	l := &Link{local: local, conn: &unidentifiedConn{Conn: local.countTraffic(conn)}}
+// rejectedLogBurst is how many incoming links that were rejected are logged in a second.
+const rejectedLogBurst = 10
+
+func accept(conn net.Conn, local *Local, authorize Authorizer, handler Handler, rejected zerolog.Logger) {
+	l := &Link{local: local, conn: newUnidentifiedConn(local.countTraffic(conn), maxHelloBytes), accepted: conn}
 	session, err := yamux.Server(newCoalescingConn(l.conn), sessionConfig(local.Log))
 	if err != nil {
 		conn.Close()
@@ -185,7 +196,7 @@
 	}
 	l.session = session
 	if err := l.receiveHello(conn.RemoteAddr(), authorize); err != nil {
-		local.Log.Warn().Str("remote", conn.RemoteAddr().String()).Err(err).Msg("incoming link rejected")
+		rejected.Warn().Str("remote", conn.RemoteAddr().String()).Err(err).Msg("incoming link rejected")
 		l.Close()
 		return
 	}
@@ -214,6 +225,9 @@
 		}
 	}
 	l.conn.identified.Store(true)
+	if t, ok := l.accepted.(trustable); ok {
+		t.Trust()
+	}
 	return s.SendReply(&wire.Reply{Body: &wire.Reply_Hello{Hello: l.local.hello()}})
 }
 
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -144,7 +144,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			accept(server, local("b"), nil, &echoHandler{})
+			accept(server, local("b"), nil, &echoHandler{}, zerolog.Nop())
 		}()
 		go func() { _, _ = io.Copy(io.Discard, client) }()
 		_, _ = client.Write(frame(1, raw, 0))
