Entry VMs: bound what clients can make the process hold

What callers saw, as at gateways: 612 to 2,079 MB of 284 by heads, bodies and links, 4,217 descriptors of 4,100; a body without end stayed for ever.

Cause: `baywall serve` had the library's limits only (heads of 1 MB), read bodies whole without a sum or a deadline, and counted no connections.

Change: both listeners are of package inbound, with the settings machine and clients; bodies have the deadline of their request; refusals as at gateways, 503 memory and 408 slow-body, and unknown where the request has a ticket. A watch's connection can be closed for a new one. The state is under clients at /debug/vars.

It works as at gateways: the same listeners and the same budget.

--- a/entry/api/api.go
+++ b/entry/api/api.go
@@ -14,6 +14,7 @@
 
 	"baywall.example/core/configuration"
 	"baywall.example/core/contract"
+	"baywall.example/core/inbound"
 	"baywall.example/core/link"
 	"baywall.example/core/resource"
 	"baywall.example/core/timeline"
@@ -45,6 +46,7 @@
 	AddressTTL time.Duration
 	TicketTTL  time.Duration
 	MaxBody    int64
+	Listeners  *inbound.Set
 }
 
 // API serves HTTP. It is safe for concurrent use.
@@ -142,6 +144,7 @@
 	m.vars.Set("config_revision", expvar.Func(func() any { return a.Config.Revision() }))
 	m.vars.Set("vms_revision", expvar.Func(func() any { return a.VMs.List().Revision }))
 	m.vars.Set("probe_bytes", expvar.Func(func() any { sent, received := a.Prober.Traffic(); return sent + received }))
+	m.vars.Set("clients", expvar.Func(func() any { return a.Listeners.Status() }))
 	m.vars.Set("link_bytes", expvar.Func(func() any { return a.LinkBytes() }))
 	return m
 }
--- a/entry/api/requests.go
+++ b/entry/api/requests.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,6 +16,7 @@
 
 	"baywall.example/core/clock"
 	"baywall.example/core/contract"
+	"baywall.example/core/inbound"
 	"baywall.example/core/rendezvous"
 	"baywall.example/core/resource"
 	"baywall.example/core/timeline"
@@ -54,7 +54,7 @@
 		a.refuse(r.Context(), w, c, unknownIfTicketed(r, refusal), detail)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.MaxBody))
+	body, err := inbound.ReadBody(w, r, a.MaxBody, time.Now().Add(clock.Until(c.Deadline)))
 	if err != nil {
 		a.refuseBody(w, r, id, err)
 		return
@@ -178,13 +178,34 @@
 	return c, nil, ""
 }
 
+// roomRetryAfter is the retry-after time in refusals for lack of room for a head or a body.
+const roomRetryAfter = time.Second
+
+// refuseBody answers a request whose body was not read.
 func (a *API) refuseBody(w http.ResponseWriter, r *http.Request, id contract.RequestID, err error) {
-	status, detail := http.StatusBadRequest, "body: "+err.Error()
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		status, detail = http.StatusRequestEntityTooLarge, fmt.Sprintf("body: allowed: at most %d bytes", tooLarge.Limit)
+	status, refusal, detail := http.StatusBadRequest, notRun(contract.ReasonBadRequest), "body: "+err.Error()
+	switch {
+	case errors.Is(err, inbound.ErrBodyTooLarge):
+		status, detail = http.StatusRequestEntityTooLarge, fmt.Sprintf("body: allowed: at most %d bytes", a.MaxBody)
+	case errors.Is(err, inbound.ErrNoRoom):
+		status, refusal = http.StatusServiceUnavailable, noRoom()
+	case errors.Is(err, inbound.ErrBodySlow), errors.Is(err, inbound.ErrBodyTimeout):
+		status, refusal = http.StatusRequestTimeout, notRun(contract.ReasonSlowBody)
+	}
+	a.problem(w, status, string(id), unknownIfTicketed(r, refusal), detail)
+}
+
+func noRoom() *contract.Refusal {
+	return &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonMemory, RetryAfter: roomRetryAfter}
+}
+
+// RefuseHead answers a request whose head exceeds a limit. It is an inbound.Refuser.
+func (a *API) RefuseHead(w http.ResponseWriter, r *http.Request, refusal *inbound.Refusal) {
+	reason := notRun(contract.ReasonBadRequest)
+	if refusal.Reason == inbound.ReasonHeadRoom {
+		reason = noRoom()
 	}
-	a.problem(w, status, string(id), unknownIfTicketed(r, notRun(contract.ReasonBadRequest)), detail)
+	a.problem(w, refusal.Status, "", unknownIfTicketed(r, reason), "head: "+refusal.Reason.String())
 }
 
 func backendPath(r *http.Request, path string) string {
--- a/entry/api/resources.go
+++ b/entry/api/resources.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"baywall.example/core/configuration"
 	"baywall.example/core/contract"
+	"baywall.example/core/inbound"
 	"baywall.example/core/resource"
 	"baywall.example/core/vm"
 )
@@ -128,6 +128,7 @@
 		}
 		after = n
 	}
+	inbound.Watch(r.Context())
 	w.Header().Set("Content-Type", "application/jsonl")
 	last := make(map[resource.Key]string)
 	ticker := time.NewTicker(watchRefresh)
@@ -160,8 +161,11 @@
 }
 
 // serveCheck validates a candidate resource without storing it.
+// checkTimeout bounds the time in which a resource has to be sent.
+const checkTimeout = 10 * time.Second
+
 func (a *API) serveCheck(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.MaxBody))
+	raw, err := inbound.ReadBody(w, r, a.MaxBody, time.Now().Add(checkTimeout))
 	if err != nil {
 		a.refuseBody(w, r, "", err)
 		return
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,7 @@
 
 	"baywall.example/core/clock"
 	"baywall.example/core/configuration"
+	"baywall.example/core/inbound"
 	"baywall.example/core/link"
 	"baywall.example/core/platform"
 	"baywall.example/core/timeline"
@@ -52,13 +52,14 @@
 	limiter   *limits.Limiter
 	retries   *retry.Budgets
 
-	draining atomic.Bool
-	traffic  atomic.Int64 // bytes on all links
-	http     *http.Server
-	listener net.Listener
-	ctx      context.Context
-	stop     context.CancelFunc
-	workers  conc.WaitGroup
+	draining  atomic.Bool
+	traffic   atomic.Int64 // bytes on all links
+	listeners *inbound.Set
+	http      *inbound.Listener
+	links     *inbound.Listener
+	ctx       context.Context
+	stop      context.CancelFunc
+	workers   conc.WaitGroup
 
 	suspects *quarantine.Table
 
@@ -77,6 +78,7 @@
 		vms:       configuration.NewVMs(),
 		revisions: make(map[vm.ID]uint64),
 		suspects:  quarantine.NewTable(id, func() time.Duration { return membership.Interval }, log),
+		listeners: inbound.NewSet(s.Clients, log),
 	}
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	host, _, _ := net.SplitHostPort(s.Link.Listen)
@@ -97,18 +99,18 @@
 		return eris.Wrapf(ErrStart, "probe.listen: %v", err)
 	}
 	e.prober = prober
-	linkListener, err := net.Listen("tcp", e.settings.Link.Listen)
+	e.links, err = e.listeners.Listen(inbound.Options{Name: "links", Address: e.settings.Link.Listen, Connections: maxUnknownPeers, Links: true})
 	if err != nil {
 		return eris.Wrapf(ErrStart, "link.listen: %v", err)
 	}
-	e.listener = linkListener
-	httpListener, err := net.Listen("tcp", e.settings.HTTP.Listen)
+	e.http, err = e.listeners.Listen(inbound.Options{Name: "http", Address: e.settings.HTTP.Listen})
 	if err != nil {
-		linkListener.Close()
+		e.links.Close()
 		return eris.Wrapf(ErrStart, "http.listen: %v", err)
 	}
 	e.wire()
-	e.workers.Go(func() { _ = link.Accept(linkListener, e.local, e.authorize, e) })
+	e.workers.Go(func() { e.listeners.Run(e.ctx) })
+	e.workers.Go(func() { _ = link.Accept(e.links, e.local, e.authorize, e) })
 	e.workers.Go(func() { e.prober.Run(e.ctx) })
 	e.workers.Go(func() { e.spreader.Run(e.ctx) })
 	e.workers.Go(func() { e.fleet.Run(e.ctx) })
@@ -117,7 +119,7 @@
 	e.workers.Go(func() { e.expireSuspects(e.ctx) })
 	e.workers.Go(func() { e.refreshGrantors(e.ctx) })
 	e.workers.Go(func() { e.directory.Run(e.ctx, e.api.InSubset) })
-	e.workers.Go(func() { _ = e.http.Serve(httpListener) })
+	e.workers.Go(func() { _ = e.http.Serve(e.api, e.api.RefuseHead) })
 	e.recorder.Record(timeline.Event{Kind: timeline.KindStart, Subject: e.settings.HTTP.Listen})
 	return nil
 }
@@ -138,13 +140,13 @@
 		Dispatcher: dispatch.New(e.directory, e.config, e.recorder, e.suspects, e.retries), Limiter: e.limiter,
 		Draining: e.draining.Load, LinkBytes: e.traffic.Load, Ready: e.ready, Log: e.log,
 		AddressTTL: e.settings.Callers.AddressTTL, TicketTTL: e.settings.Callers.TicketTTL,
-		MaxBody: int64(e.settings.Callers.MaxBody),
+		MaxBody: int64(e.settings.Callers.MaxBody), Listeners: e.listeners,
 	})
-	e.http = &http.Server{Handler: e.api, ReadHeaderTimeout: readHeaderTimeout}
 }
 
-// readHeaderTimeout bounds how long a caller may take to send its header.
-const readHeaderTimeout = 10 * time.Second
+// maxUnknownPeers bounds the connections whose peer has not said yet which VM it is. Peers do within
+// a round trip.
+const maxUnknownPeers = 256
 
 // Stop announces that this VM is draining, continues to serve for the linger time,
 // waits for the requests in flight and then ends the process.
@@ -162,10 +164,10 @@
 	}
 	err := e.http.Shutdown(ctx)
 	if err != nil {
-		_ = e.http.Close()
+		_ = e.http.Abort()
 	}
 	e.recorder.Record(timeline.Event{Kind: timeline.KindStop})
-	e.listener.Close()
+	e.links.Close()
 	e.stop()
 	e.peers.Close()
 	e.workers.Wait()
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"time"
 
+	"baywall.example/core/inbound"
 	"baywall.example/core/settings"
 	"baywall.example/entry/retry"
 )
@@ -28,6 +29,10 @@
 	Seeds []string `yaml:"seeds"`
 	// Callers are the settings that concern callers.
 	Callers CallerSettings `yaml:"callers"`
+	// Machine is what the VM has for this process.
+	Machine inbound.Machine `yaml:"machine"`
+	// Clients bounds what clients can make the process hold.
+	Clients inbound.Settings `yaml:"clients"`
 	// Retry bounds the retries of each service over all entry VMs.
 	Retry retry.Settings `yaml:"retry"`
 	// Drain configures how the process shuts down.
@@ -112,6 +117,8 @@
 		linger := defaultLinger
 		s.Drain.Linger = &linger
 	}
+	s.Machine.Provision()
+	s.Clients.Provision(s.Machine)
 	s.Retry.Provision()
 	s.Drain.Timeout = settings.Or(s.Drain.Timeout, defaultDrainTimeout)
 	s.MemoryTarget = settings.Or(s.MemoryTarget, defaultMemoryTarget)
@@ -134,6 +141,8 @@
 	c.Duration("callers.address_ttl", s.Callers.AddressTTL, 100*time.Millisecond, time.Hour)
 	c.Duration("callers.ticket_ttl", s.Callers.TicketTTL, time.Second, time.Hour)
 	c.Int("callers.max_body", s.Callers.MaxBody, 1024, 4<<20)
+	s.Machine.Check(&c, "machine.")
+	s.Clients.Check(&c, "clients.")
 	s.Retry.Check(&c)
 	c.Duration("drain.linger", *s.Drain.Linger, 0, 10*time.Minute)
 	c.Duration("drain.timeout", s.Drain.Timeout, time.Second, 24*time.Hour)
