Entry VMs: bound the number of watches

Cause, found by reading: each watch kept the last line of every resource that it had sent, so that some hundred watches of the teams take more memory than the VM has, and nothing counted them. Now a watch keeps a hash a resource, and 32 can be open; another is refused with 503 overload and Retry-After.

It works as 32 hashes a resource are all that watches can hold.

--- a/entry/api/api.go
+++ b/entry/api/api.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -55,6 +56,7 @@
 	router  *httprouter.Router
 	metrics *metrics
 	subsets subsetCache
+	watches atomic.Int32 // number of open watches
 }
 
 // New returns the API of one process.
--- a/entry/api/resources.go
+++ b/entry/api/resources.go
@@ -14,6 +14,7 @@
 	"baywall.example/core/configuration"
 	"baywall.example/core/contract"
 	"baywall.example/core/inbound"
+	"baywall.example/core/rendezvous"
 	"baywall.example/core/resource"
 	"baywall.example/core/vm"
 )
@@ -46,6 +47,10 @@
 	Lagging          []vm.ID `json:"lagging,omitempty"`
 }
 
+// maxWatches bounds the number of open watches. Each takes memory for every resource that it has sent,
+// and reads all of them whenever one changes.
+const maxWatches = 32
+
 // watchRefresh is how often a watch checks for a changed status.
 const watchRefresh = 200 * time.Millisecond
 
@@ -128,9 +133,15 @@
 		}
 		after = n
 	}
+	if a.watches.Add(1) > maxWatches {
+		a.watches.Add(-1)
+		a.problem(w, http.StatusServiceUnavailable, "", &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonOverload, RetryAfter: roomRetryAfter}, fmt.Sprintf("watch: %d are open", maxWatches))
+		return
+	}
+	defer a.watches.Add(-1)
 	inbound.Watch(r.Context())
 	w.Header().Set("Content-Type", "application/jsonl")
-	last := make(map[resource.Key]string)
+	last := make(map[resource.Key]uint64) // hashes of the lines that were sent
 	ticker := time.NewTicker(watchRefresh)
 	defer ticker.Stop()
 	for {
@@ -140,10 +151,11 @@
 				continue
 			}
 			line, err := json.Marshal(a.view(rec))
-			if err != nil || last[rec.Key] == string(line) {
+			hash := rendezvous.Hash(string(line))
+			if err != nil || last[rec.Key] == hash {
 				continue
 			}
-			last[rec.Key] = string(line)
+			last[rec.Key] = hash
 			if _, err := w.Write(append(line, '\n')); err != nil {
 				return
 			}
