Agents: bound what clients can make the process hold

What could be seen: crowds at the ports of `baywall-agent serve` and `rank` for links and metrics took 163 to 2,080 MB of 152, and 3,848 to 4,215 descriptors of 2,048.

Change: all listeners are of package inbound, with the settings machine (defaults 152 MB, 2,048) and clients; the runtime has a soft memory limit; the log of serve is written in the background.

It works as at gateways: the same listeners and the same budget.

--- a/agent/cmd/baywall-agent/main.go
+++ b/agent/cmd/baywall-agent/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/subcommands"
@@ -45,7 +46,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
-	log := process.Logger(os.Stderr, s.LogLevel).With().Str("vm", s.VM).Logger()
+	debug.SetMemoryLimit(s.Machine.SoftMemoryLimit())
+	lines := process.NewLogWriter(os.Stderr)
+	defer lines.Flush()
+	log := process.Logger(lines, s.LogLevel).With().Str("vm", s.VM).Logger()
 	a := server.New(s, log, time.Now())
 	return process.Serve(ctx, log, a)
 }
--- a/agent/rankserver/command.go
+++ b/agent/rankserver/command.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/subcommands"
@@ -48,6 +49,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
+	debug.SetMemoryLimit(s.Machine.SoftMemoryLimit())
 	lines := process.NewLogWriter(os.Stdout)
 	log := process.Logger(lines, s.LogLevel).With().Str("vm", s.VM).Logger()
 	r, err := New(s, c.adapter, log, lines, time.Now())
--- a/agent/rankserver/server.go
+++ b/agent/rankserver/server.go
@@ -18,6 +18,7 @@
 	"baywall.example/agent/rank"
 	"baywall.example/core/cluster"
 	"baywall.example/core/expertmap"
+	"baywall.example/core/inbound"
 	"baywall.example/core/link"
 	"baywall.example/core/process"
 	"baywall.example/core/settings"
@@ -64,8 +65,11 @@
 	labelDeadline = time.Second
 	// callTimeout bounds a call to the local engine or the store.
 	callTimeout = 2 * time.Second
-	// debugTimeout bounds reading the header of a metrics request.
-	debugTimeout = 5 * time.Second
+	// maxUnknownPeers bounds the connections whose peer has not said yet which VM it is. Peers do
+	// within a round trip.
+	maxUnknownPeers = 256
+	// maxMetricsConnections bounds the connections through which metrics are fetched.
+	maxMetricsConnections = 32
 )
 
 // groupTiming has short intervals, because demand shifts every few seconds and a pass of
@@ -123,10 +127,9 @@
 	successor      atomic.Bool
 	agentAddresses atomic.Pointer[[]string] // where other agents are expected
 
-	listener net.Listener
-	debug    *http.Server
-	run      conc.WaitGroup
-	cancel   context.CancelFunc
+	listeners *inbound.Set
+	run       conc.WaitGroup
+	cancel    context.CancelFunc
 }
 
 // New returns an agent that is not started yet.
@@ -134,7 +137,8 @@
 	id := vm.ID(s.VM)
 	r := &Server{
 		settings: s, adapter: a, log: log, lines: lines, incarnation: vm.NewIncarnation(now),
-		api: &observedRank{API: a.Rank(s.Engine)}, store: a.Store(s.Store, log),
+		listeners: inbound.NewSet(s.Clients, log),
+		api:       &observedRank{API: a.Rank(s.Engine)}, store: a.Store(s.Store, log),
 		recorder: timeline.NewRecorder(id, timeline.DefaultCapacity, log), set: metrics.NewSet(),
 	}
 	r.api.onReport = r.applyReport
@@ -159,6 +163,7 @@
 	})
 	r.set.NewGauge("baywall_peers", func() float64 { return float64(len(node.Live())) })
 	r.set.NewGauge("baywall_link_bytes", func() float64 { return float64(r.traffic.Load()) })
+	r.listeners.Register(r.set)
 	r.set.NewGauge("baywall_log_lines_dropped", func() float64 { return float64(lines.Dropped()) })
 	return r, nil
 }
@@ -175,12 +180,11 @@
 func (r *Server) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	ln, err := net.Listen("tcp4", r.settings.Listen.Peers)
+	ln, err := r.listeners.Listen(inbound.Options{Name: "peers", Address: r.settings.Listen.Peers, Connections: maxUnknownPeers, Links: true})
 	if err != nil {
 		cancel()
-		return eris.Wrapf(ErrStart, "%s: %v", r.settings.Listen.Peers, err)
+		return eris.Wrapf(ErrStart, "%v", err)
 	}
-	r.listener = ln
 	if err := r.serveMetrics(); err != nil {
 		cancel()
 		return err
@@ -190,6 +194,7 @@
 			r.log.Error().Err(err).Msg("link listener failed")
 		}
 	})
+	r.run.Go(func() { r.listeners.Run(ctx) })
 	r.run.Go(func() { r.node.Run(ctx) })
 	r.run.Go(func() { r.followLabel(ctx) })
 	r.run.Go(func() { r.followList(ctx) })
@@ -204,15 +209,15 @@
 	if r.settings.Listen.Metrics == "" {
 		return nil
 	}
-	ln, err := net.Listen("tcp4", r.settings.Listen.Metrics)
+	ln, err := r.listeners.Listen(inbound.Options{Name: "metrics", Address: r.settings.Listen.Metrics, Connections: maxMetricsConnections})
 	if err != nil {
-		return eris.Wrapf(ErrStart, "%s: %v", r.settings.Listen.Metrics, err)
+		return eris.Wrapf(ErrStart, "%v", err)
 	}
-	r.debug = &http.Server{ReadHeaderTimeout: debugTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		r.set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
-	})}
-	r.run.Go(func() { _ = r.debug.Serve(ln) }) // ends with the process
+	})
+	r.run.Go(func() { _ = ln.Serve(handler, nil) }) // ends with the process
 	return nil
 }
 
@@ -221,9 +226,8 @@
 func (r *Server) Stop(context.Context) error {
 	r.cancel()
 	r.pool.Close()
-	_ = r.listener.Close() // no further links are accepted
-	if r.debug != nil {
-		_ = r.debug.Close() // no further requests are served
+	for _, l := range r.listeners.Listeners() {
+		_ = l.Abort() // no further links are accepted, and no further requests are served
 	}
 	r.run.Wait()
 	r.log.Info().Msg("left")
--- a/agent/rankserver/settings.go
+++ b/agent/rankserver/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"baywall.example/core/inbound"
 	"baywall.example/core/settings"
 )
 
@@ -27,6 +28,8 @@
 	Gateways []string `yaml:"gateways"`
 	// Machine limits what the agent uses of this VM.
 	Machine MachineSettings `yaml:"machine"`
+	// Clients bounds what clients can make the process hold.
+	Clients inbound.Settings `yaml:"clients"`
 	// Planner configures the planning of expert maps.
 	Planner PlannerSettings `yaml:"planner"`
 	// LogLevel is one of debug, info, warn, error. Default info.
@@ -44,6 +47,8 @@
 
 // MachineSettings limit what the agent uses of its VM.
 type MachineSettings struct {
+	// By default, memory_mb is 152 and max_fds 2048.
+	inbound.Machine `yaml:",inline"`
 	// LinkMbps is the speed of the VM's link in Mbit/s, of which a coordinator uses a
 	// tenth. From 0 to 1000000, default 0: unbounded.
 	LinkMbps float64 `yaml:"link_mbps"`
@@ -67,6 +72,8 @@
 }
 
 const (
+	defaultMemoryMB = 152
+	defaultMaxFDs   = 2048
 	defaultPeriod   = 30 * time.Millisecond
 	defaultMoveCost = 0.05
 	defaultCopyTime = 160 * time.Millisecond
@@ -77,6 +84,10 @@
 	s.Planner.Period = settings.Or(s.Planner.Period, defaultPeriod)
 	s.Planner.MoveCost = settings.Or(s.Planner.MoveCost, defaultMoveCost)
 	s.Planner.CopyTime = settings.Or(s.Planner.CopyTime, defaultCopyTime)
+	s.Machine.MemoryMB = settings.Or(s.Machine.MemoryMB, defaultMemoryMB)
+	s.Machine.MaxFDs = settings.Or(s.Machine.MaxFDs, defaultMaxFDs)
+	s.Machine.Provision()
+	s.Clients.Provision(s.Machine.Machine)
 	s.LogLevel = settings.Or(s.LogLevel, "info")
 }
 
@@ -97,6 +108,8 @@
 		c.Address(fmt.Sprintf("gateways[%d]", i), gateway)
 	}
 	c.Float("machine.link_mbps", s.Machine.LinkMbps, 0, 1_000_000)
+	s.Machine.Check(&c, "machine.")
+	s.Clients.Check(&c, "clients.")
 	c.Duration("planner.period", s.Planner.Period, 20*time.Millisecond, time.Hour)
 	c.Float("planner.move_cost", s.Planner.MoveCost, 0, 10)
 	c.Duration("planner.copy_time", s.Planner.CopyTime, 10*time.Millisecond, time.Minute)
--- a/agent/server/reports.go
+++ b/agent/server/reports.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"expvar"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"baywall.example/core/inbound"
 	"baywall.example/core/link"
 	"baywall.example/core/wire"
 )
@@ -84,6 +84,7 @@
 	m.vars.Set("config_revision", expvar.Func(func() any { return a.config.Revision() }))
 	m.vars.Set("tickets", expvar.Func(func() any { n, _ := a.table.Load(); return n }))
 	m.vars.Set("saved_answer_bytes", expvar.Func(func() any { _, n := a.table.Load(); return n }))
+	m.vars.Set("clients", expvar.Func(func() any { return a.listeners.Status() }))
 	m.vars.Set("link_bytes", expvar.Func(func() any { return a.traffic.Load() }))
 	m.vars.Set("draining", expvar.Func(func() any { return a.draining.Load() }))
 	return m
@@ -96,13 +97,13 @@
 }
 
 func (a *Server) serveDebug() error {
-	ln, err := net.Listen("tcp", a.settings.Debug.Listen)
+	ln, err := a.listeners.Listen(inbound.Options{Name: "debug", Address: a.settings.Debug.Listen, Connections: maxDebugConnections})
 	if err != nil {
 		return eris.Wrapf(ErrStart, "debug.listen: %v", err)
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", a.metrics)
-	a.debug = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	a.workers.Go(func() { _ = a.debug.Serve(ln) })
+	a.debug = ln
+	a.workers.Go(func() { _ = ln.Serve(mux, nil) })
 	return nil
 }
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -25,6 +24,7 @@
 	"baywall.example/core/configuration"
 	"baywall.example/core/contract"
 	"baywall.example/core/expertmap"
+	"baywall.example/core/inbound"
 	"baywall.example/core/link"
 	"baywall.example/core/notice"
 	"baywall.example/core/ratelimit"
@@ -62,8 +62,9 @@
 	active      inFlightGate
 	workers     conc.WaitGroup
 	stop        context.CancelFunc
-	listener    net.Listener
-	debug       *http.Server
+	listeners   *inbound.Set
+	links       *inbound.Listener
+	debug       *inbound.Listener
 }
 
 // inFlightGate counts running attempts and lets a drain wait until there are none.
@@ -120,6 +121,7 @@
 		vms:         configuration.NewVMs(),
 		engine:      engine.New(s.Engine.Address),
 		limit:       ratelimit.NewSingle(s.VM, log),
+		listeners:   inbound.NewSet(s.Clients, log),
 	}
 	a.table = record.NewTable(id, a.incarnation, record.Limits{
 		Retention:   s.Record.Retention,
@@ -176,15 +178,23 @@
 	return a.config.Revision(), a.vms.List().Revision
 }
 
+// Numbers of connections that the listeners accept. Peers say which VM they are within a round trip,
+// and operators fetch metrics.
+const (
+	maxUnknownPeers     = 256
+	maxDebugConnections = 32
+)
+
 // Start opens the listeners and starts serving.
 func (a *Server) Start() error {
-	ln, err := net.Listen("tcp", a.settings.Link.Listen)
+	ln, err := a.listeners.Listen(inbound.Options{Name: "links", Address: a.settings.Link.Listen, Connections: maxUnknownPeers, Links: true})
 	if err != nil {
 		return eris.Wrapf(ErrStart, "link.listen: %v", err)
 	}
-	a.listener = ln
+	a.links = ln
 	ctx, cancel := context.WithCancel(context.Background())
 	a.stop = cancel
+	a.workers.Go(func() { a.listeners.Run(ctx) })
 	a.workers.Go(func() { _ = link.Accept(ln, a.local, a.authorize, a) })
 	a.workers.Go(func() { a.clearEndedNotices(ctx) })
 	if a.settings.Engine.Kind == KindEngine {
@@ -218,9 +228,9 @@
 	}
 	a.recorder.Record(timeline.Event{Kind: timeline.KindStop})
 	a.stop()
-	a.listener.Close()
+	a.links.Close()
 	if a.debug != nil {
-		_ = a.debug.Close()
+		_ = a.debug.Abort()
 	}
 	a.pool.Close()
 	a.workers.Wait()
--- a/agent/server/settings.go
+++ b/agent/server/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"baywall.example/core/inbound"
 	"baywall.example/core/settings"
 )
 
@@ -18,6 +19,10 @@
 	Engine EngineSettings `yaml:"engine"`
 	// Record bounds the record of attempts.
 	Record RecordSettings `yaml:"record"`
+	// Machine is what the VM has for this process. By default, memory_mb is 152 and max_fds 2048.
+	Machine inbound.Machine `yaml:"machine"`
+	// Clients bounds what clients can make the process hold.
+	Clients inbound.Settings `yaml:"clients"`
 	// Drain configures the shutdown.
 	Drain DrainSettings `yaml:"drain"`
 	// Debug configures the listener for expvar metrics; empty = none.
@@ -86,6 +91,8 @@
 )
 
 const (
+	defaultMemoryMB     = 152
+	defaultMaxFDs       = 2048
 	defaultMaxInFlight  = 256
 	defaultDrainTimeout = 15 * time.Minute
 	defaultLinger       = 35 * time.Second
@@ -107,6 +114,10 @@
 		linger := defaultLinger
 		s.Drain.Linger = &linger
 	}
+	s.Machine.MemoryMB = settings.Or(s.Machine.MemoryMB, defaultMemoryMB)
+	s.Machine.MaxFDs = settings.Or(s.Machine.MaxFDs, defaultMaxFDs)
+	s.Machine.Provision()
+	s.Clients.Provision(s.Machine)
 	s.Drain.Timeout = settings.Or(s.Drain.Timeout, defaultDrainTimeout)
 	s.LogLevel = settings.Or(s.LogLevel, "info")
 }
@@ -125,6 +136,8 @@
 	c.Duration("record.ticket_grace", s.Record.TicketGrace, time.Second, time.Hour)
 	c.Duration("record.clock_skew", s.Record.ClockSkew, 0, 10*time.Second)
 	c.Int("record.answer_bytes", s.Record.AnswerBytes, 1<<16, 1<<30)
+	s.Machine.Check(&c, "machine.")
+	s.Clients.Check(&c, "clients.")
 	c.Duration("drain.linger", *s.Drain.Linger, 0, time.Hour)
 	c.Duration("drain.timeout", s.Drain.Timeout, time.Second, 24*time.Hour)
 	c.OneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
