--- a/core/inbound/doc.go
+++ b/core/inbound/doc.go
@@ -21,8 +21,8 @@
 //
 // # Time
 //
-// A head, an idle connection and the writing of a part of an answer have a time limit each. A body
-// has the deadline of its request.
+// A head and an idle connection have a time limit each. A body has the deadline of its request. A
+// client that reads nothing of its answer between two checks is ended.
 //
 // docs/design/inbound.md compares the alternatives.
 package inbound
--- a/core/inbound/head.go
+++ b/core/inbound/head.go
@@ -38,7 +38,8 @@
 	return headSize{s.bytes + rest, s.lines + rest/shortestLine}
 }
 
-// sizeOfHead returns the size of a request's head, without what its client need not send: spaces and carriage returns.
+// sizeOfHead returns the size of a request's head, without what its client need not send: spaces and
+// carriage returns.
 func sizeOfHead(r *http.Request) headSize {
 	s := headSize{len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + len("  \nHost:\n\n"), 3}
 	for name, values := range r.Header {
--- a/core/inbound/settings.go
+++ b/core/inbound/settings.go
@@ -50,7 +50,7 @@
 	// connectionCost is the memory that a connection takes by itself, with a request of ordinary size,
 	// in bytes.
 	connectionCost = 36 << 10
-	// ClientShare and ConnectionShare are the parts of a machine's memory for what clients send and for
+	// clientShare and connectionShare are the parts of a machine's memory for what clients send and for
 	// their connections by themselves.
 	clientShare     = 0.25
 	connectionShare = 0.25
