--- a/core/inbound/body.go
+++ b/core/inbound/body.go
@@ -126,7 +126,7 @@
 // readUndeclared reads a body of unknown length. When a buffer is full, a larger one is reserved.
 func (b *bodyReader) readUndeclared() ([]byte, error) {
 	var buf []byte
-	for _, size := range []int64{ordinaryBody, mediumBody, b.limit + 1} {
+	for _, size := range []int64{ordinaryBody, mediumBody, b.largeStep(), b.limit + 1} {
 		size = min(size, b.limit+1) // one more than allowed tells whether there is more
 		if size <= int64(len(buf)) {
 			continue
@@ -148,6 +148,15 @@
 	return nil, ErrBodyTooLarge
 }
 
+// largeStep is the size of the buffer after mediumBody: half of the budget, so that a small budget has
+// room for a body that takes less than the largest one.
+func (b *bodyReader) largeStep() int64 {
+	if b.hold == nil {
+		return b.limit + 1
+	}
+	return max(mediumBody, b.hold.budget.Limit()/2)
+}
+
 // reserve reserves memory for a buffer that replaces one of the size before.
 func (b *bodyReader) reserve(before, size int64) error {
 	if b.hold == nil || size <= ordinaryBody {
--- a/core/inbound/conn.go
+++ b/core/inbound/conn.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// writePiece is the largest part of an answer that has to be read within the time limit for
-	// writing, in bytes.
+	// writePiece is the largest part of an answer that is written at once, in bytes: between two parts
+	// the connection does not count as one whose client has to read.
 	writePiece = 32 << 10
 	// bodyProgress is how many bytes of a body have to come at once for its connection to count as one
 	// that does not keep the process waiting.
@@ -129,7 +129,8 @@
 	}
 	target := int64(mediumHead)
 	if cost > mediumHead {
-		target = c.head.largest(largest).cost()
+		// Half of the budget at most, so that a small budget has room for a head that takes less.
+		target = max(cost, min(c.head.largest(largest).cost(), c.listener.set.heads.Limit()/2))
 	}
 	if err := c.headHold.Reserve(target-held, c.gone); err != nil {
 		return err
--- a/core/inbound/inbound_test.go
+++ b/core/inbound/inbound_test.go
@@ -293,6 +293,27 @@
 	}
 }
 
+// A budget that is smaller than the costliest head and the largest body has room for one that is not.
+func TestASmallBudgetServesWhatFits(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, func(s *Settings) {
+		s.MemoryMB = 1
+		s.HeaderBytes = maxHeaderBytes
+	})
+	client := s.dial(t)
+	client.send(t, "GET / HTTP/1.1\r\nHost: h\r\n"+shortLines(2<<10)+"\r\n")
+	status, _ := client.answer(t)
+	is.Equal(status, http.StatusOK)
+	client.send(t, postHead+"Transfer-Encoding: chunked\r\n\r\n")
+	for range 4 {
+		client.send(t, fmt.Sprintf("%x\r\n%s\r\n", mediumBody, strings.Repeat("x", mediumBody)))
+	}
+	client.send(t, "0\r\n\r\n")
+	status, body := client.answer(t)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, fmt.Sprint(4*mediumBody))
+}
+
 // Heads of many lines took many times their size in memory, without a bound on their sum.
 func TestHeadsOfManyLinesStayWithinTheBudget(t *testing.T) {
 	is := is.New(t)
