Count a log line that is being written in the bound of the queue

Traced: a line left the count before it was written, so that one more than the bound was in memory while the log's reader had stopped, whenever the writer had taken the first line before the last came.

--- a/core/process/logwriter.go
+++ b/core/process/logwriter.go
@@ -18,7 +18,7 @@
 	out     io.Writer
 	lines   chan []byte
 	flush   chan chan struct{}
-	queued  atomic.Int64 // bytes in the queue
+	queued  atomic.Int64 // bytes in the queue and being written
 	dropped atomic.Int64
 }
 
@@ -82,7 +82,7 @@
 }
 
 func (w *LogWriter) write(line []byte) {
-	w.queued.Add(-int64(len(line)))
+	defer w.queued.Add(-int64(len(line)))
 	if _, err := w.out.Write(line); err != nil {
 		w.dropped.Add(1) // the error cannot be logged, only counted
 	}
