--- a/core/inbound/connections_test.go
+++ b/core/inbound/connections_test.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// A crowd that is silent or slow must not hold up a shutdown.
+// Clients that are silent or slow must not hold up a shutdown.
 func TestShutdownDoesNotWaitForSilentClients(t *testing.T) {
 	is := is.New(t)
 	s := newTestServer(t, nil)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -63,7 +63,7 @@
 	leaving        atomic.Bool
 	inFlight       atomic.Int64
 
-	clientLog zerolog.Logger // for refusals that a crowd of clients can cause, sampled
+	clientLog zerolog.Logger // for refusals that abusive clients can cause in numbers, sampled
 	listeners *inbound.Set
 	front     *inbound.Listener
 	run       conc.WaitGroup
--- a/standin/soak/cmd/soak/faults.go
+++ b/standin/soak/cmd/soak/faults.go
@@ -101,7 +101,7 @@
 	{"agents of a group killed together", false, (*faults).killAgents},
 	{"rank crashed in a switch", false, (*faults).crashRank},
 	{"coordinator killed between switches", false, (*faults).killIdleCoordinator},
-	{misbehaveName, true, (*faults).misbehave},
+	{"abusive clients", true, (*faults).abuseGateway},
 }
 
 // focused returns the kinds whose names contain one of the words.
--- a/standin/soak/cmd/soak/soak_test.go
+++ b/standin/soak/cmd/soak/soak_test.go
@@ -76,20 +76,20 @@
 	return r
 }
 
-// misbehaveSeed has clients that misbehave while gateways stop, settings and configurations change and
-// the store is away.
-const misbehaveSeed = 69001
+// abuseSeed has abusive clients while gateways stop, settings and configurations change and the store
+// is away.
+const abuseSeed = 69001
 
-// Callers must not notice that other clients misbehave.
-func TestShortSoakWithClientsThatMisbehave(t *testing.T) {
+// Callers must not notice abusive clients.
+func TestShortSoakWithAbusiveClients(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
 	o := options{
 		length: 8 * time.Second, size: size{gateways: 3, plain: 3, groups: 1, ranks: 2, rate: 30}, keep: t.TempDir(),
-		focus: "misbehave,told to stop,HUP,configuration,store away", only: true, noSurge: true,
+		focus: "abusive,told to stop,HUP,configuration,store away", only: true, noSurge: true,
 	}
-	runTest(t, buildForTest(t), misbehaveSeed, o)
+	runTest(t, buildForTest(t), abuseSeed, o)
 }
 
 // Runs the real programs as processes for a short time, with the same faults each time.
