Let the limits of all listeners follow from the machine, as settings

What callers would see: with machine.max_fds of 400 a gateway still took 256 connections at its directory, 256 unknown peers, 64 and 32 at the others, in all more than it has descriptors; and a VM of 96 MB had no memory set aside for the process by itself.

Cause: those numbers, the wait for room, the least rate, the receive buffer and the number of watches were constants, and the shares of memory were of the whole.

Change: clients.auxiliary_connections, unknown_peers, receive_buffer, room_wait and min_rate, entries.connections and callers.max_watches are checked settings; defaults are shares of clients.connections, and shares of the memory beyond 24 MB.

--- a/agent/rankserver/server.go
+++ b/agent/rankserver/server.go
@@ -65,11 +65,6 @@
 	labelDeadline = time.Second
 	// callTimeout bounds a call to the local engine or the store.
 	callTimeout = 2 * time.Second
-	// maxUnknownPeers bounds the connections whose peer has not said yet which VM it is. Peers do
-	// within a round trip.
-	maxUnknownPeers = 256
-	// maxMetricsConnections bounds the connections through which metrics are fetched.
-	maxMetricsConnections = 32
 )
 
 // groupTiming has short intervals, because demand shifts every few seconds and a pass of
@@ -180,7 +175,7 @@
 func (r *Server) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	ln, err := r.listeners.Listen(inbound.Options{Name: "peers", Address: r.settings.Listen.Peers, Connections: maxUnknownPeers, Links: true})
+	ln, err := r.listeners.Listen(inbound.Options{Name: "peers", Address: r.settings.Listen.Peers, Kind: inbound.KindLinks})
 	if err != nil {
 		cancel()
 		return eris.Wrapf(ErrStart, "%v", err)
@@ -209,7 +204,7 @@
 	if r.settings.Listen.Metrics == "" {
 		return nil
 	}
-	ln, err := r.listeners.Listen(inbound.Options{Name: "metrics", Address: r.settings.Listen.Metrics, Connections: maxMetricsConnections})
+	ln, err := r.listeners.Listen(inbound.Options{Name: "metrics", Address: r.settings.Listen.Metrics, Kind: inbound.KindAuxiliary})
 	if err != nil {
 		return eris.Wrapf(ErrStart, "%v", err)
 	}
--- a/agent/server/reports.go
+++ b/agent/server/reports.go
@@ -97,7 +97,7 @@
 }
 
 func (a *Server) serveDebug() error {
-	ln, err := a.listeners.Listen(inbound.Options{Name: "debug", Address: a.settings.Debug.Listen, Connections: maxDebugConnections})
+	ln, err := a.listeners.Listen(inbound.Options{Name: "debug", Address: a.settings.Debug.Listen, Kind: inbound.KindAuxiliary})
 	if err != nil {
 		return eris.Wrapf(ErrStart, "debug.listen: %v", err)
 	}
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -178,16 +178,9 @@
 	return a.config.Revision(), a.vms.List().Revision
 }
 
-// Numbers of connections that the listeners accept. Peers say which VM they are within a round trip,
-// and operators fetch metrics.
-const (
-	maxUnknownPeers     = 256
-	maxDebugConnections = 32
-)
-
 // Start opens the listeners and starts serving.
 func (a *Server) Start() error {
-	ln, err := a.listeners.Listen(inbound.Options{Name: "links", Address: a.settings.Link.Listen, Connections: maxUnknownPeers, Links: true})
+	ln, err := a.listeners.Listen(inbound.Options{Name: "links", Address: a.settings.Link.Listen, Kind: inbound.KindLinks})
 	if err != nil {
 		return eris.Wrapf(ErrStart, "link.listen: %v", err)
 	}
--- a/core/inbound/budget.go
+++ b/core/inbound/budget.go
@@ -14,21 +14,19 @@
 var ErrNoRoom = eris.New("inbound: no room in the memory budget")
 
 const (
-	// maxWait is how long a reservation may wait for room.
-	maxWait = 500 * time.Millisecond
 	// relieveInterval is the time between two checks for slow senders while a reservation waits.
 	relieveInterval = 50 * time.Millisecond
 	// rateWindow is the time over which the rate of a sender is averaged.
 	rateWindow = 500 * time.Millisecond
-	// minRate is the rate, in bytes per second, below which a sender is ended while others wait for
-	// room.
-	minRate = 256 << 10
 )
 
 // Budget bounds the memory of one kind of data from clients. It is safe for concurrent use.
 type Budget struct {
-	mu      sync.Mutex
 	limit   int64
+	maxWait time.Duration // how long a reservation may wait for room
+	minRate float64       // bytes per second; slower senders are ended while others wait for room
+
+	mu      sync.Mutex
 	used    int64
 	queued  int64                     // sum of the reservations that wait
 	queue   list.List                 // of *reservation, in the order of arrival
@@ -43,9 +41,10 @@
 	place   *list.Element
 }
 
-// NewBudget returns a budget of the given size in bytes.
-func NewBudget(limit int64) *Budget {
-	return &Budget{limit: limit, senders: make(map[*Hold]*senderProgress)}
+// NewBudget returns a budget of the given size in bytes. A reservation waits up to maxWait for room;
+// meanwhile senders below minRate, in bytes per second, are ended.
+func NewBudget(limit int64, maxWait time.Duration, minRate float64) *Budget {
+	return &Budget{limit: limit, maxWait: maxWait, minRate: minRate, senders: make(map[*Hold]*senderProgress)}
 }
 
 // Used returns how many bytes are reserved.
@@ -75,7 +74,7 @@
 	return h.budget.take(h, bytes)
 }
 
-// Reserve reserves the bytes. If there is no room for them it waits up to maxWait, or until the
+// Reserve reserves the bytes. If there is no room for them it waits as long as allowed, or until the
 // channel is closed, and returns ErrNoRoom after that. It returns ErrNoRoom at once if so much is
 // waiting that there will be none.
 func (h *Hold) Reserve(bytes int64, canceled <-chan struct{}) error {
@@ -156,7 +155,7 @@
 	}
 	ticker := time.NewTicker(relieveInterval)
 	defer ticker.Stop()
-	timeout := time.NewTimer(maxWait)
+	timeout := time.NewTimer(b.maxWait)
 	defer timeout.Stop()
 	for {
 		b.endSlowest(time.Now())
@@ -221,8 +220,8 @@
 	return p.recent / rateWindow.Seconds()
 }
 
-// initialProgress is how many bytes a sender counts as having sent when it begins.
-const initialProgress = 2 * minRate * int64(rateWindow) / int64(time.Second)
+// initialProgress returns how many bytes a sender counts as having sent when it begins.
+func (b *Budget) initialProgress() float64 { return 2 * b.minRate * rateWindow.Seconds() }
 
 // BeginReceiving marks the hold as being of data that a client is still sending. If it sends slowly
 // while others wait for room, end is called once, in which case the caller must release the hold.
@@ -230,7 +229,7 @@
 func (h *Hold) BeginReceiving(end func()) {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	h.budget.senders[h] = &senderProgress{recent: float64(initialProgress), at: time.Now(), end: end}
+	h.budget.senders[h] = &senderProgress{recent: h.budget.initialProgress(), at: time.Now(), end: end}
 }
 
 // Received records that the client has sent more bytes.
@@ -251,7 +250,7 @@
 	return p != nil && p.ended
 }
 
-// endSlowest ends the slowest senders that are below minRate, as many as the first reservation in
+// endSlowest ends the slowest senders that are below the least rate, as many as the first reservation in
 // the queue needs.
 func (b *Budget) endSlowest(now time.Time) {
 	b.mu.Lock()
@@ -276,10 +275,10 @@
 	}
 }
 
-// slowest returns the slowest sender that is below minRate, or nil.
+// slowest returns the slowest sender that is below the least rate, or nil.
 func (b *Budget) slowest(now time.Time) (*Hold, *senderProgress) {
 	var slowest *Hold
-	lowest := float64(minRate)
+	lowest := b.minRate
 	for h, p := range b.senders {
 		if p.ended || h.bytes == 0 {
 			continue
--- a/core/inbound/listener.go
+++ b/core/inbound/listener.go
@@ -47,9 +47,9 @@
 }
 
 func newListener(s *Set, raw net.Listener, o Options) *Listener {
-	l := &Listener{Listener: raw, set: s, name: o.Name, maxConnections: o.Connections, limits: o.Limits, links: o.Links}
+	l := &Listener{Listener: raw, set: s, name: o.Name, maxConnections: o.Connections, limits: o.Limits, links: o.Kind == KindLinks}
 	if l.maxConnections == 0 {
-		l.maxConnections = s.settings.Connections
+		l.maxConnections = s.settings.connections(o.Kind)
 	}
 	if l.limits == nil {
 		limits := s.settings.Limits()
--- a/core/inbound/set.go
+++ b/core/inbound/set.go
@@ -24,9 +24,6 @@
 	reportInterval = time.Second
 	// headShare is the part of the memory budget that is for heads.
 	headShare = 0.25
-	// receiveBuffer is the size of a connection's receive buffer in bytes, of which the kernel takes
-	// the double. What waits there unread takes memory of the process's machine.
-	receiveBuffer = 16 << 10
 )
 
 // Set is the listeners of a process. It is safe for concurrent use.
@@ -45,7 +42,8 @@
 func NewSet(s Settings, log zerolog.Logger) *Set {
 	memory := int64(s.MemoryMB) * megabyte
 	heads := int64(headShare * float64(memory))
-	return &Set{settings: s, log: log, heads: NewBudget(heads), bodies: NewBudget(memory - heads)}
+	budget := func(bytes int64) *Budget { return NewBudget(bytes, s.RoomWait, float64(s.MinRate)) }
+	return &Set{settings: s, log: log, heads: budget(heads), bodies: budget(memory - heads)}
 }
 
 // Heads returns the budget for the heads of requests.
@@ -61,24 +59,45 @@
 	return append([]*Listener(nil), s.listeners...)
 }
 
+// Kind is the kind of a listener.
+type Kind int
+
+// Kinds of listeners.
+const (
+	KindMain      Kind = iota // HTTP for callers
+	KindAuxiliary             // HTTP for others, such as metrics
+	KindLinks                 // links between processes, where Conn.Trust ends the limits
+)
+
+// connections returns how many connections a listener of the kind takes.
+func (s *Settings) connections(k Kind) int {
+	switch k {
+	case KindAuxiliary:
+		return s.AuxiliaryConnections
+	case KindLinks:
+		return s.UnknownPeers
+	default:
+		return s.Connections
+	}
+}
+
 // Options describe a listener.
 type Options struct {
 	// Name is the name of the listener in logs and metrics.
 	Name string
 	// Address is the IP:port to listen on.
 	Address string
-	// Connections bounds the number of connections, those of trusted peers not included. 0 means as
-	// many as the settings say.
+	// Kind decides how many connections the listener takes and what is spoken on them.
+	Kind Kind
+	// Connections bounds the number of connections. 0 means as many as the settings say for the kind.
 	Connections int
 	// Limits returns the limits in force. Nil means those of the settings.
 	Limits func() Limits
-	// Links is set for a listener for links between processes, where Conn.Trust ends the limits.
-	Links bool
 }
 
 // Listen opens a listener.
 func (s *Set) Listen(o Options) (*Listener, error) {
-	config := net.ListenConfig{Control: setReceiveBuffer}
+	config := net.ListenConfig{Control: s.setReceiveBuffer}
 	raw, err := config.Listen(context.Background(), "tcp4", o.Address)
 	if err != nil {
 		return nil, eris.Wrapf(ErrListen, "%s: %v", o.Address, err)
@@ -94,10 +113,10 @@
 }
 
 // setReceiveBuffer sets the size of the receive buffer, which accepted connections inherit.
-func setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+func (s *Set) setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
 	var err error
 	controlErr := raw.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, s.settings.ReceiveBuffer)
 	})
 	if controlErr != nil {
 		return controlErr
--- a/core/inbound/settings.go
+++ b/core/inbound/settings.go
@@ -17,11 +17,27 @@
 // Settings bound what clients can make a process hold.
 type Settings struct {
 	// MemoryMB bounds the memory that heads, bodies and buffered answers take beyond the fixed cost of
-	// their connections, in MB. From 1 to 1048576, default a quarter of the machine's memory.
+	// their connections, in MB. From 1 to 1048576, default a quarter of the machine's memory without that
+	// of the process by itself, 24 MB.
 	MemoryMB int `yaml:"memory_mb"`
 	// Connections bounds the connections of the main listener. From 8 to 10000000, default half of the
 	// machine's descriptors, or fewer if their fixed cost would take over a quarter of its memory.
 	Connections int `yaml:"connections"`
+	// AuxiliaryConnections bounds the connections of each other listener for HTTP, such as that for
+	// metrics. From 4 to 10000000, default a sixteenth of Connections.
+	AuxiliaryConnections int `yaml:"auxiliary_connections"`
+	// UnknownPeers bounds the connections of the listener for links whose peer has not said yet which VM
+	// it is. From 4 to 10000000, default an eighth of Connections.
+	UnknownPeers int `yaml:"unknown_peers"`
+	// ReceiveBuffer is the size of a connection's receive buffer, in bytes, of which the kernel takes the
+	// double. What waits there unread takes memory of the machine. From 4096 to 16777216, default 16384.
+	ReceiveBuffer int `yaml:"receive_buffer"`
+	// RoomWait is how long a request waits for room in the memory for requests before it is refused.
+	// From 10ms to 1m, default 500ms.
+	RoomWait time.Duration `yaml:"room_wait"`
+	// MinRate is the rate, in bytes per second, below which a client that sends a head or a body is ended
+	// while another waits for room. From 1 to 1000000000, default 262144.
+	MinRate int `yaml:"min_rate"`
 	// HeaderBytes bounds the head of a request, in bytes, where the configuration names no limit. From
 	// 1024 to 1048576, default 65536.
 	HeaderBytes int `yaml:"header_bytes"`
@@ -43,6 +59,9 @@
 	defaultHeaderTimeout = 15 * time.Second
 	defaultIdleTimeout   = 75 * time.Second
 	defaultWriteTimeout  = 10 * time.Second
+	defaultReceiveBuffer = 16 << 10
+	defaultRoomWait      = 500 * time.Millisecond
+	defaultMinRate       = 256 << 10
 	maxHeaderBytes       = 1 << 20
 
 	// megabyte is the unit of settings of memory, in bytes.
@@ -50,12 +69,19 @@
 	// connectionCost is the memory that a connection takes by itself, with a request of ordinary size,
 	// in bytes.
 	connectionCost = 36 << 10
-	// clientShare and connectionShare are the parts of a machine's memory for what clients send and for
-	// their connections by themselves.
+	// processMemory is the memory that a process takes without clients, in bytes. The following shares
+	// are of the rest of the machine's memory.
+	processMemory = 24 * megabyte
+	// clientShare and connectionShare are for what clients send and for their connections by themselves.
 	clientShare     = 0.25
 	connectionShare = 0.25
-	// softLimitShare is the part of a machine's memory from which on the garbage collector works harder.
+	// softLimitShare is the share from which on the garbage collector works harder.
 	softLimitShare = 0.6
+	// auxiliaryShare and unknownShare are the numbers of connections of the other listeners, as shares of
+	// that of the main one, and minConnections the least number for any of them.
+	auxiliaryShare = 1.0 / 16
+	unknownShare   = 1.0 / 8
+	minConnections = 4
 )
 
 // Provision fills in the defaults.
@@ -72,24 +98,42 @@
 
 // SoftMemoryLimit returns the soft limit for the memory of the Go runtime, in bytes.
 func (m *Machine) SoftMemoryLimit() int64 {
-	return int64(softLimitShare * float64(m.MemoryMB) * megabyte)
+	return int64(processMemory + softLimitShare*m.available())
 }
 
+// available returns the memory that is left for clients, in bytes.
+func (m *Machine) available() float64 { return float64(m.MemoryMB)*megabyte - processMemory }
+
 // Provision fills in the defaults for a machine whose own defaults are filled in.
 func (s *Settings) Provision(m Machine) {
-	s.MemoryMB = settings.Or(s.MemoryMB, max(1, int(clientShare*float64(m.MemoryMB))))
-	affordable := int(connectionShare * float64(m.MemoryMB) * megabyte / connectionCost)
+	s.MemoryMB = settings.Or(s.MemoryMB, max(1, int(clientShare*m.available()/megabyte)))
+	affordable := int(connectionShare * m.available() / connectionCost)
 	s.Connections = settings.Or(s.Connections, max(8, min(m.MaxFDs/2, affordable)))
+	s.AuxiliaryConnections = settings.Or(s.AuxiliaryConnections, share(s.Connections, auxiliaryShare))
+	s.UnknownPeers = settings.Or(s.UnknownPeers, share(s.Connections, unknownShare))
+	s.ReceiveBuffer = settings.Or(s.ReceiveBuffer, defaultReceiveBuffer)
+	s.RoomWait = settings.Or(s.RoomWait, defaultRoomWait)
+	s.MinRate = settings.Or(s.MinRate, defaultMinRate)
 	s.HeaderBytes = settings.Or(s.HeaderBytes, defaultHeaderBytes)
 	s.HeaderTimeout = settings.Or(s.HeaderTimeout, defaultHeaderTimeout)
 	s.IdleTimeout = settings.Or(s.IdleTimeout, defaultIdleTimeout)
 	s.WriteTimeout = settings.Or(s.WriteTimeout, defaultWriteTimeout)
 }
 
+// share returns a share of a number of connections.
+func share(connections int, part float64) int {
+	return max(minConnections, int(part*float64(connections)))
+}
+
 // Check reports invalid values. The prefix is the path of the settings in their file.
 func (s *Settings) Check(c *settings.Checks, prefix string) {
 	c.Int(prefix+"memory_mb", s.MemoryMB, 1, 1<<20)
 	c.Int(prefix+"connections", s.Connections, 8, 10_000_000)
+	c.Int(prefix+"auxiliary_connections", s.AuxiliaryConnections, minConnections, 10_000_000)
+	c.Int(prefix+"unknown_peers", s.UnknownPeers, minConnections, 10_000_000)
+	c.Int(prefix+"receive_buffer", s.ReceiveBuffer, 4<<10, 16<<20)
+	c.Duration(prefix+"room_wait", s.RoomWait, 10*time.Millisecond, time.Minute)
+	c.Int(prefix+"min_rate", s.MinRate, 1, 1_000_000_000)
 	c.Int(prefix+"header_bytes", s.HeaderBytes, 1024, maxHeaderBytes)
 	c.Duration(prefix+"header_timeout", s.HeaderTimeout, 100*time.Millisecond, 10*time.Minute)
 	c.Duration(prefix+"idle_timeout", s.IdleTimeout, 100*time.Millisecond, time.Hour)
--- a/entry/api/api.go
+++ b/entry/api/api.go
@@ -47,6 +47,7 @@
 	AddressTTL time.Duration
 	TicketTTL  time.Duration
 	MaxBody    int64
+	MaxWatches int // open at a time; each takes memory for every resource that it has sent
 	Listeners  *inbound.Set
 }
 
--- a/entry/api/resources.go
+++ b/entry/api/resources.go
@@ -47,10 +47,6 @@
 	Lagging          []vm.ID `json:"lagging,omitempty"`
 }
 
-// maxWatches bounds the number of open watches. Each takes memory for every resource that it has sent,
-// and reads all of them whenever one changes.
-const maxWatches = 32
-
 // watchRefresh is how often a watch checks for a changed status.
 const watchRefresh = 200 * time.Millisecond
 
@@ -133,9 +129,9 @@
 		}
 		after = n
 	}
-	if a.watches.Add(1) > maxWatches {
+	if a.watches.Add(1) > int32(a.MaxWatches) {
 		a.watches.Add(-1)
-		a.problem(w, http.StatusServiceUnavailable, "", &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonOverload, RetryAfter: roomRetryAfter}, fmt.Sprintf("watch: %d are open", maxWatches))
+		a.problem(w, http.StatusServiceUnavailable, "", &contract.Refusal{Outcome: contract.NotRun, Reason: contract.ReasonOverload, RetryAfter: roomRetryAfter}, fmt.Sprintf("watch: %d are open", a.MaxWatches))
 		return
 	}
 	defer a.watches.Add(-1)
--- a/entry/gateway/listen.go
+++ b/entry/gateway/listen.go
@@ -13,16 +13,6 @@
 	"baywall.example/core/link"
 )
 
-// Numbers of connections that listeners other than the front accept. Some tens of callers ask a
-// directory at a time, one platform checks readiness and fetches metrics, and a peer says who it is
-// within a round trip.
-const (
-	maxDirectoryConnections = 256
-	maxReadyConnections     = 64
-	maxMetricsConnections   = 32
-	maxUnknownPeers         = 256
-)
-
 // clientLogBurst is how many refusals of requests that were not read to their end are logged in a
 // second, each with a line. The listeners' lines tell the numbers of all.
 const clientLogBurst = 10
@@ -43,9 +33,9 @@
 		options inbound.Options
 		handler http.Handler
 	}{
-		{inbound.Options{Name: "ready", Address: l.Ready, Connections: maxReadyConnections}, g.adapter.Ready(g)},
-		{inbound.Options{Name: "directory", Address: l.Directory, Connections: maxDirectoryConnections}, g.adapter.Directory(g)},
-		{inbound.Options{Name: "metrics", Address: l.Metrics, Connections: maxMetricsConnections}, g.inst},
+		{inbound.Options{Name: "ready", Address: l.Ready, Kind: inbound.KindAuxiliary}, g.adapter.Ready(g)},
+		{inbound.Options{Name: "directory", Address: l.Directory, Kind: inbound.KindAuxiliary, Connections: g.settings.Entries.Connections}, g.adapter.Directory(g)},
+		{inbound.Options{Name: "metrics", Address: l.Metrics, Kind: inbound.KindAuxiliary}, g.inst},
 	} {
 		if s.options.Address == "" {
 			continue
@@ -73,7 +63,7 @@
 
 // listenPeers accepts links from other gateways.
 func (g *Gateway) listenPeers(ctx context.Context) error {
-	ln, err := g.listeners.Listen(inbound.Options{Name: "peers", Address: g.settings.Listen.Peers, Connections: maxUnknownPeers, Links: true})
+	ln, err := g.listeners.Listen(inbound.Options{Name: "peers", Address: g.settings.Listen.Peers, Kind: inbound.KindLinks})
 	if err != nil {
 		return eris.Wrapf(ErrStart, "%v", err)
 	}
--- a/entry/gateway/settings.go
+++ b/entry/gateway/settings.go
@@ -104,6 +104,9 @@
 	// MaxAddresses is the largest number of addresses in one answer. From 1 to 1000,
 	// default 64.
 	MaxAddresses int `yaml:"most"`
+	// Connections bounds the connections of the directory's listener. From 4 to 10000000, default a
+	// quarter of clients.connections.
+	Connections int `yaml:"connections"`
 }
 
 // DrainSettings set how the process shuts down.
@@ -119,6 +122,8 @@
 	defaultTTL          = 2 * time.Second
 	defaultMaxAddresses = 64
 	defaultGrace        = 8 * time.Second
+
+	minDirectoryConnections = 4
 )
 
 // Provision fills in the defaults.
@@ -131,6 +136,7 @@
 	s.Clients.Provision(s.Machine.Machine)
 	s.Entries.TTL = settings.Or(s.Entries.TTL, defaultTTL)
 	s.Entries.MaxAddresses = settings.Or(s.Entries.MaxAddresses, defaultMaxAddresses)
+	s.Entries.Connections = settings.Or(s.Entries.Connections, max(minDirectoryConnections, s.Clients.Connections/4))
 	s.Retry.Provision()
 	s.Drain.Grace = settings.Or(s.Drain.Grace, defaultGrace)
 	s.LogLevel = settings.Or(s.LogLevel, "info")
@@ -161,6 +167,7 @@
 	s.Machine.Check(&c, "machine.")
 	s.Clients.Check(&c, "clients.")
 	c.Duration("entries.ttl", s.Entries.TTL, time.Second, time.Hour)
+	c.Int("entries.connections", s.Entries.Connections, minDirectoryConnections, 10_000_000)
 	c.Int("entries.most", s.Entries.MaxAddresses, 1, 1000)
 	s.Retry.Check(&c)
 	s.Scheduling.check(&c)
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -99,7 +99,7 @@
 		return eris.Wrapf(ErrStart, "probe.listen: %v", err)
 	}
 	e.prober = prober
-	e.links, err = e.listeners.Listen(inbound.Options{Name: "links", Address: e.settings.Link.Listen, Connections: maxUnknownPeers, Links: true})
+	e.links, err = e.listeners.Listen(inbound.Options{Name: "links", Address: e.settings.Link.Listen, Kind: inbound.KindLinks})
 	if err != nil {
 		return eris.Wrapf(ErrStart, "link.listen: %v", err)
 	}
@@ -140,14 +140,10 @@
 		Dispatcher: dispatch.New(e.directory, e.config, e.recorder, e.suspects, e.retries), Limiter: e.limiter,
 		Draining: e.draining.Load, LinkBytes: e.traffic.Load, Ready: e.ready, Log: e.log,
 		AddressTTL: e.settings.Callers.AddressTTL, TicketTTL: e.settings.Callers.TicketTTL,
-		MaxBody: int64(e.settings.Callers.MaxBody), Listeners: e.listeners,
+		MaxBody: int64(e.settings.Callers.MaxBody), MaxWatches: e.settings.Callers.MaxWatches, Listeners: e.listeners,
 	})
 }
 
-// maxUnknownPeers bounds the connections whose peer has not said yet which VM it is. Peers do within
-// a round trip.
-const maxUnknownPeers = 256
-
 // Stop announces that this VM is draining, continues to serve for the linger time,
 // waits for the requests in flight and then ends the process.
 func (e *Server) Stop(ctx context.Context) error {
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -84,6 +84,8 @@
 	// MaxBody bounds a request's body, in bytes. From 1024 to 4194304, default
 	// 4194304.
 	MaxBody int `yaml:"max_body"`
+	// MaxWatches bounds the watches of resources that are open at a time. From 1 to 10000, default 32.
+	MaxWatches int `yaml:"max_watches"`
 }
 
 // DrainSettings are the settings for shutting a process down.
@@ -102,6 +104,7 @@
 	defaultAddressTTL   = 5 * time.Second
 	defaultTicketTTL    = 30 * time.Second
 	defaultMaxBody      = 4 << 20
+	defaultMaxWatches   = 32
 	defaultLinger       = 6 * time.Second
 	defaultMemoryTarget = 28
 	defaultDrainTimeout = 15 * time.Minute
@@ -113,6 +116,7 @@
 	s.Callers.AddressTTL = settings.Or(s.Callers.AddressTTL, defaultAddressTTL)
 	s.Callers.TicketTTL = settings.Or(s.Callers.TicketTTL, defaultTicketTTL)
 	s.Callers.MaxBody = settings.Or(s.Callers.MaxBody, defaultMaxBody)
+	s.Callers.MaxWatches = settings.Or(s.Callers.MaxWatches, defaultMaxWatches)
 	if s.Drain.Linger == nil {
 		linger := defaultLinger
 		s.Drain.Linger = &linger
@@ -140,6 +144,7 @@
 	c.Duration("platform.wait", s.Platform.Wait, time.Second, 10*time.Minute)
 	c.Duration("callers.address_ttl", s.Callers.AddressTTL, 100*time.Millisecond, time.Hour)
 	c.Duration("callers.ticket_ttl", s.Callers.TicketTTL, time.Second, time.Hour)
+	c.Int("callers.max_watches", s.Callers.MaxWatches, 1, 10_000)
 	c.Int("callers.max_body", s.Callers.MaxBody, 1024, 4<<20)
 	s.Machine.Check(&c, "machine.")
 	s.Clients.Check(&c, "clients.")
