Bound the connections that wait to be accepted

What callers would see: a VM of 96 MB needs 137 MB while 3,000 clients send bodies of 120 kB, 72 of them unread in sockets, with 295 descriptors open.

Cause: the library listens with the largest backlog that the system allows, 4,096; clients whose connections have not been accepted yet can fill a receive buffer each.

Change: clients.backlog, by default half of the connections; the other listeners the same share. It works as a connection beyond that is not established, so that it has no buffer.

Accept is also shown to go on after a lack of descriptors now (TestAcceptGoesOnAfterALackOfDescriptors), which was only read before.

--- a/core/inbound/connections_test.go
+++ b/core/inbound/connections_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -169,3 +171,32 @@
 	var timeout net.Error
 	is.True(errors.As(err, &timeout) && timeout.Timeout()) // still open
 }
+
+// noDescriptors is a listener that fails for a lack of descriptors a few times.
+type noDescriptors struct {
+	net.Listener
+	failures int
+}
+
+func (l *noDescriptors) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// A listener for links ended for good when the process once had no descriptor left.
+func TestAcceptGoesOnAfterALackOfDescriptors(t *testing.T) {
+	is := is.New(t)
+	s := Settings{}
+	s.Provision(Machine{MemoryMB: 64, MaxFDs: 200})
+	l, err := NewSet(s, zerolog.Nop()).Listen(Options{Name: "links", Address: "127.0.0.1:0", Kind: KindLinks})
+	is.NoErr(err)
+	defer l.Close()
+	l.Listener = &noDescriptors{Listener: l.Listener, failures: 3}
+	(&testServer{Listener: l}).dial(t)
+	conn, err := l.Accept()
+	is.NoErr(err)
+	conn.Close()
+}
--- a/core/inbound/set.go
+++ b/core/inbound/set.go
@@ -81,6 +81,15 @@
 	}
 }
 
+// backlog returns how many connections may wait to be accepted by a listener of the kind that takes a
+// number of connections.
+func (s *Settings) backlog(k Kind, connections int) int {
+	if k == KindMain {
+		return s.Backlog
+	}
+	return backlogOf(connections)
+}
+
 // Options describe a listener.
 type Options struct {
 	// Name is the name of the listener in logs and metrics.
@@ -103,6 +112,10 @@
 		return nil, eris.Wrapf(ErrListen, "%s: %v", o.Address, err)
 	}
 	l := newListener(s, raw, o)
+	if err := setBacklog(raw, s.settings.backlog(o.Kind, l.maxConnections)); err != nil {
+		raw.Close()
+		return nil, eris.Wrapf(ErrListen, "%s: %v", o.Address, err)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listeners = append(s.listeners, l)
@@ -124,6 +137,20 @@
 	return err
 }
 
+// setBacklog sets how many connections may wait to be accepted. The library itself takes the largest
+// number that the system allows.
+func setBacklog(l net.Listener, backlog int) error {
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), backlog) })
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
 // Run closes connections that exceed a time limit, and reports what was closed and refused, until
 // the context ends.
 func (s *Set) Run(ctx context.Context) {
--- a/core/inbound/settings.go
+++ b/core/inbound/settings.go
@@ -29,6 +29,10 @@
 	// UnknownPeers bounds the connections of the listener for links whose peer has not said yet which VM
 	// it is. From 4 to 10000000, default an eighth of Connections.
 	UnknownPeers int `yaml:"unknown_peers"`
+	// Backlog bounds the connections that wait to be accepted by the main listener: what their clients
+	// send meanwhile takes memory of the machine, too. From 8 to 65535, default half of Connections. Other
+	// listeners have half of their connections.
+	Backlog int `yaml:"backlog"`
 	// ReceiveBuffer is the size of a connection's receive buffer, in bytes, of which the kernel takes the
 	// double. What waits there unread takes memory of the machine. From 4096 to 16777216, default 16384.
 	ReceiveBuffer int `yaml:"receive_buffer"`
@@ -82,6 +86,9 @@
 	auxiliaryShare = 1.0 / 16
 	unknownShare   = 1.0 / 8
 	minConnections = 4
+	// minBacklog and maxBacklog bound the default number of connections that wait to be accepted.
+	minBacklog = 8
+	maxBacklog = 65535
 )
 
 // Provision fills in the defaults.
@@ -111,6 +118,7 @@
 	s.Connections = settings.Or(s.Connections, max(8, min(m.MaxFDs/2, affordable)))
 	s.AuxiliaryConnections = settings.Or(s.AuxiliaryConnections, share(s.Connections, auxiliaryShare))
 	s.UnknownPeers = settings.Or(s.UnknownPeers, share(s.Connections, unknownShare))
+	s.Backlog = settings.Or(s.Backlog, backlogOf(s.Connections))
 	s.ReceiveBuffer = settings.Or(s.ReceiveBuffer, defaultReceiveBuffer)
 	s.RoomWait = settings.Or(s.RoomWait, defaultRoomWait)
 	s.MinRate = settings.Or(s.MinRate, defaultMinRate)
@@ -125,12 +133,17 @@
 	return max(minConnections, int(part*float64(connections)))
 }
 
+// backlogOf returns how many connections may wait to be accepted by a listener that takes a number of
+// connections.
+func backlogOf(connections int) int { return min(maxBacklog, max(minBacklog, connections/2)) }
+
 // Check reports invalid values. The prefix is the path of the settings in their file.
 func (s *Settings) Check(c *settings.Checks, prefix string) {
 	c.Int(prefix+"memory_mb", s.MemoryMB, 1, 1<<20)
 	c.Int(prefix+"connections", s.Connections, 8, 10_000_000)
 	c.Int(prefix+"auxiliary_connections", s.AuxiliaryConnections, minConnections, 10_000_000)
 	c.Int(prefix+"unknown_peers", s.UnknownPeers, minConnections, 10_000_000)
+	c.Int(prefix+"backlog", s.Backlog, minBacklog, maxBacklog)
 	c.Int(prefix+"receive_buffer", s.ReceiveBuffer, 4<<10, 16<<20)
 	c.Duration(prefix+"room_wait", s.RoomWait, 10*time.Millisecond, time.Minute)
 	c.Int(prefix+"min_rate", s.MinRate, 1, 1_000_000_000)
--- a/core/inbound/settings_test.go
+++ b/core/inbound/settings_test.go
@@ -23,7 +23,7 @@
 		directory := s.Connections / 4
 		descriptors := s.Connections + directory + 2*s.AuxiliaryConnections + s.UnknownPeers
 		is.True(descriptors <= m.MaxFDs*3/4+4*minConnections)
-		memory := processMemory + s.MemoryMB*megabyte + s.Connections*(connectionCost+2*s.ReceiveBuffer)
+		memory := processMemory + s.MemoryMB*megabyte + s.Connections*(connectionCost+2*s.ReceiveBuffer) + s.Backlog*2*s.ReceiveBuffer
 		is.True(memory <= m.MemoryMB*megabyte)
 		is.True(m.SoftMemoryLimit() < int64(m.MemoryMB)*megabyte)
 	}
@@ -32,7 +32,7 @@
 func TestChecksNameFieldAndValue(t *testing.T) {
 	is := is.New(t)
 	m := Machine{MemoryMB: 1, MaxFDs: 1}
-	s := Settings{MemoryMB: -1, Connections: 1, AuxiliaryConnections: 1, UnknownPeers: 1, ReceiveBuffer: 1, RoomWait: 1, MinRate: -1, HeaderBytes: 1, HeaderTimeout: 1, IdleTimeout: 1, WriteTimeout: 1}
+	s := Settings{MemoryMB: -1, Connections: 1, AuxiliaryConnections: 1, UnknownPeers: 1, Backlog: 1, ReceiveBuffer: 1, RoomWait: 1, MinRate: -1, HeaderBytes: 1, HeaderTimeout: 1, IdleTimeout: 1, WriteTimeout: 1}
 	var c settings.Checks
 	m.Check(&c, "machine.")
 	s.Check(&c, "clients.")
@@ -42,7 +42,7 @@
 		is.True(p.Value != "" && p.Allowed != "")
 	}
 	is.Equal(fields, []string{
-		"machine.memory_mb", "machine.max_fds", "clients.memory_mb", "clients.connections", "clients.auxiliary_connections", "clients.unknown_peers",
+		"machine.memory_mb", "machine.max_fds", "clients.memory_mb", "clients.connections", "clients.auxiliary_connections", "clients.unknown_peers", "clients.backlog",
 		"clients.receive_buffer", "clients.room_wait", "clients.min_rate", "clients.header_bytes", "clients.header_timeout", "clients.idle_timeout", "clients.write_timeout",
 	})
 }
