Let a client whose body nobody reads give up its connection's place

What callers saw: while 4,200 clients sent requests for no route, each with a small body that never ends, 1 of 15 ordinary requests was answered (1 of 12 of 1 MB).

Cause: after the answer the HTTP library reads the rest of a small body, for up to the time of a head. Meanwhile the connection counted as one whose request is in progress, so that it was not closed for a new one.

Change: once its handler has returned without having read the body, a connection counts as waiting for its client.

It works as the process has nothing left to do for such a request but to wait.

--- a/core/inbound/body.go
+++ b/core/inbound/body.go
@@ -65,6 +65,7 @@
 	c.inBody.Store(false)
 	c.listener.move(c, phaseServing)
 	if err == nil {
+		c.bodyUnread = false
 		_ = c.SetReadDeadline(time.Time{})
 		r.Trailer = nil // nothing uses it
 		return body, nil
--- a/core/inbound/conn.go
+++ b/core/inbound/conn.go
@@ -53,6 +53,8 @@
 	head  headSize // of the head that is being read
 	last  headSize // of the latest read
 	begun bool     // the first bytes of a head were read
+	// bodyUnread says that the request has a body that its handler has not read.
+	bodyUnread bool
 
 	headHold Hold
 	bodyHold Hold // of the body, and of the buffered part of the answer
@@ -226,7 +228,8 @@
 	c.serving.Store(true)
 	c.listener.move(c, phaseServing)
 	limits := c.listener.limits()
-	if r.ContentLength != 0 {
+	c.bodyUnread = r.ContentLength != 0
+	if c.bodyUnread {
 		// Until the handler reads the body by itself.
 		_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	}
@@ -236,6 +239,14 @@
 	return c.chargeHead(sizeOfHead(r), limits)
 }
 
+// handled is called when the handler of a request has returned. The HTTP library then reads the rest
+// of a small body, for which the process waits for its client.
+func (c *Conn) handled() {
+	if c.bodyUnread {
+		c.listener.move(c, phaseLingering)
+	}
+}
+
 // chargeHead replaces the reservation for a head that was being read by what the head takes.
 func (c *Conn) chargeHead(size headSize, limits Limits) *Refusal {
 	if size.bytes > limits.HeaderBytes {
--- a/core/inbound/connections_test.go
+++ b/core/inbound/connections_test.go
@@ -93,6 +93,30 @@
 	is.Equal(status, http.StatusOK)
 }
 
+// Clients whose requests are answered, but whose bodies do not come, kept all places.
+func TestAnUnreadBodyGivesUpItsPlace(t *testing.T) {
+	is := is.New(t)
+	s := Settings{Connections: 8, HeaderTimeout: time.Minute}
+	s.Provision(Machine{MemoryMB: 64, MaxFDs: 200})
+	l, err := NewSet(s, zerolog.Nop()).Listen(Options{Name: "test", Address: "127.0.0.1:0"})
+	is.NoErr(err)
+	go func() { _ = l.Serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), nil) }()
+	defer func() { _ = l.Abort() }()
+	server := &testServer{Listener: l}
+	for range 8 {
+		server.dial(t).send(t, postHead+"Content-Length: 1000\r\n\r\nx")
+	}
+	within(t, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.lists[phaseLingering].Len() == 8
+	})
+	client := server.dial(t)
+	client.send(t, getRequest)
+	status, _ := client.answer(t)
+	is.Equal(status, http.StatusOK)
+}
+
 func TestConnectionsWithARequestInProgressAreNotClosed(t *testing.T) {
 	is := is.New(t)
 	var l *Listener
--- a/core/inbound/http.go
+++ b/core/inbound/http.go
@@ -88,6 +88,7 @@
 	} else {
 		h.next.ServeHTTP(w, r)
 	}
+	c.handled()
 	if c.lingers.Load() {
 		r.Body = http.NoBody // else the library sleeps before it closes the connection, even if that is ended
 	}
--- a/core/inbound/phase.go
+++ b/core/inbound/phase.go
@@ -16,7 +16,7 @@
 	phaseBody                   // the rest of a body
 	phaseWriting                // the client, which has to read an answer
 	phaseWatching               // changes, which the client watches
-	phaseLingering              // the client, which has to read a refusal and to stop sending
+	phaseLingering              // the client, which has to send what nobody needs, or to read a refusal
 	phaseTrusted                // nothing: the peer is known and no longer bounded
 	phases
 )
