Leave room for large bodies when small ones fill the budget

Callers with bodies of a megabyte were refused (503 memory) while a crowd of 3,000 clients sent bodies of 120 kB without their last bytes: 1 of 8 answered.

Cause: a reservation succeeds if it takes at most half of what is free, so small ones succeed until a few hundred kilobytes are free. Whatever a slow sender that was ended gave back, the next small body took; a large one never saw twice its size free.

Change: small reservations (up to a 64th of the budget) take three quarters of it at most, all together. Ruled out: a bound on all that is in use for small ones, as large bodies then shut out the small ones (TestSmallReservationsFindRoom... failed).

TestLargeReservationsFindRoomWhenSmallOnesFillTheBudget fails on the code before.

--- a/core/inbound/budget.go
+++ b/core/inbound/budget.go
@@ -16,6 +16,10 @@
 const (
 	// relieveInterval is the time between two checks for slow senders while a reservation waits.
 	relieveInterval = 50 * time.Millisecond
+	// smallReservation is the size up to which a reservation is small, and smallShare is how much small
+	// ones may take together, both as parts of the budget.
+	smallReservation = 1.0 / 64
+	smallShare       = 0.75
 	// rateWindow is the time over which the rate of a sender is averaged.
 	rateWindow = 500 * time.Millisecond
 )
@@ -26,11 +30,12 @@
 	maxWait time.Duration // how long a reservation may wait for room
 	minRate float64       // bytes per second; slower senders are ended while others wait for room
 
-	mu      sync.Mutex
-	used    int64
-	queued  int64                     // sum of the reservations that wait
-	queue   list.List                 // of *reservation, in the order of arrival
-	senders map[*Hold]*senderProgress // holds whose data is still being received
+	mu          sync.Mutex
+	used        int64
+	usedBySmall int64                     // part of used that small reservations took
+	queued      int64                     // sum of the reservations that wait
+	queue       list.List                 // of *reservation, in the order of arrival
+	senders     map[*Hold]*senderProgress // holds whose data is still being received
 }
 
 // reservation is a request for room that waits.
@@ -62,6 +67,7 @@
 	budget *Budget
 	// The budget's lock guards the following.
 	bytes int64
+	small int64 // part of bytes that small reservations took
 }
 
 // NewHold returns a hold without a reservation.
@@ -93,9 +99,7 @@
 	if bytes >= h.bytes {
 		return
 	}
-	b.used -= h.bytes - bytes
-	h.bytes = bytes
-	b.grant()
+	b.release(h, bytes)
 }
 
 // size returns how many bytes are reserved.
@@ -115,24 +119,48 @@
 	defer b.mu.Unlock()
 	delete(b.senders, h)
 	if h.bytes > 0 {
-		b.used -= h.bytes
-		h.bytes = 0
-		b.grant()
+		b.release(h, 0)
 	}
 }
 
 // take reserves the bytes if they fit. The caller holds the lock.
 func (b *Budget) take(h *Hold, bytes int64) bool {
-	free := b.limit - b.used
-	alone := b.used == h.bytes && bytes <= free
-	if bytes > free/2 && !alone {
+	alone := b.used == h.bytes && bytes <= b.limit-b.used
+	if b.missing(bytes) > 0 && !alone {
 		return false
 	}
 	b.used += bytes
 	h.bytes += bytes
+	if b.isSmall(bytes) {
+		b.usedBySmall += bytes
+		h.small += bytes
+	}
 	return true
 }
 
+// missing returns how many bytes have to be released before a reservation succeeds, 0 or less if it
+// would succeed now. The caller holds the lock.
+func (b *Budget) missing(bytes int64) int64 {
+	missing := 2*bytes - (b.limit - b.used)
+	if b.isSmall(bytes) {
+		missing = max(missing, b.usedBySmall+bytes-int64(smallShare*float64(b.limit)))
+	}
+	return missing
+}
+
+func (b *Budget) isSmall(bytes int64) bool { return bytes <= int64(smallReservation*float64(b.limit)) }
+
+// release gives back what a hold has beyond the given number of bytes. The caller holds the lock.
+func (b *Budget) release(h *Hold, keep int64) {
+	b.used -= h.bytes - keep
+	h.bytes = keep
+	if h.small > keep {
+		b.usedBySmall -= h.small - keep
+		h.small = keep
+	}
+	b.grant()
+}
+
 // request reserves the bytes and returns nil, or returns a reservation that waits.
 func (b *Budget) request(h *Hold, bytes int64) *reservation {
 	b.mu.Lock()
@@ -258,7 +286,7 @@
 	if b.queue.Len() == 0 {
 		return
 	}
-	needed := 2*b.queue.Front().Value.(*reservation).bytes - (b.limit - b.used)
+	needed := b.missing(b.queue.Front().Value.(*reservation).bytes)
 	for h, p := range b.senders {
 		if p.ended {
 			needed -= h.bytes // about to be released
--- a/core/inbound/budget_test.go
+++ b/core/inbound/budget_test.go
@@ -209,3 +209,21 @@
 	}
 	return nil
 }
+
+// Thousands of bodies of some 100 kB left no room for one of a megabyte.
+func TestLargeReservationsFindRoomWhenSmallOnesFillTheBudget(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(1_000_000, time.Millisecond, 1)
+	const small, large = 10_000, 100_000
+	var holds []*Hold
+	for {
+		h := b.NewHold()
+		if !h.TryReserve(small) {
+			break
+		}
+		holds = append(holds, h)
+	}
+	is.True(b.NewHold().TryReserve(large))
+	holds[0].Release()
+	is.True(holds[0].TryReserve(small))
+}
--- a/core/inbound/doc.go
+++ b/core/inbound/doc.go
@@ -8,9 +8,10 @@
 // takes beyond that is reserved before it is read: a head of many lines in the budget for heads, a
 // body and the buffered part of an answer in the budget for bodies. A reservation succeeds if it
 // takes at most half of what is free, so that small requests find room when large ones fill a
-// budget. It covers all that is still to come, so that whatever has begun to be read can be read to
-// its end. If there is no room, the request waits for a moment; meanwhile whoever has a reservation
-// and sends slowly is ended, the slowest first. Requests that are whole are never ended.
+// budget, and small ones leave a part of it to large ones. It covers all that is still to come, so that
+// whatever has begun to be read can be read to its end. If there is no room, the request waits for a
+// moment; meanwhile whoever has a reservation and sends slowly is ended, the slowest first. Requests
+// that are whole are never ended.
 //
 // # Connections
 //
