End slow readers that hold memory while others wait for it

A client that reads its answer slowly kept the memory of its request: nothing ended it as long as it read something between two checks, and requests that found no room were refused.

Change: after the slow senders, a budget without room ends clients that hold memory in it and need longer for a part of an answer than the least rate allows (clients.min_rate), the longest first, and only as many as are needed. All reservations that wait share one search in each interval, where each made its own.

TestSlowReadersAreEndedForOthers fails on the code before: the second request gets 408 in place of 200.

--- a/core/inbound/budget.go
+++ b/core/inbound/budget.go
@@ -14,7 +14,7 @@
 var ErrNoRoom = eris.New("inbound: no room in the memory budget")
 
 const (
-	// relieveInterval is the time between two checks for slow senders while a reservation waits.
+	// relieveInterval is the time between two checks for slow clients while a reservation waits.
 	relieveInterval = 50 * time.Millisecond
 	// smallReservation is the size up to which a reservation is small, and smallShare is how much small
 	// ones may take together, both as parts of the budget.
@@ -29,6 +29,9 @@
 	limit   int64
 	maxWait time.Duration // how long a reservation may wait for room
 	minRate float64       // bytes per second; slower senders are ended while others wait for room
+	// endReaders ends clients that hold memory and read slowly, until the given number of bytes is
+	// released or there are no more. Nil = none.
+	endReaders func(bytes int64)
 
 	mu          sync.Mutex
 	used        int64
@@ -36,6 +39,7 @@
 	queued      int64                     // sum of the reservations that wait
 	queue       list.List                 // of *reservation, in the order of arrival
 	senders     map[*Hold]*senderProgress // holds whose data is still being received
+	relievedAt  time.Time                 // when slow clients were last looked for
 }
 
 // reservation is a request for room that waits.
@@ -186,7 +190,7 @@
 	timeout := time.NewTimer(b.maxWait)
 	defer timeout.Stop()
 	for {
-		b.endSlowest(time.Now())
+		b.relieve(time.Now())
 		select {
 		case <-r.granted:
 			return nil
@@ -278,15 +282,24 @@
 	return p != nil && p.ended
 }
 
+// relieve ends the slowest senders, and then slow readers, as many as the first reservation in the queue
+// needs. All reservations that wait share one check in each interval.
+func (b *Budget) relieve(now time.Time) {
+	if needed := b.endSlowest(now); needed > 0 && b.endReaders != nil {
+		b.endReaders(needed)
+	}
+}
+
 // endSlowest ends the slowest senders that are below the least rate, as many as the first reservation in
-// the queue needs.
-func (b *Budget) endSlowest(now time.Time) {
+// the queue needs, and returns how many bytes it needs beyond that.
+func (b *Budget) endSlowest(now time.Time) (needed int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.queue.Len() == 0 {
-		return
+	if b.queue.Len() == 0 || now.Sub(b.relievedAt) < relieveInterval/2 {
+		return 0
 	}
-	needed := b.missing(b.queue.Front().Value.(*reservation).bytes)
+	b.relievedAt = now
+	needed = b.missing(b.queue.Front().Value.(*reservation).bytes)
 	for h, p := range b.senders {
 		if p.ended {
 			needed -= h.bytes // about to be released
@@ -295,12 +308,13 @@
 	for needed > 0 {
 		h, p := b.slowest(now)
 		if h == nil {
-			return
+			return needed
 		}
 		p.ended = true
 		p.end()
 		needed -= h.bytes
 	}
+	return 0
 }
 
 // slowest returns the slowest sender that is below the least rate, or nil.
--- a/core/inbound/connections_test.go
+++ b/core/inbound/connections_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -106,11 +107,7 @@
 	for range 8 {
 		server.dial(t).send(t, postHead+"Content-Length: 1000\r\n\r\nx")
 	}
-	within(t, func() bool {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return l.lists[phaseLingering].Len() == 8
-	})
+	within(t, func() bool { return l.phaseLen(phaseLingering) == 8 })
 	client := server.dial(t)
 	client.send(t, getRequest)
 	status, _ := client.answer(t)
@@ -224,3 +221,26 @@
 	is.NoErr(err)
 	conn.Close()
 }
+
+// Clients that read their answers slowly kept the memory of their requests while others found none.
+func TestSlowReadersAreEndedForOthers(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, func(s *Settings) { s.MemoryMB = 1 })
+	const bodySize = 300_000 // a second one finds no room beside the first
+	slow := s.dial(t)
+	slow.send(t, fmt.Sprintf("POST /?size=50000000 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", bodySize, strings.Repeat("x", bodySize)))
+	within(t, func() bool { return s.phaseLen(phaseWriting) == 1 })
+	client := s.dial(t)
+	client.send(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", postHead, bodySize, strings.Repeat("x", bodySize)))
+	status, _ := client.answer(t)
+	is.Equal(status, http.StatusOK)
+	is.Equal(s.Count(ReasonAnswerSlow), int64(1))
+	is.True(slow.isClosed())
+}
+
+// phaseLen returns the number of connections in a phase.
+func (l *Listener) phaseLen(p phase) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lists[p].Len()
+}
--- a/core/inbound/doc.go
+++ b/core/inbound/doc.go
@@ -10,8 +10,8 @@
 // takes at most half of what is free, so that small requests find room when large ones fill a
 // budget, and small ones leave a part of it to large ones. It covers all that is still to come, so that
 // whatever has begun to be read can be read to its end. If there is no room, the request waits for a
-// moment; meanwhile whoever has a reservation and sends slowly is ended, the slowest first. Requests
-// that are whole are never ended.
+// moment; meanwhile whoever has a reservation and sends slowly is ended, the slowest first, and after
+// that whoever reads an answer slowly. Requests that are whole are never ended before their answers.
 //
 // # Connections
 //
--- a/core/inbound/listener.go
+++ b/core/inbound/listener.go
@@ -199,6 +199,26 @@
 	}
 }
 
+// endSlowReaders closes the connections whose clients have kept a part of an answer waiting since before
+// a time and hold memory, the longest first, until that releases the needed bytes. It returns how many
+// bytes it releases.
+func (l *Listener) endSlowReaders(before time.Time, needed int64) (released int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for e := l.lists[phaseWriting].Front(); e != nil && released < needed; {
+		c := e.Value.(*Conn)
+		e = e.Next()
+		if !c.since.Before(before) {
+			return released
+		}
+		if held := c.bodyHold.size(); held > 0 {
+			l.end(c, ReasonAnswerSlow)
+			released += held
+		}
+	}
+	return released
+}
+
 // wrote records that a part of an answer was written by a connection that goes back to a phase.
 func (l *Listener) wrote(c *Conn, back phase) {
 	l.mu.Lock()
--- a/core/inbound/reason.go
+++ b/core/inbound/reason.go
@@ -18,12 +18,13 @@
 	ReasonBodyRoom                   // no room in the budget for bodies
 	ReasonBodySlow                   // a body was slow while others waited for room
 	ReasonBodyTimeout                // a body took until the deadline of its request
+	ReasonAnswerSlow                 // an answer was read slowly while others waited for room
 	reasons
 )
 
 var reasonNames = [reasons]string{
 	"connections", "no-place", "head-timeout", "idle-timeout", "write-timeout", "head-size", "head-room", "head-slow",
-	"body-room", "body-slow", "body-timeout",
+	"body-room", "body-slow", "body-timeout", "answer-slow",
 }
 
 // String returns the reason's name in logs and metrics.
--- a/core/inbound/set.go
+++ b/core/inbound/set.go
@@ -43,7 +43,21 @@
 	memory := int64(s.MemoryMB) * megabyte
 	heads := int64(headShare * float64(memory))
 	budget := func(bytes int64) *Budget { return NewBudget(bytes, s.RoomWait, float64(s.MinRate)) }
-	return &Set{settings: s, log: log, heads: budget(heads), bodies: budget(memory - heads)}
+	set := &Set{settings: s, log: log, heads: budget(heads), bodies: budget(memory - heads)}
+	set.bodies.endReaders = set.endSlowReaders
+	return set
+}
+
+// endSlowReaders closes connections whose clients hold memory in the budget for bodies and read their
+// answers slowly, until that releases the given number of bytes or there are no more.
+func (s *Set) endSlowReaders(needed int64) {
+	before := time.Now().Add(-s.settings.longestWrite())
+	for _, l := range s.Listeners() {
+		if needed <= 0 {
+			return
+		}
+		needed -= l.endSlowReaders(before, needed)
+	}
 }
 
 // Heads returns the budget for the heads of requests.
--- a/core/inbound/settings.go
+++ b/core/inbound/settings.go
@@ -39,8 +39,8 @@
 	// RoomWait is how long a request waits for room in the memory for requests before it is refused.
 	// From 10ms to 1m, default 500ms.
 	RoomWait time.Duration `yaml:"room_wait"`
-	// MinRate is the rate, in bytes per second, below which a client that sends a head or a body is ended
-	// while another waits for room. From 1 to 1000000000, default 262144.
+	// MinRate is the rate, in bytes per second, below which a client that sends a head or a body, or reads
+	// an answer, is ended while another waits for room. From 1 to 1000000000, default 262144.
 	MinRate int `yaml:"min_rate"`
 	// HeaderBytes bounds the head of a request, in bytes, where the configuration names no limit. From
 	// 1024 to 1048576, default 65536.
@@ -153,6 +153,11 @@
 	c.Duration(prefix+"write_timeout", s.WriteTimeout, 100*time.Millisecond, 10*time.Minute)
 }
 
+// longestWrite returns how long a client that keeps the least rate takes to read a part of an answer.
+func (s *Settings) longestWrite() time.Duration {
+	return time.Duration(float64(writePiece) / float64(s.MinRate) * float64(time.Second))
+}
+
 // Limits are what a client has to keep on one listener.
 type Limits struct {
 	HeaderBytes   int           // size of a head
