Entry VMs: bound the memory of lists and timelines

Cause: each answer was built as a whole, as values and as JSON, and nothing counted them. A timeline held the events of all VMs at once, and its limit had no limit.

Change: both are written piece by piece. A list reserves what its records take in the budget for bodies, and is refused with 503 memory if there is no room. The events for one timeline are collected at a time and merged as they come; limit is from 1 to 10000, as each VM keeps 4,096 events.

--- a/core/configuration/store.go
+++ b/core/configuration/store.go
@@ -376,6 +376,19 @@
 	return out
 }
 
+// Count returns the number of resources of a kind.
+func (s *Store) Count(kind resource.Kind) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for key, e := range s.records {
+		if key.Kind == kind && !e.Deleted {
+			count++
+		}
+	}
+	return count
+}
+
 // Since returns the records that changed after the revision, as a batch for a peer. If
 // full is set, or if tombstones newer than the revision may have been dropped, it returns
 // all records.
--- a/core/inbound/body.go
+++ b/core/inbound/body.go
@@ -181,6 +181,20 @@
 	return out
 }
 
+// Reserve reserves memory, in bytes, for what the answer to a request takes until it has been sent. If
+// there is no room, it waits for a moment, and returns ErrNoRoom after that.
+func Reserve(ctx context.Context, size int64) error {
+	c := connOf(ctx)
+	if c == nil || size <= ordinaryBody {
+		return nil
+	}
+	err := c.bodyHold.Reserve(size, c.gone)
+	if err != nil {
+		c.listener.counts.add(ReasonAnswerRoom)
+	}
+	return err
+}
+
 // Buffer reserves memory for a part of the answer to a request, and reports whether there is room.
 // It is released after the answer.
 func Buffer(ctx context.Context, size int64) bool {
--- a/core/inbound/reason.go
+++ b/core/inbound/reason.go
@@ -18,13 +18,14 @@
 	ReasonBodyRoom                   // no room in the budget for bodies
 	ReasonBodySlow                   // a body was slow while others waited for room
 	ReasonBodyTimeout                // a body took until the deadline of its request
+	ReasonAnswerRoom                 // no room in the budget for bodies for what an answer takes
 	ReasonAnswerSlow                 // an answer was read slowly while others waited for room
 	reasons
 )
 
 var reasonNames = [reasons]string{
 	"connections", "no-place", "head-timeout", "idle-timeout", "write-timeout", "head-size", "head-room", "head-slow",
-	"body-room", "body-slow", "body-timeout", "answer-slow",
+	"body-room", "body-slow", "body-timeout", "answer-room", "answer-slow",
 }
 
 // String returns the reason's name in logs and metrics.
--- a/core/timeline/timeline.go
+++ b/core/timeline/timeline.go
@@ -145,7 +145,7 @@
 		return cmp.Or(cmp.Compare(a.Clock, b.Clock), cmp.Compare(a.VM, b.VM))
 	})
 	if limit > 0 && len(out) > limit {
-		out = out[len(out)-limit:]
+		out = slices.Clone(out[len(out)-limit:]) // the rest is not kept
 	}
 	return out
 }
--- a/entry/api/api.go
+++ b/entry/api/api.go
@@ -58,11 +58,13 @@
 	metrics *metrics
 	subsets subsetCache
 	watches atomic.Int32 // number of open watches
+	// collecting holds one element while the events for a timeline are collected.
+	collecting chan struct{}
 }
 
 // New returns the API of one process.
 func New(env Environment) *API {
-	a := &API{Environment: env, router: httprouter.New()}
+	a := &API{Environment: env, router: httprouter.New(), collecting: make(chan struct{}, 1)}
 	a.metrics = newMetrics(a)
 	a.router.RedirectTrailingSlash = false
 	a.router.RedirectFixedPath = false
--- a/entry/api/resources.go
+++ b/entry/api/resources.go
@@ -103,14 +103,20 @@
 			a.watch(w, r, func(configuration.Record) bool { return true }, kind)
 			return
 		}
-		out := []ResourceView{}
-		for _, rec := range a.sorted(kind) {
-			out = append(out, a.view(rec))
+		if inbound.Reserve(r.Context(), int64(a.Config.Count(kind))*recordCost) != nil {
+			a.problem(w, http.StatusServiceUnavailable, "", noRoom(), "")
+			return
 		}
-		writeJSON(w, http.StatusOK, out)
+		out := newJSONWriter(w)
+		out.raw("[")
+		writeElements(out, a.sorted(kind), a.view)
+		out.raw("]\n")
 	}
 }
 
+// recordCost is the memory that a list takes for each of its resources, in bytes.
+const recordCost = 320
+
 func (a *API) sorted(kind resource.Kind) []configuration.Record {
 	records := a.Config.Select(kind)
 	slices.SortFunc(records, func(x, y configuration.Record) int { return cmp.Compare(x.Key.Name, y.Key.Name) })
--- a/entry/api/timeline.go
+++ b/entry/api/timeline.go
@@ -4,13 +4,17 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc/iter"
 
 	"baywall.example/core/contract"
+	"baywall.example/core/inbound"
 	"baywall.example/core/link"
 	"baywall.example/core/timeline"
 	"baywall.example/core/vm"
@@ -22,8 +26,14 @@
 	timelineTimeout = time.Second
 	// timelineLimit is the default number of events.
 	timelineLimit = 500
+	// maxTimelineLimit is the largest number of events.
+	maxTimelineLimit = 10_000
 	// timelineFanout is how many VMs are queried at a time.
 	timelineFanout = 16
+	// timelineWait is how long a request waits while the events for another one are collected.
+	timelineWait = time.Second
+	// eventCost is the memory that an event takes, in bytes.
+	eventCost = 400
 )
 
 // TimelineAnswer is the merged timeline and the VMs whose events are missing.
@@ -46,15 +56,52 @@
 	}
 	if raw := q.Get("limit"); raw != "" {
 		n, err := strconv.Atoi(raw)
-		if err != nil || n < 1 {
-			a.problem(w, http.StatusBadRequest, "", notRun(contract.ReasonBadRequest), fmt.Sprintf("limit: value %q, allowed: from 1", raw))
+		if err != nil || n < 1 || n > maxTimelineLimit {
+			a.problem(w, http.StatusBadRequest, "", notRun(contract.ReasonBadRequest), fmt.Sprintf("limit: value %q, allowed: from 1 to %d", raw, maxTimelineLimit))
 			return
 		}
 		f.Limit = n
 	}
-	writeJSON(w, http.StatusOK, a.timeline(r.Context(), f))
+	answer, err := a.collectTimeline(r.Context(), f)
+	if err != nil {
+		a.problem(w, http.StatusServiceUnavailable, "", noRoom(), "timeline: "+err.Error())
+		return
+	}
+	answer.write(w)
+}
+
+// errTimelineBusy means that the events for other requests are being collected.
+var errTimelineBusy = eris.New("those of other requests are being collected")
+
+// collectTimeline returns the merged events of all VMs. It collects those for one request at a time, as
+// each VM can send all that it keeps.
+func (a *API) collectTimeline(ctx context.Context, f timeline.Filter) (TimelineAnswer, error) {
+	waiting, cancel := context.WithTimeout(ctx, timelineWait)
+	defer cancel()
+	select {
+	case a.collecting <- struct{}{}:
+		defer func() { <-a.collecting }()
+	case <-waiting.Done():
+		return TimelineAnswer{}, errTimelineBusy
+	}
+	answer := a.timeline(ctx, f)
+	return answer, inbound.Reserve(ctx, int64(len(answer.Events))*eventCost)
+}
+
+// write writes the answer piece by piece.
+func (t TimelineAnswer) write(w http.ResponseWriter) {
+	out := newJSONWriter(w)
+	out.raw(`{"events":[`)
+	writeElements(out, t.Events, func(e timeline.Event) timeline.Event { return e })
+	out.raw("]")
+	if len(t.Missing) > 0 {
+		out.raw(`,"missing":`)
+		out.value(t.Missing)
+	}
+	out.raw("}\n")
 }
 
+// timeline merges the events of all VMs as they come, and keeps the newest ones.
 func (a *API) timeline(ctx context.Context, f timeline.Filter) TimelineAnswer {
 	ctx, cancel := context.WithTimeout(ctx, timelineTimeout)
 	defer cancel()
@@ -64,25 +111,20 @@
 			targets = append(targets, v)
 		}
 	}
-	type part struct {
-		events []timeline.Event
-		err    error
-	}
-	mapper := iter.Mapper[vm.VM, part]{MaxGoroutines: timelineFanout}
-	parts := mapper.Map(targets, func(v *vm.VM) part {
+	var mu sync.Mutex
+	answer := TimelineAnswer{Events: a.Recorder.Select(f)}
+	collector := iter.Iterator[vm.VM]{MaxGoroutines: timelineFanout}
+	collector.ForEach(targets, func(v *vm.VM) {
 		events, err := a.remoteEvents(ctx, *v, f)
-		return part{events: events, err: err}
-	})
-	all := [][]timeline.Event{a.Recorder.Select(f)}
-	var answer TimelineAnswer
-	for i, p := range parts {
-		if p.err != nil {
-			answer.Missing = append(answer.Missing, targets[i].ID)
-			continue
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			answer.Missing = append(answer.Missing, v.ID)
+			return
 		}
-		all = append(all, p.events)
-	}
-	answer.Events = timeline.Merge(f.Limit, all...)
+		answer.Events = timeline.Merge(f.Limit, answer.Events, events)
+	})
+	slices.Sort(answer.Missing)
 	return answer
 }
 
