Agents: bound the memory of the calls that they receive

An agent's process took 394 MB of its VM's 152 when a crowd sent whole bodies of 4 MB through six entry VMs, and 258 to 357 MB with bodies of 256 kB: the budget of each entry VM bounds what comes through that one only.

Cause: a call was received whole before anything counted it, and the stream's window, 256 kB, was kept until the other side closed the stream, which it did only after the megabytes of other calls that it had queued on the link.

Change: Local.CallBudget. A call over a kilobyte reserves what it takes, as it comes and decoded, until it has been served. Without room it is discarded and its stream closed; the entry VM asks for its fate as after any lost stream, learns that it did not run, and may try it elsewhere. The window is freed once the call is received. On a link, eight calls over 16 kB are sent at a time, so that small ones do not queue behind all others. Counter calls_discarded, ten log lines a second.

TestCallsWithoutRoomAreDiscarded is the small case.

--- a/agent/server/reports.go
+++ b/agent/server/reports.go
@@ -86,6 +86,7 @@
 	m.vars.Set("saved_answer_bytes", expvar.Func(func() any { _, n := a.table.Load(); return n }))
 	m.vars.Set("clients", expvar.Func(func() any { return a.listeners.Status() }))
 	m.vars.Set("link_bytes", expvar.Func(func() any { return a.traffic.Load() }))
+	m.vars.Set("calls_discarded", expvar.Func(func() any { return a.local.DiscardedCalls.Load() }))
 	m.vars.Set("draining", expvar.Func(func() any { return a.draining.Load() }))
 	return m
 }
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -133,6 +133,7 @@
 	a.local = &link.Local{
 		VM: id, Incarnation: a.incarnation, Role: vm.RoleBackend, Zone: zone.ID(s.Zone),
 		BindIP: host, Clock: a.recorder.Clock(), Log: log, Revisions: a.revisions, Traffic: &a.traffic,
+		CallBudget: a.listeners.Bodies(),
 	}
 	a.pool = link.NewPool(a.local, a, nil, nil)
 	a.groups = group.NewSet(group.Environment{
--- a/core/link/endless_test.go
+++ b/core/link/endless_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"io"
 	"net"
 	"runtime"
@@ -9,9 +10,11 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"baywall.example/core/inbound"
 	"baywall.example/core/vm"
 	"baywall.example/core/wire"
 )
@@ -167,3 +170,33 @@
 		})
 	}
 }
+
+// Calls that come from many peers were kept whole, as many as there were.
+func TestCallsWithoutRoomAreDiscarded(t *testing.T) {
+	is := is.New(t)
+	const callSize = 1 << 20
+	served, release := make(chan struct{}), make(chan struct{})
+	receiver := local("b")
+	receiver.CallBudget = inbound.NewBudget(2*callSize, 10*time.Millisecond, 1)
+	address := listenAs(t, receiver, nil, handlerFunc(func(context.Context) {
+		served <- struct{}{}
+		<-release
+	}))
+	l, err := Dial(t.Context(), local("a"), address, nil)
+	is.NoErr(err)
+	defer l.Close()
+	call := func(size int) error {
+		c := &wire.Call{Body: &wire.Call_Pull{Pull: &wire.Pull{}}}
+		c.ProtoReflect().SetUnknown(protowire.AppendBytes(protowire.AppendTag(nil, 1000, protowire.BytesType), make([]byte, size)))
+		_, err := l.Call(t.Context(), c)
+		return err
+	}
+	go func() { _ = call(callSize) }()
+	<-served // it is larger than the budget with all that it takes, and served alone
+	is.True(eris.Is(call(callSize), ErrLost))
+	is.Equal(receiver.DiscardedCalls.Load(), int64(1))
+	is.True(!l.Closed())
+	go func() { _ = call(0) }()
+	<-served // small calls need no room
+	close(release)
+}
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
+	"baywall.example/core/inbound"
 	"baywall.example/core/timeline"
 	"baywall.example/core/vm"
 	"baywall.example/core/wire"
@@ -51,6 +52,15 @@
 	callTimeout = 5 * time.Second
 	// maxPreallocated is up to which size memory for a message is taken before its bytes come.
 	maxPreallocated = 16 << 10
+	// largeCall is the size, in bytes, above which a call is large, and maxLargeCalls is how many of those
+	// are sent on a link at a time.
+	largeCall     = 16 << 10
+	maxLargeCalls = 8
+	// maxKeptBuffer is the size, in bytes, up to which a stream keeps its buffer for what it sends.
+	maxKeptBuffer = 64 << 10
+	// streamWindow is how much of a stream may have been received and not read, in bytes: the least that
+	// the library allows.
+	streamWindow = 256 << 10
 	// streamBuffer is the size of a stream's read buffer, in bytes.
 	streamBuffer = 1024
 )
@@ -66,7 +76,12 @@
 	Clock       *timeline.Clock
 	Revisions   func() (config, vms uint64)
 	Traffic     *atomic.Int64 // counts the bytes of all links, may be nil
-	Log         zerolog.Logger
+	// CallBudget bounds the memory of incoming calls over streamBuffer bytes that are being served, nil =
+	// without a bound. A call without room is discarded and its stream closed, so that it does not run.
+	CallBudget *inbound.Budget
+	// DiscardedCalls counts the calls that were discarded.
+	DiscardedCalls atomic.Int64
+	Log            zerolog.Logger
 }
 
 func (l *Local) hello() *wire.Hello {
@@ -88,7 +103,9 @@
 	local       *Local
 	session     *yamux.Session
 	conn        *unidentifiedConn
-	accepted    net.Conn // as the listener returned it, nil for a link that was dialed
+	accepted    net.Conn       // as the listener returned it, nil for a link that was dialed
+	discarded   zerolog.Logger // bounded in lines per second
+	largeCalls  chan struct{}  // one for each large call that is being sent
 	Remote      vm.ID
 	Incarnation vm.Incarnation
 	Role        vm.Role
@@ -100,6 +117,7 @@
 	c.KeepAliveInterval = keepAlive
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamOpenTimeout = 0
+	c.MaxStreamWindowSize = streamWindow
 	c.AcceptBacklog = 4096
 	c.LogOutput = nil
 	c.Logger = sessionLogger{log}
@@ -126,7 +144,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
 	}
-	l := &Link{local: local, conn: newUnidentifiedConn(local.countTraffic(conn), maxUnidentified)}
+	l := &Link{local: local, conn: newUnidentifiedConn(local.countTraffic(conn), maxUnidentified), discarded: local.sampledLog(), largeCalls: make(chan struct{}, maxLargeCalls)}
 	l.session, err = yamux.Client(newCoalescingConn(l.conn), sessionConfig(local.Log))
 	if err != nil {
 		conn.Close()
@@ -174,7 +192,7 @@
 
 // Accept serves links on the listener until it is closed.
 func Accept(ln net.Listener, local *Local, authorize Authorizer, handler Handler) error {
-	rejected := local.Log.Sample(&zerolog.BurstSampler{Burst: rejectedLogBurst, Period: time.Second})
+	rejected := local.sampledLog()
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -184,11 +202,17 @@
 	}
 }
 
-// rejectedLogBurst is how many incoming links that were rejected are logged in a second.
+// rejectedLogBurst is how many incoming links, or calls on one link, that were rejected are logged in
+// a second.
 const rejectedLogBurst = 10
 
+// sampledLog returns a logger for what peers can cause often.
+func (l *Local) sampledLog() zerolog.Logger {
+	return l.Log.Sample(&zerolog.BurstSampler{Burst: rejectedLogBurst, Period: time.Second})
+}
+
 func accept(conn net.Conn, local *Local, authorize Authorizer, handler Handler, rejected zerolog.Logger) {
-	l := &Link{local: local, conn: newUnidentifiedConn(local.countTraffic(conn), maxHelloBytes), accepted: conn}
+	l := &Link{local: local, conn: newUnidentifiedConn(local.countTraffic(conn), maxHelloBytes), accepted: conn, discarded: local.sampledLog(), largeCalls: make(chan struct{}, maxLargeCalls)}
 	session, err := yamux.Server(newCoalescingConn(l.conn), sessionConfig(local.Log))
 	if err != nil {
 		conn.Close()
@@ -250,17 +274,23 @@
 
 func (l *Link) serveStream(ctx context.Context, handler Handler, s *Stream) {
 	defer s.Close()
+	if budget := l.local.CallBudget; budget != nil {
+		s.memory = budget.NewHold()
+		defer s.memory.Release()
+	}
 	s.SetReadDeadline(time.Now().Add(callTimeout))
 	call, err := s.RecvCall()
 	s.SetReadDeadline(time.Time{})
-	if err != nil {
-		if eris.Is(err, ErrProtocol) {
-			l.local.Log.Warn().Str("vm", string(l.Remote)).Err(err).Msg("malformed message; closing the link")
-			l.Close()
-		}
-		return
+	switch {
+	case err == nil:
+		handler.ServeStream(ctx, l, s, call)
+	case eris.Is(err, inbound.ErrNoRoom):
+		l.local.DiscardedCalls.Add(1)
+		l.discarded.Warn().Str("vm", string(l.Remote)).Err(err).Msg("call discarded")
+	case eris.Is(err, ErrProtocol):
+		l.local.Log.Warn().Str("vm", string(l.Remote)).Err(err).Msg("malformed message; closing the link")
+		l.Close()
 	}
-	handler.ServeStream(ctx, l, s, call)
 }
 
 // Close ends the session and all its streams.
@@ -306,7 +336,8 @@
 	raw     *yamux.Stream
 	reader  *bufio.Reader
 	link    *Link
-	pending []byte // queued, not yet sent
+	pending []byte        // queued, not yet sent
+	memory  *inbound.Hold // of received messages, nil = without a bound
 }
 
 func (l *Link) newStream(raw *yamux.Stream) *Stream {
@@ -319,12 +350,34 @@
 // SetReadDeadline sets the deadline of future receives; the zero time removes it.
 func (s *Stream) SetReadDeadline(t time.Time) { _ = s.raw.SetReadDeadline(t) }
 
-// SendCall sends a call stamped with the local clock.
+// SendCall sends a call stamped with the local clock. A large one waits while maxLargeCalls others are
+// being sent on the link, so that small ones do not queue behind many of them.
 func (s *Stream) SendCall(c *wire.Call) error {
+	if proto.Size(c) > largeCall {
+		if !s.link.beginLargeCall() {
+			return eris.Wrap(ErrLost, "send: too many large calls")
+		}
+		defer s.link.endLargeCall()
+	}
 	c.Clock = uint64(s.link.local.Clock.Now(time.Now()))
 	return s.send(c)
 }
 
+// beginLargeCall waits until a large call may be sent, and reports false if that takes too long.
+func (l *Link) beginLargeCall() bool {
+	timeout := time.NewTimer(writeTimeout)
+	defer timeout.Stop()
+	select {
+	case l.largeCalls <- struct{}{}:
+		return true
+	case <-timeout.C:
+	case <-l.Done():
+	}
+	return false
+}
+
+func (l *Link) endLargeCall() { <-l.largeCalls }
+
 // SendReply sends a reply stamped with the local clock.
 func (s *Stream) SendReply(r *wire.Reply) error {
 	r.Clock = uint64(s.link.local.Clock.Now(time.Now()))
@@ -345,7 +398,9 @@
 	}
 	_ = s.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := s.raw.Write(s.pending)
-	s.pending = s.pending[:0]
+	if s.pending = s.pending[:0]; cap(s.pending) > maxKeptBuffer {
+		s.pending = nil
+	}
 	if err != nil {
 		return eris.Wrapf(ErrLost, "send: %v", err)
 	}
@@ -395,6 +450,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.reserve(size); err != nil {
+		return err
+	}
 	raw, err := s.recvBytes(size)
 	if err != nil {
 		return eris.Wrapf(ErrLost, "receive: %v", err)
@@ -402,9 +460,42 @@
 	if err := proto.Unmarshal(raw, m); err != nil {
 		return eris.Wrapf(ErrProtocol, "receive: %v", err)
 	}
+	s.shrink(size)
 	return nil
 }
 
+// shrink drops what receiving a message of the size took beyond the message itself.
+func (s *Stream) shrink(size int) {
+	if s.memory == nil || size <= s.reader.Size() {
+		return
+	}
+	s.raw.Shrink() // else the buffer is kept until the other side closes the stream, too
+	s.memory.Shrink(int64(size))
+}
+
+// windowCost returns the memory, in bytes, that the stream's window takes for a message of the size.
+// The library doubles its buffer when it is full.
+func windowCost(size int) int { return 2 * min(size, streamWindow) }
+
+// reserve reserves memory for a message of the size, as it comes and decoded. If there is no room, it
+// discards the message, so that its sender does not wait until it gives up.
+func (s *Stream) reserve(size int) error {
+	if s.memory == nil || size <= s.reader.Size() {
+		return nil
+	}
+	// One message that is larger than the whole budget is served alone.
+	cost := min(int64(2*size+windowCost(size)), s.link.local.CallBudget.Limit())
+	err := s.memory.Reserve(cost, s.link.Done())
+	if err == nil {
+		return nil
+	}
+	if _, err := io.CopyN(io.Discard, s.reader, int64(size)); err != nil {
+		return eris.Wrapf(ErrLost, "receive: %v", err)
+	}
+	s.shrink(size)
+	return eris.Wrapf(err, "message of %d bytes", size)
+}
+
 // recvSize receives the size of the next message, a varint.
 func (s *Stream) recvSize() (int, error) {
 	prefix := make([]byte, 0, binary.MaxVarintLen64)
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -38,13 +38,19 @@
 }
 
 func listen(t *testing.T, authorize Authorizer, h Handler) string {
+	t.Helper()
+	return listenAs(t, local("b"), authorize, h)
+}
+
+// listenAs is listen for a process of its own.
+func listenAs(t *testing.T, as *Local, authorize Authorizer, h Handler) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	go func() { _ = Accept(ln, local("b"), authorize, h) }()
+	go func() { _ = Accept(ln, as, authorize, h) }()
 	return ln.Addr().String()
 }
 
