Entry VMs: keep no whole answer while an event to resume after is looked for

A caller that resumes an answer without events made the process keep all of it, looking for the end of an event.

The answer ends after 256 kB without the end of an event. The writer of answers gets a file of its own.

--- a/entry/api/requests.go
+++ b/entry/api/requests.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
-	"github.com/rotisserie/eris"
 
 	"baywall.example/core/clock"
 	"baywall.example/core/contract"
@@ -229,53 +228,6 @@
 	return out
 }
 
-// responseSink writes an answer to the caller.
-type responseSink struct {
-	w       http.ResponseWriter
-	stream  bool
-	partial bool          // only the remainder of the answer is written
-	skip    *eventSkipper // set when resuming after an event id
-}
-
-// Head implements dispatch.Sink.
-func (s *responseSink) Head(status int, headers []*wire.Header, at dispatch.AttemptLocation) error {
-	h := s.w.Header()
-	hasLength := false
-	for _, f := range headers {
-		if strings.EqualFold(f.GetName(), "X-Request-Id") {
-			continue
-		}
-		if f.GetName() == "Content-Length" {
-			hasLength = true
-			if s.partial {
-				continue
-			}
-		}
-		h.Add(f.GetName(), f.GetValue())
-	}
-	s.stream = !hasLength
-	h.Set(HeaderAttempt, formatLocation(at))
-	s.w.WriteHeader(status)
-	return nil
-}
-
-// Data implements dispatch.Sink.
-func (s *responseSink) Data(p []byte) error {
-	if s.skip != nil {
-		p = s.skip.pass(p)
-	}
-	if _, err := s.w.Write(p); err != nil {
-		return eris.Wrap(err, "api: write answer")
-	}
-	if !s.stream {
-		return nil
-	}
-	if err := http.NewResponseController(s.w).Flush(); err != nil {
-		return eris.Wrap(err, "api: flush answer")
-	}
-	return nil
-}
-
 // problemBody is an RFC 9457 problem document.
 type problemBody struct {
 	Type         string `json:"type"`
--- a/entry/api/resume.go
+++ b/entry/api/resume.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"github.com/rotisserie/eris"
 
 	"baywall.example/core/clock"
 	"baywall.example/core/contract"
@@ -82,22 +83,31 @@
 	found   bool
 }
 
+// maxSkippedEvent is the largest event, in bytes, that is skipped.
+const maxSkippedEvent = 256 << 10
+
+// errSkippedEvent means that an answer has no events, or a very large one.
+var errSkippedEvent = eris.New("api: no complete event to resume after")
+
 // pass returns the part of the data received so far that the caller does not have yet.
-func (s *eventSkipper) pass(p []byte) []byte {
+func (s *eventSkipper) pass(p []byte) ([]byte, error) {
 	if s.found {
-		return p
+		return p, nil
 	}
 	s.pending = append(s.pending, p...)
 	for {
 		end := bytes.Index(s.pending, []byte("\n\n"))
+		if end < 0 && len(s.pending) > maxSkippedEvent {
+			return nil, errSkippedEvent
+		}
 		if end < 0 {
-			return nil
+			return nil, nil
 		}
 		event := s.pending[:end]
 		s.pending = s.pending[end+2:]
 		if eventID(event) == s.last {
 			s.found = true
-			return s.pending
+			return s.pending, nil
 		}
 	}
 }
--- /dev/null
+++ b/entry/api/sink.go
@@ -0,0 +1,61 @@
+package api
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"baywall.example/core/wire"
+	"baywall.example/entry/dispatch"
+)
+
+// responseSink writes an answer to the caller.
+type responseSink struct {
+	w       http.ResponseWriter
+	stream  bool
+	partial bool          // only the remainder of the answer is written
+	skip    *eventSkipper // set when resuming after an event id
+}
+
+// Head implements dispatch.Sink.
+func (s *responseSink) Head(status int, headers []*wire.Header, at dispatch.AttemptLocation) error {
+	h := s.w.Header()
+	hasLength := false
+	for _, f := range headers {
+		if strings.EqualFold(f.GetName(), "X-Request-Id") {
+			continue
+		}
+		if f.GetName() == "Content-Length" {
+			hasLength = true
+			if s.partial {
+				continue
+			}
+		}
+		h.Add(f.GetName(), f.GetValue())
+	}
+	s.stream = !hasLength
+	h.Set(HeaderAttempt, formatLocation(at))
+	s.w.WriteHeader(status)
+	return nil
+}
+
+// Data implements dispatch.Sink.
+func (s *responseSink) Data(p []byte) error {
+	if s.skip != nil {
+		var err error
+		if p, err = s.skip.pass(p); err != nil {
+			return err
+		}
+	}
+	if _, err := s.w.Write(p); err != nil {
+		return eris.Wrap(err, "api: write answer")
+	}
+	if !s.stream {
+		return nil
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		return eris.Wrap(err, "api: flush answer")
+	}
+	return nil
+}
