Send answers to entry VMs within a window

An entry VM's process took up to 388 MB of 284 when 1,600 clients asked for answers of 4 MB and read them slowly.

Cause: an agent sent as much of each answer as the link's stream takes, 256 kB, whether its caller read it or not. When the entry VM gave an answer up, it kept what had come until the agent closed the stream, too, which waited up to 3 s for the window to open.

Change: the entry VM names a window of 64 kB, and acknowledges what it has passed on (new fields and a new message; an agent says in the head of its answer whether it keeps the window, so that older processes work as before). An answer that is given up is drained.

--- a/agent/server/attempts.go
+++ b/agent/server/attempts.go
@@ -50,7 +50,7 @@
 	case record.ActionRefuse:
 		a.refuse(s, id, verdict.Refusal, w)
 	case record.ActionJoin:
-		a.stream(ctx, s, id, verdict.Attempt, 0)
+		a.stream(ctx, s, id, verdict.Attempt, 0, nil)
 	default:
 		a.run(ctx, s, verdict.Attempt, w)
 	}
@@ -108,7 +108,8 @@
 	engineCtx, cancel := clock.WithDeadline(context.Background(), clock.Now().Add(remaining))
 	streamCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	a.watchReader(s, func(canceled bool) {
+	window := newAnswerWindow(w.GetWindow(), 0)
+	a.watchReader(s, window, func(canceled bool) {
 		stop()
 		if canceled && w.GetIdempotent() {
 			cancel()
@@ -147,7 +148,7 @@
 	} else {
 		finish()
 	}
-	if a.stream(streamCtx, s, at.ID, at, 0) {
+	if a.stream(streamCtx, s, at.ID, at, 0, window) {
 		return
 	}
 	a.awaitResume(at, cancel, w.GetIdempotent(), ended)
@@ -163,12 +164,18 @@
 	return &contract.Refusal{Outcome: contract.NotRun, Reason: reason, RetryAfter: drainRetryAfter}
 }
 
-// watchReader waits for the entry VM's Cancel or the end of the stream, then calls onGone:
-// nobody reads the answer any more.
-func (a *Server) watchReader(s *link.Stream, onGone func(canceled bool)) {
+// watchReader passes on what the entry VM acknowledges until its Cancel or the end of the stream, then
+// calls onGone: nobody reads the answer any more.
+func (a *Server) watchReader(s *link.Stream, window *answerWindow, onGone func(canceled bool)) {
 	a.workers.Go(func() {
-		call, err := s.RecvCall()
-		onGone(err == nil && call.GetCancel() != nil)
+		for {
+			call, err := s.RecvCall()
+			if err != nil || call.GetAcknowledge() == nil {
+				onGone(err == nil && call.GetCancel() != nil)
+				return
+			}
+			window.acknowledge(call.GetAcknowledge().GetOffset())
+		}
 	})
 }
 
@@ -280,9 +287,9 @@
 	return out
 }
 
-// stream sends an attempt's answer from the offset on to an entry VM. It reports false if
-// the entry VM did not receive all of it and may resume.
-func (a *Server) stream(ctx context.Context, s *link.Stream, to contract.AttemptID, at *record.Attempt, offset int64) bool {
+// stream sends an attempt's answer from the offset on to an entry VM, within the window unless that is
+// nil. It reports false if the entry VM did not receive all of it and may resume.
+func (a *Server) stream(ctx context.Context, s *link.Stream, to contract.AttemptID, at *record.Attempt, offset int64, window *answerWindow) bool {
 	reader := at.Answer.Attach(offset)
 	defer reader.Detach()
 	head, err := reader.Head(ctx)
@@ -290,7 +297,7 @@
 		return a.sendFailure(ctx, s, to, err)
 	}
 	err = s.QueueReply(&wire.Reply{Body: &wire.Reply_Head{Head: &wire.AnswerHead{
-		RequestId: string(to.Request), Number: to.Number, Status: int32(head.Status), Headers: head.Headers,
+		RequestId: string(to.Request), Number: to.Number, Status: int32(head.Status), Headers: head.Headers, Windowed: window != nil,
 	}}})
 	if err != nil {
 		return false
@@ -309,6 +316,11 @@
 			end := &wire.AnswerEnd{RequestId: string(to.Request), Number: to.Number, Size: reader.Offset()}
 			return s.SendReply(&wire.Reply{Body: &wire.Reply_End{End: end}}) == nil
 		}
+		if !window.isOpen(reader.Offset()) {
+			if s.Flush() != nil || window.wait(ctx, reader.Offset()) != nil {
+				return false
+			}
+		}
 		chunk := &wire.AnswerChunk{RequestId: string(to.Request), Number: to.Number, Offset: reader.Offset() - int64(n), Data: buf[:n]}
 		if !a.sendChunk(s, chunk) {
 			return false
@@ -365,8 +377,9 @@
 	a.recorder.Record(timeline.Event{Kind: timeline.KindResume, Request: id.String()})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	a.watchReader(s, func(bool) { cancel() })
-	a.stream(ctx, s, id, at, w.GetOffset())
+	window := newAnswerWindow(w.GetWindow(), w.GetOffset())
+	a.watchReader(s, window, func(bool) { cancel() })
+	a.stream(ctx, s, id, at, w.GetOffset(), window)
 }
 
 // wireFates maps the fates of attempts to their wire values.
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -338,6 +339,7 @@
 	link    *Link
 	pending []byte        // queued, not yet sent
 	memory  *inbound.Hold // of received messages, nil = without a bound
+	close   sync.Once
 }
 
 func (l *Link) newStream(raw *yamux.Stream) *Stream {
@@ -345,7 +347,18 @@
 }
 
 // Close ends the stream in both directions.
-func (s *Stream) Close() { _ = s.raw.Close() }
+func (s *Stream) Close() { s.close.Do(func() { _ = s.raw.Close() }) }
+
+// Abandon closes a stream whose further messages nobody needs, and discards them: else they would take
+// memory here, and block the peer, until it gives up.
+func (s *Stream) Abandon() {
+	s.Close()
+	s.SetReadDeadline(time.Now().Add(writeTimeout))
+	go func() {
+		_, _ = io.Copy(io.Discard, s.raw) // until the peer closes it, too, or the deadline
+		s.raw.Shrink()
+	}()
+}
 
 // SetReadDeadline sets the deadline of future receives; the zero time removes it.
 func (s *Stream) SetReadDeadline(t time.Time) { _ = s.raw.SetReadDeadline(t) }
--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -30,6 +30,9 @@
 	overloadRetryAfter = time.Second
 )
 
+// AnswerWindow is how many bytes of an answer an agent may send before its caller has read them.
+const AnswerWindow = 64 << 10
+
 // exchange is one request while it is being served.
 type exchange struct {
 	d        *Dispatcher
@@ -52,6 +55,9 @@
 	headSent bool  // whether the head was forwarded
 	status   int   // of the answer
 	offset   int64 // of the next byte of the answer
+	windowed bool  // the agent keeps AnswerWindow on the current stream
+	// acknowledged is the offset of the latest acknowledgment to the agent.
+	acknowledged int64
 }
 
 // result is how an attempt, a query or a resumption ended.
@@ -281,6 +287,7 @@
 		Idempotent: c.Idempotent, DeadlineUnixMs: clock.Wall(c.Deadline).UnixMilli(), Priority: int32(c.Priority),
 		ServiceRevision: x.d.serviceRevision(c.Service),
 		Method:          x.request.Method, Path: x.request.Path, Headers: x.request.Headers, Body: x.request.Body,
+		Window: AnswerWindow,
 	}
 	if c.Ticket != nil {
 		w.Ticket = c.Ticket.Wire()
@@ -339,6 +346,7 @@
 		s.SetReadDeadline(time.Time{}) // the agent was unresponsive, but it answers now
 		context.AfterFunc(ctx, func() { s.SetReadDeadline(time.Unix(1, 0)) })
 	}
+	x.windowed, x.acknowledged = h.GetWindowed(), x.offset
 	if x.headSent {
 		return nil // resumed
 	}
@@ -357,19 +365,37 @@
 	if err := x.sink.Data(c.GetData()); err != nil {
 		return x.cancelForCaller(s, err)
 	}
+	x.acknowledge(s)
 	return nil
 }
 
+// acknowledge tells the agent how much of a windowed answer was passed on, each time that it is half of
+// the window.
+func (x *exchange) acknowledge(s *link.Stream) {
+	if !x.windowed || x.offset-x.acknowledged < AnswerWindow/2 {
+		return
+	}
+	x.acknowledged = x.offset
+	// If it fails, the next message does, too.
+	_ = s.SendCall(&wire.Call{Body: &wire.Call_Acknowledge{Acknowledge: &wire.Acknowledge{Offset: x.offset}}})
+}
+
 func (x *exchange) cancelForCaller(s *link.Stream, err error) error {
-	_ = s.SendCall(&wire.Call{Body: &wire.Call_Cancel{Cancel: &wire.Cancel{}}})
+	cancelAttempt(s)
 	return eris.Wrapf(ErrCallerGone, "%v", err)
 }
 
+// cancelAttempt tells the agent that nobody needs the answer.
+func cancelAttempt(s *link.Stream) {
+	_ = s.SendCall(&wire.Call{Body: &wire.Call_Cancel{Cancel: &wire.Cancel{}}})
+	s.Abandon()
+}
+
 // interrupted returns the result of an answer that ended early: the caller disconnected, its
 // deadline passed, or the link or the agent failed.
 func (x *exchange) interrupted(ctx context.Context, s *link.Stream) result {
 	if eris.Is(ctx.Err(), context.DeadlineExceeded) {
-		_ = s.SendCall(&wire.Call{Body: &wire.Call_Cancel{Cancel: &wire.Cancel{}}})
+		cancelAttempt(s)
 		return result{event: retry.EventOutcomeUnknown, refusal: contract.Refusal{Reason: contract.ReasonDeadline}}
 	}
 	if ctx.Err() != nil {
@@ -447,6 +473,7 @@
 		call := &wire.Resume{
 			RequestId: string(x.location.Attempt.Request), Number: x.location.Attempt.Number,
 			Incarnation: uint64(x.location.Incarnation), Offset: x.offset,
+			Window: AnswerWindow,
 		}
 		if s.SendCall(&wire.Call{Body: &wire.Call_Resume{Resume: call}}) != nil {
 			return false
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -32,6 +32,10 @@
 // HeaderWork is the header with the caller's id of the work.
 const HeaderWork = "X-Work"
 
+// HeaderAnswerBytes is the header with the least size of the answer, in bytes. Without it the answer
+// is short.
+const HeaderAnswerBytes = "X-Answer-Bytes"
+
 // Serve starts a server that listens on the address and delays each response.
 func Serve(address string, l *ledger.Ledger, delay time.Duration) (*Server, error) {
 	ln, err := net.Listen("tcp", address)
@@ -91,6 +95,27 @@
 	}
 	w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
 	body := fmt.Sprintf("document %s\n", work)
-	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
-	_, _ = io.WriteString(w, body)
+	padding := paddingOf(r)
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)+padding))
+	if _, err := io.WriteString(w, body); err != nil {
+		return // the sender has disconnected
+	}
+	piece := make([]byte, min(padding, maxPiece))
+	for left := padding; left > 0; left -= len(piece) {
+		if _, err := w.Write(piece[:min(left, len(piece))]); err != nil {
+			return
+		}
+	}
+}
+
+// maxPiece is how much padding is written at once, in bytes.
+const maxPiece = 32 << 10
+
+// paddingOf returns how many bytes follow the document in the answer to a request.
+func paddingOf(r *http.Request) int {
+	n, err := strconv.Atoi(r.Header.Get(HeaderAnswerBytes))
+	if err != nil {
+		return 0
+	}
+	return max(0, n)
 }
