Free backend servers that slow readers keep busy

While 1,600 clients asked for answers of 8 MB and read them slowly, a gateway answered none of its ordinary callers (0 of 14, 0 of 15, 1 of 47), and an entry VM 0 of 58 and 0 of 93: the slow readers kept all slots of the backend servers.

Change: a request that finds no free slot ends the client that has kept a part of a forwarded answer waiting the longest, if that is below clients.min_rate. The entry VM's request then waits up to half a second for the slot; in a gateway it queues as before. Readers are left alone as long as there are free slots.

--- a/core/inbound/conn.go
+++ b/core/inbound/conn.go
@@ -48,6 +48,8 @@
 	lingers atomic.Bool // a request was refused that was not read to its end
 	serving atomic.Bool // a request's head was read, and its answer is not complete
 	inBody  atomic.Bool // a request's body is being read
+	// forwards says that the answer to the request comes from a backend server, which waits for the client.
+	forwards atomic.Bool
 
 	// Only the goroutine that reads requests uses the following.
 	head  headSize // of the head that is being read
@@ -270,6 +272,7 @@
 // end ends a request whose answer is complete.
 func (c *Conn) end() {
 	c.releaseHolds()
+	c.forwards.Store(false)
 	c.head = c.last // the next head may have begun in the latest read
 	c.serving.Store(false)
 	c.listener.move(c, phaseIdle)
--- a/core/inbound/connections_test.go
+++ b/core/inbound/connections_test.go
@@ -244,3 +244,17 @@
 	defer l.mu.Unlock()
 	return l.lists[p].Len()
 }
+
+func TestOnlySlowReadersOfForwardedAnswersAreEndedForAServer(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, nil)
+	s.dial(t).send(t, "GET /?size=50000000 HTTP/1.1\r\nHost: h\r\n\r\n")
+	within(t, func() bool { return s.phaseLen(phaseWriting) == 1 })
+	time.Sleep(2 * s.set.settings.longestWrite())
+	is.True(!s.set.EndSlowestReader())
+	s.dial(t).send(t, "GET /?size=50000000&forward HTTP/1.1\r\nHost: h\r\n\r\n")
+	within(t, func() bool { return s.phaseLen(phaseWriting) == 2 })
+	is.True(!s.set.EndSlowestReader()) // it is not slow yet
+	within(t, s.set.EndSlowestReader)
+	within(t, func() bool { return s.phaseLen(phaseWriting) == 1 })
+}
--- a/core/inbound/doc.go
+++ b/core/inbound/doc.go
@@ -23,7 +23,8 @@
 // # Time
 //
 // A head and an idle connection have a time limit each. A body has the deadline of its request. A
-// client that reads nothing of its answer between two checks is ended.
+// client that reads nothing of its answer between two checks is ended. While a request finds no backend
+// server with a free slot, whoever keeps one busy by reading slowly is ended, too.
 //
 // docs/design/inbound.md compares the alternatives.
 package inbound
--- a/core/inbound/http.go
+++ b/core/inbound/http.go
@@ -104,6 +104,13 @@
 	}
 }
 
+// Forward marks a request as one whose answer comes from a backend server, which waits for the client.
+func Forward(ctx context.Context) {
+	if c := connOf(ctx); c != nil {
+		c.forwards.Store(true)
+	}
+}
+
 // Watch marks a request as one that watches for changes: its connection can be closed in favor of
 // another one.
 func Watch(ctx context.Context) {
--- a/core/inbound/inbound_test.go
+++ b/core/inbound/inbound_test.go
@@ -54,7 +54,8 @@
 	return server
 }
 
-// ServeHTTP answers with the size of the body, or with so many bytes as the query says.
+// ServeHTTP answers with the size of the body, or with so many bytes as the query says, forwarded if it
+// says so, too.
 func (s *testServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := ReadBody(w, r, testBody, time.Now().Add(2*time.Second))
 	select {
@@ -65,6 +66,9 @@
 		w.WriteHeader(http.StatusRequestTimeout)
 		return
 	}
+	if strings.HasSuffix(r.URL.RawQuery, "&forward") {
+		Forward(r.Context())
+	}
 	var size int
 	if _, err := fmt.Sscanf(r.URL.RawQuery, "size=%d", &size); err == nil {
 		_, _ = w.Write(make([]byte, size))
--- a/core/inbound/listener.go
+++ b/core/inbound/listener.go
@@ -219,6 +219,24 @@
 	return released
 }
 
+// endSlowestReader closes the connection whose client has kept a part of a forwarded answer waiting the
+// longest, if it has done so since before a time. It reports whether there was one.
+func (l *Listener) endSlowestReader(before time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for e := l.lists[phaseWriting].Front(); e != nil; e = e.Next() {
+		c := e.Value.(*Conn)
+		if !c.since.Before(before) {
+			return false
+		}
+		if c.forwards.Load() {
+			l.end(c, ReasonAnswerSlow)
+			return true
+		}
+	}
+	return false
+}
+
 // wrote records that a part of an answer was written by a connection that goes back to a phase.
 func (l *Listener) wrote(c *Conn, back phase) {
 	l.mu.Lock()
--- a/core/inbound/reason.go
+++ b/core/inbound/reason.go
@@ -19,7 +19,7 @@
 	ReasonBodySlow                   // a body was slow while others waited for room
 	ReasonBodyTimeout                // a body took until the deadline of its request
 	ReasonAnswerRoom                 // no room in the budget for bodies for what an answer takes
-	ReasonAnswerSlow                 // an answer was read slowly while others waited for room
+	ReasonAnswerSlow                 // an answer was read slowly while others waited for room or a server
 	reasons
 )
 
--- a/core/inbound/set.go
+++ b/core/inbound/set.go
@@ -73,6 +73,19 @@
 	return append([]*Listener(nil), s.listeners...)
 }
 
+// EndSlowestReader closes the connection whose client has kept a part of a forwarded answer waiting the
+// longest, if that is slower than the least rate. It reports whether there was one. The backend server
+// that sends the answer is then free.
+func (s *Set) EndSlowestReader() bool {
+	before := time.Now().Add(-s.settings.longestWrite())
+	for _, l := range s.Listeners() {
+		if l.endSlowestReader(before) {
+			return true
+		}
+	}
+	return false
+}
+
 // Kind is the kind of a listener.
 type Kind int
 
--- a/entry/api/sink.go
+++ b/entry/api/sink.go
@@ -45,6 +45,7 @@
 	}
 	s.stream = !hasLength
 	h.Set(HeaderAttempt, formatLocation(at))
+	inbound.Forward(s.ctx)
 	s.w.WriteHeader(status)
 	return nil
 }
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -68,11 +68,18 @@
 	recorder  *timeline.Recorder
 	suspects  *quarantine.Table
 	retries   *retry.Budgets
+	readers   SlowReaders
 
 	mu       sync.Mutex
 	policies map[string]servicePolicy
 }
 
+// SlowReaders are callers that occupy backend servers by reading their answers slowly.
+type SlowReaders interface {
+	// EndSlowestReader ends the slowest one, and reports whether there was one.
+	EndSlowestReader() bool
+}
+
 // servicePolicy is a routing policy with the routing intent that it was created for.
 type servicePolicy struct {
 	policy routing.Policy
@@ -80,10 +87,11 @@
 }
 
 // New returns a dispatcher. It records in the suspects table which requests bring down backend
-// servers; the table reports them to other entry VMs. The budgets bound the retries.
-func New(directory *backend.Directory, config *configuration.Store, recorder *timeline.Recorder, suspects *quarantine.Table, retries *retry.Budgets) *Dispatcher {
+// servers; the table reports them to other entry VMs. The budgets bound the retries. Slow readers are
+// ended while a request finds no backend server that is free.
+func New(directory *backend.Directory, config *configuration.Store, recorder *timeline.Recorder, suspects *quarantine.Table, retries *retry.Budgets, readers SlowReaders) *Dispatcher {
 	return &Dispatcher{
-		directory: directory, config: config, recorder: recorder, suspects: suspects, retries: retries,
+		directory: directory, config: config, recorder: recorder, suspects: suspects, retries: retries, readers: readers,
 		policies: make(map[string]servicePolicy),
 	}
 }
--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -13,6 +13,7 @@
 	"baywall.example/core/link"
 	"baywall.example/core/resource"
 	"baywall.example/core/timeline"
+	"baywall.example/core/wait"
 	"baywall.example/core/wire"
 	"baywall.example/entry/backend"
 	"baywall.example/entry/quarantine"
@@ -74,7 +75,7 @@
 		if !x.waitAdmitted(ctx) {
 			return x.refuseQuarantined()
 		}
-		if !x.choose() {
+		if !x.choose() && !x.chooseFreed(ctx) {
 			x.suspect.Release()
 			return x.refuseNoBackend(ctx)
 		}
@@ -141,6 +142,30 @@
 	return x.resolve(ctx, result{event: retry.EventRefused, refusal: contract.Refusal{Outcome: contract.NotRun, Reason: reason, RetryAfter: after}})
 }
 
+const (
+	// freeingTimeout bounds the time for which a request waits until slow readers that were ended have
+	// freed a backend server, and freeingInterval is the time between two attempts to choose one.
+	freeingTimeout  = 500 * time.Millisecond
+	freeingInterval = 20 * time.Millisecond
+)
+
+// chooseFreed ends slow readers until it can choose a backend server that they have freed. It reports
+// false if there is none, at once if no reader is slow.
+func (x *exchange) chooseFreed(ctx context.Context) bool {
+	if x.d.readers == nil || x.contract.Ticket != nil || x.backoff.Reason != "" {
+		return false
+	}
+	for ends := time.Now().Add(freeingTimeout); time.Now().Before(ends); {
+		if !x.d.readers.EndSlowestReader() || !wait.Sleep(ctx, freeingInterval) {
+			return false
+		}
+		if x.choose() {
+			return true
+		}
+	}
+	return false
+}
+
 func (x *exchange) record(kind timeline.Kind, reason string) {
 	subject := ""
 	if x.backend != nil {
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -91,6 +91,7 @@
 		return attempt{verdict: verdictAnswered, status: answer.Status}
 	}
 	stream.headerSent = true
+	inbound.Forward(q.ctx)
 	body = nil // it was sent
 	if _, err := io.CopyBuffer(writerOnly{q.w}, answer.Body, make([]byte, copyBuffer)); err != nil {
 		return attempt{verdict: verdictCut, err: err}
--- a/entry/gateway/stream.go
+++ b/entry/gateway/stream.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"baywall.example/core/clock"
+	"baywall.example/core/inbound"
 	"baywall.example/entry/balance"
 	"baywall.example/entry/upstream"
 )
@@ -124,6 +125,7 @@
 		}
 		if !s.headerSent {
 			s.headerSent = true
+			inbound.Forward(q.ctx)
 			q.firstAnswer = clock.Since(q.began)
 			q.copyHeader(answer.Header)
 			q.w.WriteHeader(answer.Status)
--- a/entry/gateway/waiting.go
+++ b/entry/gateway/waiting.go
@@ -259,6 +259,9 @@
 		if found == balance.Leaving && !q.sequence.MayHaveRun() {
 			return choice, found // the caller can retry instead of waiting for a server that may never be listed
 		}
+		if found == balance.AllBusy {
+			q.g.listeners.EndSlowestReader() // its server has a free slot then
+		}
 		if q.queuesForSlot(found, permission, now) {
 			if !q.awaitTurn(ctx, now) {
 				return choice, found
