Bound what the kernel keeps of answers that clients do not read

While 1,600 clients asked for answers of 8 MB and read them slowly or not at all, up to 219 MB waited in a gateway's sockets (324 MB of 284 with the process), and the kernel of this machine ran out of memory for TCP (2.3 GB; "TCP: out of memory" in its log).

Change: clients.send_buffer, 32 KiB, on all listeners but those for links; a client that is ended while it reads is reset, so that the kernel drops the rest. As the process now sees sooner that a client is slow, a gateway marks an answer as forwarded before the first part is written.

--- a/core/inbound/listener.go
+++ b/core/inbound/listener.go
@@ -130,10 +130,14 @@
 // end closes a connection. The caller holds the lock.
 func (l *Listener) end(c *Conn, r Reason) {
 	l.counts.add(r)
+	unread := c.phase == phaseWriting
 	l.drop(c)
 	l.closing.Add(1)
 	c.ended = true
 	close(c.gone)
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && unread {
+		_ = tcp.SetLinger(0) // else the kernel keeps what the client does not read, for minutes
+	}
 	c.Conn.Close()
 }
 
--- a/core/inbound/set.go
+++ b/core/inbound/set.go
@@ -133,7 +133,7 @@
 
 // Listen opens a listener.
 func (s *Set) Listen(o Options) (*Listener, error) {
-	config := net.ListenConfig{Control: s.setReceiveBuffer}
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return s.setBuffers(raw, o.Kind) }}
 	raw, err := config.Listen(context.Background(), "tcp4", o.Address)
 	if err != nil {
 		return nil, eris.Wrapf(ErrListen, "%s: %v", o.Address, err)
@@ -152,11 +152,14 @@
 	return l, nil
 }
 
-// setReceiveBuffer sets the size of the receive buffer, which accepted connections inherit.
-func (s *Set) setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+// setBuffers sets the sizes of the buffers of a listener of the kind, which accepted connections inherit.
+func (s *Set) setBuffers(raw syscall.RawConn, k Kind) error {
 	var err error
 	controlErr := raw.Control(func(fd uintptr) {
 		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, s.settings.ReceiveBuffer)
+		if err == nil && k != KindLinks {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, s.settings.SendBuffer)
+		}
 	})
 	if controlErr != nil {
 		return controlErr
--- a/core/inbound/settings.go
+++ b/core/inbound/settings.go
@@ -36,6 +36,10 @@
 	// ReceiveBuffer is the size of a connection's receive buffer, in bytes, of which the kernel takes the
 	// double. What waits there unread takes memory of the machine. From 4096 to 16777216, default 16384.
 	ReceiveBuffer int `yaml:"receive_buffer"`
+	// SendBuffer is the size of a connection's send buffer, in bytes, of which the kernel takes the double.
+	// What a client does not read waits there and takes memory of the machine. It does not apply to links.
+	// From 4096 to 16777216, default 32768.
+	SendBuffer int `yaml:"send_buffer"`
 	// RoomWait is how long a request waits for room in the memory for requests before it is refused.
 	// From 10ms to 1m, default 500ms.
 	RoomWait time.Duration `yaml:"room_wait"`
@@ -64,6 +68,7 @@
 	defaultIdleTimeout   = 75 * time.Second
 	defaultWriteTimeout  = 10 * time.Second
 	defaultReceiveBuffer = 16 << 10
+	defaultSendBuffer    = 32 << 10
 	defaultRoomWait      = 500 * time.Millisecond
 	defaultMinRate       = 256 << 10
 	maxHeaderBytes       = 1 << 20
@@ -120,6 +125,7 @@
 	s.UnknownPeers = settings.Or(s.UnknownPeers, share(s.Connections, unknownShare))
 	s.Backlog = settings.Or(s.Backlog, backlogOf(s.Connections))
 	s.ReceiveBuffer = settings.Or(s.ReceiveBuffer, defaultReceiveBuffer)
+	s.SendBuffer = settings.Or(s.SendBuffer, defaultSendBuffer)
 	s.RoomWait = settings.Or(s.RoomWait, defaultRoomWait)
 	s.MinRate = settings.Or(s.MinRate, defaultMinRate)
 	s.HeaderBytes = settings.Or(s.HeaderBytes, defaultHeaderBytes)
@@ -145,6 +151,7 @@
 	c.Int(prefix+"unknown_peers", s.UnknownPeers, minConnections, 10_000_000)
 	c.Int(prefix+"backlog", s.Backlog, minBacklog, maxBacklog)
 	c.Int(prefix+"receive_buffer", s.ReceiveBuffer, 4<<10, 16<<20)
+	c.Int(prefix+"send_buffer", s.SendBuffer, 4<<10, 16<<20)
 	c.Duration(prefix+"room_wait", s.RoomWait, 10*time.Millisecond, time.Minute)
 	c.Int(prefix+"min_rate", s.MinRate, 1, 1_000_000_000)
 	c.Int(prefix+"header_bytes", s.HeaderBytes, 1024, maxHeaderBytes)
--- a/core/inbound/settings_test.go
+++ b/core/inbound/settings_test.go
@@ -43,6 +43,6 @@
 	}
 	is.Equal(fields, []string{
 		"machine.memory_mb", "machine.max_fds", "clients.memory_mb", "clients.connections", "clients.auxiliary_connections", "clients.unknown_peers", "clients.backlog",
-		"clients.receive_buffer", "clients.room_wait", "clients.min_rate", "clients.header_bytes", "clients.header_timeout", "clients.idle_timeout", "clients.write_timeout",
+		"clients.receive_buffer", "clients.send_buffer", "clients.room_wait", "clients.min_rate", "clients.header_bytes", "clients.header_timeout", "clients.idle_timeout", "clients.write_timeout",
 	})
 }
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -83,6 +83,7 @@
 	if whole {
 		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	inbound.Forward(q.ctx)
 	q.w.WriteHeader(answer.Status)
 	if _, err := q.w.Write(body); err != nil {
 		return attempt{verdict: verdictCallerLeft, err: err}
@@ -91,7 +92,6 @@
 		return attempt{verdict: verdictAnswered, status: answer.Status}
 	}
 	stream.headerSent = true
-	inbound.Forward(q.ctx)
 	body = nil // it was sent
 	if _, err := io.CopyBuffer(writerOnly{q.w}, answer.Body, make([]byte, copyBuffer)); err != nil {
 		return attempt{verdict: verdictCut, err: err}
