--- a/agent/server/answerwindow.go
+++ b/agent/server/answerwindow.go
@@ -41,21 +41,26 @@
 
 // isOpen reports whether the answer may be sent up to an offset.
 func (w *answerWindow) isOpen(offset int64) bool {
+	open, _ := w.state(offset)
+	return open
+}
+
+// state reports whether the answer may be sent up to an offset, and returns a channel that is closed when
+// the window moves.
+func (w *answerWindow) state(offset int64) (open bool, changed <-chan struct{}) {
 	if w == nil {
-		return true
+		return true, nil
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return offset <= w.acknowledged+w.size
+	return offset <= w.acknowledged+w.size, w.changed
 }
 
 // wait waits until the answer may be sent up to an offset, or the context ends.
 func (w *answerWindow) wait(ctx context.Context, offset int64) error {
-	for !w.isOpen(offset) {
-		w.mu.Lock()
-		changed := w.changed
-		w.mu.Unlock()
-		if w.isOpen(offset) {
+	for {
+		open, changed := w.state(offset)
+		if open {
 			return nil
 		}
 		select {
@@ -64,5 +69,4 @@
 			return ctx.Err()
 		}
 	}
-	return nil
 }
--- a/entry/api/resources.go
+++ b/entry/api/resources.go
@@ -104,7 +104,7 @@
 			return
 		}
 		if inbound.Reserve(r.Context(), int64(a.Config.Count(kind))*recordCost) != nil {
-			a.problem(w, http.StatusServiceUnavailable, "", noRoom(), "")
+			a.problem(w, http.StatusServiceUnavailable, "", noRoom(), "list: no memory for it now")
 			return
 		}
 		out := newJSONWriter(w)
