Gateways and agents: bound what waits unread from backend servers

With 1,500 slots and 1,600 clients that read answers of 8 MB slowly, up to 278 MB waited in a gateway's sockets, 339 to 455 MB of 284 with the process: each connection to a backend server kept what the kernel takes by default.

Change: the receive buffers of connections to backend servers are bounded (8 KiB in gateways, 16 KiB in agents; the kernel takes the double), and the default of clients.send_buffer is 16 KiB. The soft limit of the runtime was 60% of the memory beyond the process's own; it is 50% now, the sum of the shares of connections, heads and bodies, so that what waits in sockets has room beside the garbage.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -20,6 +20,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,6 +28,7 @@
 	"baywall.example/core/bounded"
 	"baywall.example/core/clock"
 	"baywall.example/core/notice"
+	"baywall.example/core/socket"
 	"baywall.example/core/wire"
 )
 
@@ -88,10 +90,18 @@
 	endCounter endCounter
 }
 
+// receiveBuffer is the size of a connection's receive buffer, in bytes, of which the kernel takes the
+// double. Answers whose readers are slow wait there.
+const receiveBuffer = 16 << 10
+
+func limitBuffer(_, _ string, raw syscall.RawConn) error {
+	return socket.SetBuffers(raw, receiveBuffer, 0)
+}
+
 // New returns a client of the backend server at the address.
 func New(address string) *Client {
 	c := &Client{base: "http://" + address, address: address}
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: limitBuffer}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		ended := c.endCounter.isDown()
 		conn, err := dialer.DialContext(ctx, network, addr)
--- a/core/inbound/set.go
+++ b/core/inbound/set.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"baywall.example/core/socket"
 	"baywall.example/core/wait"
 )
 
@@ -154,17 +155,10 @@
 
 // setBuffers sets the sizes of the buffers of a listener of the kind, which accepted connections inherit.
 func (s *Set) setBuffers(raw syscall.RawConn, k Kind) error {
-	var err error
-	controlErr := raw.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, s.settings.ReceiveBuffer)
-		if err == nil && k != KindLinks {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, s.settings.SendBuffer)
-		}
-	})
-	if controlErr != nil {
-		return controlErr
+	if k == KindLinks {
+		return socket.SetBuffers(raw, s.settings.ReceiveBuffer, 0)
 	}
-	return err
+	return socket.SetBuffers(raw, s.settings.ReceiveBuffer, s.settings.SendBuffer)
 }
 
 // setBacklog sets how many connections may wait to be accepted. The library itself takes the largest
--- a/core/inbound/settings.go
+++ b/core/inbound/settings.go
@@ -38,7 +38,7 @@
 	ReceiveBuffer int `yaml:"receive_buffer"`
 	// SendBuffer is the size of a connection's send buffer, in bytes, of which the kernel takes the double.
 	// What a client does not read waits there and takes memory of the machine. It does not apply to links.
-	// From 4096 to 16777216, default 32768.
+	// From 4096 to 16777216, default 16384.
 	SendBuffer int `yaml:"send_buffer"`
 	// RoomWait is how long a request waits for room in the memory for requests before it is refused.
 	// From 10ms to 1m, default 500ms.
@@ -68,7 +68,7 @@
 	defaultIdleTimeout   = 75 * time.Second
 	defaultWriteTimeout  = 10 * time.Second
 	defaultReceiveBuffer = 16 << 10
-	defaultSendBuffer    = 32 << 10
+	defaultSendBuffer    = 16 << 10
 	defaultRoomWait      = 500 * time.Millisecond
 	defaultMinRate       = 256 << 10
 	maxHeaderBytes       = 1 << 20
@@ -84,8 +84,9 @@
 	// clientShare and connectionShare are for what clients send and for their connections by themselves.
 	clientShare     = 0.25
 	connectionShare = 0.25
-	// softLimitShare is the share from which on the garbage collector works harder.
-	softLimitShare = 0.6
+	// softLimitShare is the share from which on the garbage collector works harder: what clients take,
+	// without what waits in sockets.
+	softLimitShare = 0.5
 	// auxiliaryShare and unknownShare are the numbers of connections of the other listeners, as shares of
 	// that of the main one, and minConnections the least number for any of them.
 	auxiliaryShare = 1.0 / 16
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -38,6 +38,9 @@
 	// a stream and the headers of an answer fit into it. The lines between two chunks of a body,
 	// and its trailer, must.
 	bufferSize = 2048
+	// receiveBuffer is the size of a connection's receive buffer, in bytes, of which the kernel takes the
+	// double.
+	receiveBuffer = 8 << 10
 	// maxIdlePerServer bounds the idle connections to one backend server; a
 	// gateway rarely has more requests in flight to one.
 	maxIdlePerServer = 8
@@ -72,7 +75,12 @@
 // NewPool returns an empty pool for the backend server at the IP:port.
 func NewPool(address string, dialTimeout time.Duration) *Pool {
 	keepAlive := net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
-	return &Pool{address: address, dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}}
+	return &Pool{address: address, dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitBuffer}}
+}
+
+// limitBuffer bounds what waits to be read on a connection, as answers do whose callers read slowly.
+func limitBuffer(_, _ string, raw syscall.RawConn) error {
+	return socket.SetBuffers(raw, receiveBuffer, 0)
 }
 
 // take returns an idle connection that still looks usable, or nil.
