Keep the sum of all connections within the machine's descriptors

A gateway's listener for callers took half of the descriptors, but each of its requests can take another one to a backend server, and eight idle ones were kept to each server: with the defaults up to 2 x 1763 + 440 + 440 and 8 for each of 408 servers, of 4,100. Without descriptors, connections to backend servers, the store and peers fail.

Change: a third for callers, and a sixteenth for idle connections to all backend servers, shared among those that are listed (each keeps one at least).

TestDescriptorsSufficeForAllListeners: by its sum the code before needs 4,996 of 3,895 where memory does not bound connections.

--- a/core/inbound/settings.go
+++ b/core/inbound/settings.go
@@ -20,7 +20,7 @@
 	// their connections, in MB. From 1 to 1048576, default a quarter of the machine's memory without that
 	// of the process by itself, 24 MB.
 	MemoryMB int `yaml:"memory_mb"`
-	// Connections bounds the connections of the main listener. From 8 to 10000000, default half of the
+	// Connections bounds the connections of the main listener. From 8 to 10000000, default a third of the
 	// machine's descriptors, or fewer if their fixed cost would take over a quarter of its memory.
 	Connections int `yaml:"connections"`
 	// AuxiliaryConnections bounds the connections of each other listener for HTTP, such as that for
@@ -87,6 +87,10 @@
 	// softLimitShare is the share from which on the garbage collector works harder: what clients take,
 	// without what waits in sockets.
 	softLimitShare = 0.5
+	// descriptorShare is the part of the descriptors for connections of the main listener, each of whose
+	// requests can take another one to a backend server, and idleShare that for idle connections to those.
+	descriptorShare = 1.0 / 3
+	idleShare       = 1.0 / 16
 	// auxiliaryShare and unknownShare are the numbers of connections of the other listeners, as shares of
 	// that of the main one, and minConnections the least number for any of them.
 	auxiliaryShare = 1.0 / 16
@@ -114,6 +118,9 @@
 	return int64(processMemory + softLimitShare*m.available())
 }
 
+// MaxIdle returns how many idle connections to backend servers the machine has descriptors for.
+func (m *Machine) MaxIdle() int { return max(1, int(idleShare*float64(m.MaxFDs))) }
+
 // available returns the memory that is left for clients, in bytes.
 func (m *Machine) available() float64 { return float64(m.MemoryMB)*megabyte - processMemory }
 
@@ -121,7 +128,7 @@
 func (s *Settings) Provision(m Machine) {
 	s.MemoryMB = settings.Or(s.MemoryMB, max(1, int(clientShare*m.available()/megabyte)))
 	affordable := int(connectionShare * m.available() / connectionCost)
-	s.Connections = settings.Or(s.Connections, max(8, min(m.MaxFDs/2, affordable)))
+	s.Connections = settings.Or(s.Connections, max(8, min(int(descriptorShare*float64(m.MaxFDs)), affordable)))
 	s.AuxiliaryConnections = settings.Or(s.AuxiliaryConnections, share(s.Connections, auxiliaryShare))
 	s.UnknownPeers = settings.Or(s.UnknownPeers, share(s.Connections, unknownShare))
 	s.Backlog = settings.Or(s.Backlog, backlogOf(s.Connections))
--- a/core/inbound/settings_test.go
+++ b/core/inbound/settings_test.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -46,3 +47,20 @@
 		"clients.receive_buffer", "clients.send_buffer", "clients.room_wait", "clients.min_rate", "clients.header_bytes", "clients.header_timeout", "clients.idle_timeout", "clients.write_timeout",
 	})
 }
+
+// Connections of callers at their limit, each with one to a backend server, took more descriptors than
+// the machine has, together with those of the other listeners.
+func TestDescriptorsSufficeForAllListeners(t *testing.T) {
+	for _, fds := range []int{400, 2048, 4100, 100_000} {
+		t.Run(fmt.Sprint(fds), func(t *testing.T) {
+			m := Machine{MemoryMB: 1 << 20, MaxFDs: fds}
+			var s Settings
+			s.Provision(m)
+			const files, directory, auxiliaries = 1.0 / 20, 1.0 / 4, 2 // parts of descriptors and of connections; listeners
+			sum := 2*s.Connections + int(directory*float64(s.Connections)) + auxiliaries*s.AuxiliaryConnections + s.UnknownPeers + m.MaxIdle()
+			if most := int((1 - files) * float64(fds)); sum > most {
+				t.Errorf("%d connections, descriptors for %d", sum, most)
+			}
+		})
+	}
+}
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -23,6 +23,7 @@
 	// listed.
 	notices *notice.Table
 	zone    string // of this gateway
+	maxIdle int    // idle connections to all servers together, 0 = without a bound
 
 	mu        sync.RWMutex
 	shards    map[string]*shard
@@ -70,6 +71,25 @@
 	probationSince  time.Time // zero = not on probation
 }
 
+// BoundIdle bounds the idle connections to all servers together. It must be called before Update.
+func (r *Registry) BoundIdle(connections int) { r.maxIdle = connections }
+
+// shareIdle divides the idle connections among the listed servers: each may keep one at least.
+func (r *Registry) shareIdle(listed int) {
+	if r.maxIdle == 0 || listed == 0 {
+		return
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, s := range r.shards {
+		s.mu.Lock()
+		for _, server := range s.servers {
+			server.Pool.SetMaxIdle(max(1, r.maxIdle/listed))
+		}
+		s.mu.Unlock()
+	}
+}
+
 // NewRegistry returns the empty registry of a gateway in an availability zone.
 func NewRegistry(peers PeerLoad, zone string, log zerolog.Logger) *Registry {
 	return &Registry{log: log, peers: peers, zone: zone, notices: notice.NewTable(), shards: make(map[string]*shard)}
@@ -109,6 +129,7 @@
 		r.updateShard(r.shard(service), infos, at, gracePeriod, now)
 	}
 	r.replaceOlder(list)
+	r.shareIdle(len(list))
 }
 
 // replaceOlder takes servers out of use if a later one is listed at the same address: a
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -67,15 +67,16 @@
 	dialer   net.Dialer
 	liveness livenessChecks
 
-	mu     sync.Mutex
-	idle   []*conn // most recently used last
-	closed bool
+	mu      sync.Mutex
+	idle    []*conn // most recently used last
+	maxIdle int
+	closed  bool
 }
 
 // NewPool returns an empty pool for the backend server at the IP:port.
 func NewPool(address string, dialTimeout time.Duration) *Pool {
 	keepAlive := net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
-	return &Pool{address: address, dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitBuffer}}
+	return &Pool{address: address, maxIdle: maxIdlePerServer, dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitBuffer}}
 }
 
 // limitBuffer bounds what waits to be read on a connection, as answers do whose callers read slowly.
@@ -112,13 +113,25 @@
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= maxIdlePerServer {
+	if p.closed || len(p.idle) >= p.maxIdle {
 		_ = c.Close() // nothing is in flight on it
 		return
 	}
 	p.idle = append(p.idle, c)
 }
 
+// SetMaxIdle bounds the number of idle connections, and closes the least recently used ones beyond that.
+// maxIdlePerServer stays the largest number.
+func (p *Pool) SetMaxIdle(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle = min(n, maxIdlePerServer)
+	for len(p.idle) > p.maxIdle {
+		_ = p.idle[0].Close() // nothing is in flight on it
+		p.idle = p.idle[1:]
+	}
+}
+
 // Close closes the idle connections; those in use are closed when they are put back.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -319,3 +319,25 @@
 	answer.Close()
 	is.Equal(s.count.Load(), int32(1))
 }
+
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	p := newServer(t, hello).pool()
+	defer p.Close()
+	var conns []*conn
+	for range 3 {
+		c, err := p.dial(t.Context())
+		is.NoErr(err)
+		conns = append(conns, c)
+	}
+	p.put(conns[0])
+	p.put(conns[1])
+	is.Equal(len(p.idle), 2)
+	p.SetMaxIdle(1)
+	is.Equal(len(p.idle), 1)
+	is.Equal(p.idle[0], conns[1])
+	p.put(conns[2])
+	is.Equal(len(p.idle), 1)
+	p.SetMaxIdle(2 * maxIdlePerServer)
+	is.Equal(p.maxIdle, maxIdlePerServer)
+}
