--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -8,12 +8,10 @@
 	"github.com/rotisserie/eris"
 
 	"baywall.example/core/clock"
-	"baywall.example/core/configuration"
 	"baywall.example/core/contract"
 	"baywall.example/core/link"
 	"baywall.example/core/resource"
 	"baywall.example/core/timeline"
-	"baywall.example/core/wait"
 	"baywall.example/core/wire"
 	"baywall.example/entry/backend"
 	"baywall.example/entry/quarantine"
@@ -31,9 +29,6 @@
 	overloadRetryAfter = time.Second
 )
 
-// AnswerWindow is how many bytes of an answer an agent may send before its caller has read them.
-const AnswerWindow = 64 << 10
-
 // exchange is one request while it is being served.
 type exchange struct {
 	d        *Dispatcher
@@ -142,30 +137,6 @@
 	return x.resolve(ctx, result{event: retry.EventRefused, refusal: contract.Refusal{Outcome: contract.NotRun, Reason: reason, RetryAfter: after}})
 }
 
-const (
-	// freeingTimeout bounds the time for which a request waits until slow readers that were ended have
-	// freed a backend server, and freeingInterval is the time between two attempts to choose one.
-	freeingTimeout  = 500 * time.Millisecond
-	freeingInterval = 20 * time.Millisecond
-)
-
-// chooseFreed ends slow readers until it can choose a backend server that they have freed. It reports
-// false if there is none, at once if no reader is slow.
-func (x *exchange) chooseFreed(ctx context.Context) bool {
-	if x.d.readers == nil || x.contract.Ticket != nil || x.backoff.Reason != "" {
-		return false
-	}
-	for ends := time.Now().Add(freeingTimeout); time.Now().Before(ends); {
-		if !x.d.readers.EndSlowestReader() || !wait.Sleep(ctx, freeingInterval) {
-			return false
-		}
-		if x.choose() {
-			return true
-		}
-	}
-	return false
-}
-
 func (x *exchange) record(kind timeline.Kind, reason string) {
 	subject := ""
 	if x.backend != nil {
@@ -174,83 +145,6 @@
 	x.d.recorder.Record(timeline.Event{Kind: kind, Request: string(x.contract.Request), Subject: subject, Reason: reason})
 }
 
-// choose picks the backend server for the next attempt. It reports false if there is none.
-func (x *exchange) choose() bool {
-	if t := x.contract.Ticket; t != nil {
-		b, ok := x.d.directory.Find(t.VM)
-		x.backend = b
-		return ok
-	}
-	view := x.d.config.View()
-	choice := x.d.directory.Usable(x.contract.Service)
-	open, next := choice.Available(clock.Now())
-	if next.Reason != "" {
-		x.backoff = next
-		return false
-	}
-	if choice = open; len(x.tried) > 0 {
-		choice = x.untried(choice)
-	}
-	i := x.d.policy(view, x.contract.Service).Pick(choice.Runners, x.request.Key)
-	if i < 0 {
-		return false
-	}
-	limit := int64(1 << 30)
-	if svc := view.Services[x.contract.Service]; svc != nil {
-		limit = int64(svc.RunnerConcurrency)
-	}
-	if choice.Runners[i].Load() >= limit {
-		i = leastLoaded(choice)
-		if choice.Runners[i].Load() >= limit {
-			return false
-		}
-	}
-	x.backend = choice.Backends[i]
-	x.tried = append(x.tried, x.backend)
-	return true
-}
-
-func leastLoaded(c backend.Choice) int {
-	best := 0
-	for i := range c.Runners {
-		if c.Runners[i].Load() < c.Runners[best].Load() {
-			best = i
-		}
-	}
-	return best
-}
-
-// untried returns the choice without the backend servers tried before and, if others remain,
-// without those in the availability zone of the last one.
-func (x *exchange) untried(c backend.Choice) backend.Choice {
-	last := x.tried[len(x.tried)-1].VM().Zone
-	var all, other backend.Choice
-	for i, b := range c.Backends {
-		if x.wasTried(b) {
-			continue
-		}
-		all.Backends = append(all.Backends, b)
-		all.Runners = append(all.Runners, c.Runners[i])
-		if b.VM().Zone != last {
-			other.Backends = append(other.Backends, b)
-			other.Runners = append(other.Runners, c.Runners[i])
-		}
-	}
-	if len(other.Backends) > 0 {
-		return other
-	}
-	return all
-}
-
-func (x *exchange) wasTried(b *backend.Backend) bool {
-	for _, t := range x.tried {
-		if t == b {
-			return true
-		}
-	}
-	return false
-}
-
 // attempt sends the request to the chosen backend server's agent and forwards the answer.
 func (x *exchange) attempt(ctx context.Context) result {
 	number := x.sequence.Begin()
@@ -320,143 +214,6 @@
 	return w
 }
 
-// receive forwards an answer until it ends. Before the head has arrived, an agent that stops
-// responding counts as a lost link.
-func (x *exchange) receive(ctx context.Context, s *link.Stream) result {
-	wake := func() { s.SetReadDeadline(time.Unix(1, 0)) }
-	stopCaller := context.AfterFunc(ctx, wake)
-	defer stopCaller()
-	stopAlive := context.AfterFunc(x.backend.Alive(), wake)
-	defer stopAlive()
-	for {
-		reply, err := s.RecvReply()
-		if err != nil {
-			return x.interrupted(ctx, s)
-		}
-		if x.headSent {
-			stopAlive()
-		}
-		switch body := reply.GetBody().(type) {
-		case *wire.Reply_Head:
-			if err := x.head(ctx, s, body.Head, stopAlive); err != nil {
-				return result{err: err}
-			}
-		case *wire.Reply_Chunk:
-			if err := x.chunk(s, body.Chunk); err != nil {
-				return result{err: err}
-			}
-		case *wire.Reply_End:
-			if !x.isCurrent(body.End.GetRequestId(), body.End.GetNumber()) || body.End.GetSize() != x.offset {
-				return x.interrupted(ctx, s)
-			}
-			return result{done: true}
-		case *wire.Reply_Refusal:
-			return x.refused(body.Refusal)
-		default:
-			return x.interrupted(ctx, s)
-		}
-	}
-}
-
-// isCurrent reports whether a message belongs to the current attempt.
-func (x *exchange) isCurrent(request string, number uint32) bool {
-	return request == string(x.location.Attempt.Request) && number == x.location.Attempt.Number
-}
-
-func (x *exchange) head(ctx context.Context, s *link.Stream, h *wire.AnswerHead, stopAlive func() bool) error {
-	if !x.isCurrent(h.GetRequestId(), h.GetNumber()) {
-		return ErrAborted
-	}
-	if !stopAlive() && ctx.Err() == nil {
-		s.SetReadDeadline(time.Time{}) // the agent was unresponsive, but it answers now
-		context.AfterFunc(ctx, func() { s.SetReadDeadline(time.Unix(1, 0)) })
-	}
-	x.windowed, x.acknowledged = h.GetWindowed(), x.offset
-	if x.headSent {
-		return nil // resumed
-	}
-	x.headSent, x.status = true, int(h.GetStatus())
-	if err := x.sink.Head(int(h.GetStatus()), h.GetHeaders(), x.location); err != nil {
-		return x.cancelForCaller(s, err)
-	}
-	return nil
-}
-
-func (x *exchange) chunk(s *link.Stream, c *wire.AnswerChunk) error {
-	if !x.isCurrent(c.GetRequestId(), c.GetNumber()) || c.GetOffset() != x.offset {
-		return ErrAborted
-	}
-	x.offset += int64(len(c.GetData()))
-	if err := x.sink.Data(c.GetData()); err != nil {
-		return x.cancelForCaller(s, err)
-	}
-	x.acknowledge(s)
-	return nil
-}
-
-// acknowledge tells the agent how much of a windowed answer was passed on, each time that it is half of
-// the window.
-func (x *exchange) acknowledge(s *link.Stream) {
-	if !x.windowed || x.offset-x.acknowledged < AnswerWindow/2 {
-		return
-	}
-	x.acknowledged = x.offset
-	// If it fails, the next message does, too.
-	_ = s.SendCall(&wire.Call{Body: &wire.Call_Acknowledge{Acknowledge: &wire.Acknowledge{Offset: x.offset}}})
-}
-
-func (x *exchange) cancelForCaller(s *link.Stream, err error) error {
-	cancelAttempt(s)
-	return eris.Wrapf(ErrCallerGone, "%v", err)
-}
-
-// cancelAttempt tells the agent that nobody needs the answer.
-func cancelAttempt(s *link.Stream) {
-	_ = s.SendCall(&wire.Call{Body: &wire.Call_Cancel{Cancel: &wire.Cancel{}}})
-	s.Abandon()
-}
-
-// interrupted returns the result of an answer that ended early: the caller disconnected, its
-// deadline passed, or the link or the agent failed.
-func (x *exchange) interrupted(ctx context.Context, s *link.Stream) result {
-	if eris.Is(ctx.Err(), context.DeadlineExceeded) {
-		cancelAttempt(s)
-		return result{event: retry.EventOutcomeUnknown, refusal: contract.Refusal{Reason: contract.ReasonDeadline}}
-	}
-	if ctx.Err() != nil {
-		return result{err: x.cancelForCaller(s, ctx.Err())}
-	}
-	if x.headSent {
-		return result{event: retry.EventCut}
-	}
-	return result{event: retry.EventLost, refusal: contract.Refusal{Reason: contract.ReasonLinkLost}}
-}
-
-func (x *exchange) refused(w *wire.Refusal) result {
-	if !x.isCurrent(w.GetRequestId(), w.GetNumber()) {
-		return result{err: ErrAborted}
-	}
-	if len(w.GetNewer()) > 0 {
-		b := configuration.Batch{Revision: x.d.config.Revision()}
-		for _, rec := range w.GetNewer() {
-			b.Records = append(b.Records, configuration.RecordFromWire(rec))
-		}
-		configuration.RecordChanges(x.d.recorder, x.d.config.Apply(b))
-	}
-	after := time.Duration(w.GetRetryAfterMs()) * time.Millisecond
-	if reason := contract.Reason(w.GetReason()); reason == contract.ReasonRateLimit || reason == contract.ReasonBackoff {
-		x.backoff = x.backend.SetBackoff(reason, after, clock.Now())
-	}
-	if end := w.GetEngineEnd(); end > 0 {
-		x.recordEnd(end)
-	}
-	return result{event: retry.EventRefused, refusal: contract.Refusal{
-		Outcome:    contract.OutcomeFromWire(w.GetOutcome()),
-		Reason:     contract.Reason(w.GetReason()),
-		RetryAfter: after,
-	}}
-}
-
 // queryOutcome queries the agent for the outcome of the attempt. The agent creates a
 // tombstone for an attempt that was not handed over to the backend server.
 func (x *exchange) queryOutcome(ctx context.Context) result {
