--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -20,6 +20,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -88,20 +89,22 @@
 	singleUse  *http.Transport
 	monitor    *http.Transport // has one connection, which is kept open
 	endCounter endCounter
+	// receiveBuffer is the size of the receive buffer of new connections, in bytes.
+	receiveBuffer atomic.Int64
 }
 
-// receiveBuffer is the size of a connection's receive buffer, in bytes, of which the kernel takes the
-// double. Answers whose readers are slow wait there.
-const receiveBuffer = 16 << 10
+// SetReceiveBuffer sets the size of the receive buffer of new connections, in bytes, of which the kernel
+// takes the double. 0 leaves it as it is. Answers whose readers are slow wait there.
+func (c *Client) SetReceiveBuffer(size int) { c.receiveBuffer.Store(int64(size)) }
 
-func limitBuffer(_, _ string, raw syscall.RawConn) error {
-	return socket.SetBuffers(raw, receiveBuffer, 0)
+func (c *Client) limitBuffer(_, _ string, raw syscall.RawConn) error {
+	return socket.SetBuffers(raw, int(c.receiveBuffer.Load()), 0)
 }
 
 // New returns a client of the backend server at the address.
 func New(address string) *Client {
 	c := &Client{base: "http://" + address, address: address}
-	dialer := &net.Dialer{Timeout: dialTimeout, Control: limitBuffer}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: c.limitBuffer}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		ended := c.endCounter.isDown()
 		conn, err := dialer.DialContext(ctx, network, addr)
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -123,6 +123,7 @@
 		limit:       ratelimit.NewSingle(s.VM, log),
 		listeners:   inbound.NewSet(s.Clients, log),
 	}
+	a.engine.SetReceiveBuffer(s.Clients.BackendReceiveBuffer)
 	a.table = record.NewTable(id, a.incarnation, record.Limits{
 		Retention:   s.Record.Retention,
 		TicketGrace: s.Record.TicketGrace,
--- a/core/inbound/settings.go
+++ b/core/inbound/settings.go
@@ -40,6 +40,13 @@
 	// What a client does not read waits there and takes memory of the machine. It does not apply to links.
 	// From 4096 to 16777216, default 16384.
 	SendBuffer int `yaml:"send_buffer"`
+	// BackendReceiveBuffer is the size of the receive buffer of a connection to a backend server, in bytes,
+	// of which the kernel takes the double: answers whose clients read slowly wait there. From 4096 to
+	// 16777216, default 8192.
+	BackendReceiveBuffer int `yaml:"backend_receive_buffer"`
+	// IdleBackendConnections bounds the idle connections to all backend servers together; one to each is
+	// always kept. From 1 to 10000000, default a sixteenth of the machine's descriptors.
+	IdleBackendConnections int `yaml:"idle_backend_connections"`
 	// RoomWait is how long a request waits for room in the memory for requests before it is refused.
 	// From 10ms to 1m, default 500ms.
 	RoomWait time.Duration `yaml:"room_wait"`
@@ -69,6 +76,7 @@
 	defaultWriteTimeout  = 10 * time.Second
 	defaultReceiveBuffer = 16 << 10
 	defaultSendBuffer    = 16 << 10
+	defaultBackendBuffer = 8 << 10
 	defaultRoomWait      = 500 * time.Millisecond
 	defaultMinRate       = 256 << 10
 	maxHeaderBytes       = 1 << 20
@@ -118,9 +126,6 @@
 	return int64(processMemory + softLimitShare*m.available())
 }
 
-// MaxIdle returns how many idle connections to backend servers the machine has descriptors for.
-func (m *Machine) MaxIdle() int { return max(1, int(idleShare*float64(m.MaxFDs))) }
-
 // available returns the memory that is left for clients, in bytes.
 func (m *Machine) available() float64 { return float64(m.MemoryMB)*megabyte - processMemory }
 
@@ -134,6 +139,8 @@
 	s.Backlog = settings.Or(s.Backlog, backlogOf(s.Connections))
 	s.ReceiveBuffer = settings.Or(s.ReceiveBuffer, defaultReceiveBuffer)
 	s.SendBuffer = settings.Or(s.SendBuffer, defaultSendBuffer)
+	s.BackendReceiveBuffer = settings.Or(s.BackendReceiveBuffer, defaultBackendBuffer)
+	s.IdleBackendConnections = settings.Or(s.IdleBackendConnections, max(1, int(idleShare*float64(m.MaxFDs))))
 	s.RoomWait = settings.Or(s.RoomWait, defaultRoomWait)
 	s.MinRate = settings.Or(s.MinRate, defaultMinRate)
 	s.HeaderBytes = settings.Or(s.HeaderBytes, defaultHeaderBytes)
@@ -160,6 +167,8 @@
 	c.Int(prefix+"backlog", s.Backlog, minBacklog, maxBacklog)
 	c.Int(prefix+"receive_buffer", s.ReceiveBuffer, 4<<10, 16<<20)
 	c.Int(prefix+"send_buffer", s.SendBuffer, 4<<10, 16<<20)
+	c.Int(prefix+"backend_receive_buffer", s.BackendReceiveBuffer, 4<<10, 16<<20)
+	c.Int(prefix+"idle_backend_connections", s.IdleBackendConnections, 1, 10_000_000)
 	c.Duration(prefix+"room_wait", s.RoomWait, 10*time.Millisecond, time.Minute)
 	c.Int(prefix+"min_rate", s.MinRate, 1, 1_000_000_000)
 	c.Int(prefix+"header_bytes", s.HeaderBytes, 1024, maxHeaderBytes)
--- a/core/inbound/settings_test.go
+++ b/core/inbound/settings_test.go
@@ -44,7 +44,7 @@
 	}
 	is.Equal(fields, []string{
 		"machine.memory_mb", "machine.max_fds", "clients.memory_mb", "clients.connections", "clients.auxiliary_connections", "clients.unknown_peers", "clients.backlog",
-		"clients.receive_buffer", "clients.send_buffer", "clients.room_wait", "clients.min_rate", "clients.header_bytes", "clients.header_timeout", "clients.idle_timeout", "clients.write_timeout",
+		"clients.receive_buffer", "clients.send_buffer", "clients.backend_receive_buffer", "clients.idle_backend_connections", "clients.room_wait", "clients.min_rate", "clients.header_bytes", "clients.header_timeout", "clients.idle_timeout", "clients.write_timeout",
 	})
 }
 
@@ -57,7 +57,7 @@
 			var s Settings
 			s.Provision(m)
 			const files, directory, auxiliaries = 1.0 / 20, 1.0 / 4, 2 // parts of descriptors and of connections; listeners
-			sum := 2*s.Connections + int(directory*float64(s.Connections)) + auxiliaries*s.AuxiliaryConnections + s.UnknownPeers + m.MaxIdle()
+			sum := 2*s.Connections + int(directory*float64(s.Connections)) + auxiliaries*s.AuxiliaryConnections + s.UnknownPeers + s.IdleBackendConnections
 			if most := int((1 - files) * float64(fds)); sum > most {
 				t.Errorf("%d connections, descriptors for %d", sum, most)
 			}
--- a/entry/api/api.go
+++ b/entry/api/api.go
@@ -48,7 +48,11 @@
 	TicketTTL  time.Duration
 	MaxBody    int64
 	MaxWatches int // open at a time; each takes memory for every resource that it has sent
-	Listeners  *inbound.Set
+	// MaxEvents bounds the events of one answer of the timeline.
+	MaxEvents int
+	// AnswerWindow is how many bytes of an answer an agent may send before its caller has read them.
+	AnswerWindow int
+	Listeners    *inbound.Set
 }
 
 // API serves HTTP. It is safe for concurrent use.
--- a/entry/api/requests.go
+++ b/entry/api/requests.go
@@ -68,7 +68,7 @@
 		Method: r.Method, Path: backendPath(r, p.ByName("path")), Headers: forwardedHeaders(r.Header),
 		Body: body, Key: rendezvous.Hash(string(body[:min(prefixLength, len(body))])),
 	}
-	sink := &responseSink{ctx: r.Context(), w: w}
+	sink := &responseSink{ctx: r.Context(), w: w, window: int64(a.AnswerWindow)}
 	a.finish(r.Context(), w, c, a.Dispatcher.Serve(r.Context(), c, request, sink))
 }
 
--- a/entry/api/resume.go
+++ b/entry/api/resume.go
@@ -32,7 +32,7 @@
 		a.refuse(r.Context(), w, c, &contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonBadRequest}, err.Error())
 		return
 	}
-	sink := &responseSink{ctx: r.Context(), w: w, partial: true}
+	sink := &responseSink{ctx: r.Context(), w: w, partial: true, window: int64(a.AnswerWindow)}
 	if last := r.Header.Get("Last-Event-ID"); last != "" {
 		sink.skip = &eventSkipper{last: last}
 	}
--- a/entry/api/sink.go
+++ b/entry/api/sink.go
@@ -21,6 +21,7 @@
 	skip    *eventSkipper // set when resuming after an event id
 	// reserved says that there is memory for what comes on the link while the caller reads.
 	reserved bool
+	window   int64 // what an agent can send while the caller reads slowly, in bytes
 }
 
 // largePart is the size, in bytes, from which on a part of an answer says that the agent has more to
@@ -80,7 +81,7 @@
 		return nil
 	}
 	s.reserved = true
-	if err := inbound.Reserve(s.ctx, dispatch.AnswerWindow); err != nil {
+	if err := inbound.Reserve(s.ctx, s.window); err != nil {
 		return eris.Wrap(err, "api: buffer answer")
 	}
 	return nil
--- a/entry/api/timeline.go
+++ b/entry/api/timeline.go
@@ -26,8 +26,6 @@
 	timelineTimeout = time.Second
 	// timelineLimit is the default number of events.
 	timelineLimit = 500
-	// maxTimelineLimit is the largest number of events.
-	maxTimelineLimit = 10_000
 	// timelineFanout is how many VMs are queried at a time.
 	timelineFanout = 16
 	// timelineWait is how long a request waits while the events for another one are collected.
@@ -45,7 +43,7 @@
 // serveTimeline answers with the merged events of all VMs.
 func (a *API) serveTimeline(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	q := r.URL.Query()
-	f := timeline.Filter{VM: vm.ID(q.Get("vm")), Request: q.Get("request"), Group: q.Get("group"), Limit: timelineLimit}
+	f := timeline.Filter{VM: vm.ID(q.Get("vm")), Request: q.Get("request"), Group: q.Get("group"), Limit: min(timelineLimit, a.MaxEvents)}
 	if raw := q.Get("since"); raw != "" {
 		since, err := strconv.ParseUint(raw, 10, 64)
 		if err != nil {
@@ -56,8 +54,8 @@
 	}
 	if raw := q.Get("limit"); raw != "" {
 		n, err := strconv.Atoi(raw)
-		if err != nil || n < 1 || n > maxTimelineLimit {
-			a.problem(w, http.StatusBadRequest, "", notRun(contract.ReasonBadRequest), fmt.Sprintf("limit: value %q, allowed: from 1 to %d", raw, maxTimelineLimit))
+		if err != nil || n < 1 || n > a.MaxEvents {
+			a.problem(w, http.StatusBadRequest, "", notRun(contract.ReasonBadRequest), fmt.Sprintf("limit: value %q, allowed: from 1 to %d", raw, a.MaxEvents))
 			return
 		}
 		f.Limit = n
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -24,6 +24,8 @@
 	notices *notice.Table
 	zone    string // of this gateway
 	maxIdle int    // idle connections to all servers together, 0 = without a bound
+	// receiveBuffer is the size of a connection's receive buffer, in bytes, 0 = the system's.
+	receiveBuffer int
 
 	mu        sync.RWMutex
 	shards    map[string]*shard
@@ -71,8 +73,11 @@
 	probationSince  time.Time // zero = not on probation
 }
 
-// BoundIdle bounds the idle connections to all servers together. It must be called before Update.
-func (r *Registry) BoundIdle(connections int) { r.maxIdle = connections }
+// BoundConnections bounds the idle connections to all servers together, and the receive buffer of each
+// connection, in bytes. It must be called before Update.
+func (r *Registry) BoundConnections(idle, receiveBuffer int) {
+	r.maxIdle, r.receiveBuffer = idle, receiveBuffer
+}
 
 // shareIdle divides the idle connections among the listed servers: each may keep one at least.
 func (r *Registry) shareIdle(listed int) {
@@ -167,6 +172,7 @@
 				r.remove(old, now)
 			}
 			server := newServer(info, r.notices.Of(info.noticeKey()))
+			server.Pool.SetReceiveBuffer(r.receiveBuffer)
 			server.evacuated = r.isEvacuated(info.Zone)
 			s.servers[info.ID] = server
 			r.log.Info().Str("server", info.ID).Str("service", info.Service).Str("address", info.Address).
--- a/entry/dispatch/answer.go
+++ b/entry/dispatch/answer.go
@@ -14,9 +14,6 @@
 	"baywall.example/entry/retry"
 )
 
-// AnswerWindow is how many bytes of an answer an agent may send before its caller has read them.
-const AnswerWindow = 64 << 10
-
 // receive forwards an answer until it ends. Before the head has arrived, an agent that stops
 // responding counts as a lost link.
 func (x *exchange) receive(ctx context.Context, s *link.Stream) result {
@@ -94,7 +91,7 @@
 // acknowledge tells the agent how much of a windowed answer was passed on, each time that it is half of
 // the window.
 func (x *exchange) acknowledge(s *link.Stream) {
-	if !x.windowed || x.offset-x.acknowledged < AnswerWindow/2 {
+	if !x.windowed || x.offset-x.acknowledged < x.d.window/2 {
 		return
 	}
 	x.acknowledged = x.offset
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -69,6 +69,7 @@
 	suspects  *quarantine.Table
 	retries   *retry.Budgets
 	readers   SlowReaders
+	window    int64 // bytes of an answer that an agent may send before its caller has read them
 
 	mu       sync.Mutex
 	policies map[string]servicePolicy
@@ -88,10 +89,11 @@
 
 // New returns a dispatcher. It records in the suspects table which requests bring down backend
 // servers; the table reports them to other entry VMs. The budgets bound the retries. Slow readers are
-// ended while a request finds no backend server that is free.
-func New(directory *backend.Directory, config *configuration.Store, recorder *timeline.Recorder, suspects *quarantine.Table, retries *retry.Budgets, readers SlowReaders) *Dispatcher {
+// ended while a request finds no backend server that is free. The window is how many bytes of an answer an
+// agent may send before its caller has read them.
+func New(directory *backend.Directory, config *configuration.Store, recorder *timeline.Recorder, suspects *quarantine.Table, retries *retry.Budgets, readers SlowReaders, window int) *Dispatcher {
 	return &Dispatcher{
-		directory: directory, config: config, recorder: recorder, suspects: suspects, retries: retries, readers: readers,
+		directory: directory, config: config, recorder: recorder, suspects: suspects, retries: retries, readers: readers, window: int64(window),
 		policies: make(map[string]servicePolicy),
 	}
 }
--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -51,7 +51,7 @@
 	headSent bool  // whether the head was forwarded
 	status   int   // of the answer
 	offset   int64 // of the next byte of the answer
-	windowed bool  // the agent keeps AnswerWindow on the current stream
+	windowed bool  // the agent keeps the window of answers on the current stream
 	// acknowledged is the offset of the latest acknowledgment to the agent.
 	acknowledged int64
 }
@@ -206,7 +206,7 @@
 		Idempotent: c.Idempotent, DeadlineUnixMs: clock.Wall(c.Deadline).UnixMilli(), Priority: int32(c.Priority),
 		ServiceRevision: x.d.serviceRevision(c.Service),
 		Method:          x.request.Method, Path: x.request.Path, Headers: x.request.Headers, Body: x.request.Body,
-		Window: AnswerWindow,
+		Window: x.d.window,
 	}
 	if c.Ticket != nil {
 		w.Ticket = c.Ticket.Wire()
@@ -255,7 +255,7 @@
 		call := &wire.Resume{
 			RequestId: string(x.location.Attempt.Request), Number: x.location.Attempt.Number,
 			Incarnation: uint64(x.location.Incarnation), Offset: x.offset,
-			Window: AnswerWindow,
+			Window: x.d.window,
 		}
 		if s.SendCall(&wire.Call{Body: &wire.Call_Resume{Resume: call}}) != nil {
 			return false
--- a/entry/dispatch/policy_test.go
+++ b/entry/dispatch/policy_test.go
@@ -36,7 +36,7 @@
 		record(t, resource.KindService, "chosen", resource.Service{}),
 		record(t, resource.KindIntent, "i", resource.Intent{Service: "chosen", Policy: resource.PolicyRoundRobin}),
 	}})
-	d := New(nil, store, timeline.NewRecorder("e", 1, zerolog.Nop()), quarantine.NewTable("e", nil, zerolog.Nop()), nil, nil)
+	d := New(nil, store, timeline.NewRecorder("e", 1, zerolog.Nop()), quarantine.NewTable("e", nil, zerolog.Nop()), nil, nil, 0)
 	_, ok := d.policy(store.View(), "engine").(affinity.Policy)
 	is.True(ok)
 	_, ok = d.policy(store.View(), "plain").(twochoices.Policy)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -89,7 +89,7 @@
 	node.OnHold(g.holdStep)
 	node.OnSuspects(func(from vm.ID, suspects []*wire.Suspect) { g.suspects.Receive(from, suspects, clock.Now()) })
 	g.registry = balance.NewRegistry(node, s.Zone, log)
-	g.registry.BoundIdle(s.Machine.MaxIdle())
+	g.registry.BoundConnections(s.Clients.IdleBackendConnections, s.Clients.BackendReceiveBuffer)
 	g.limits = newLimits(g)
 	g.registry.LimitBy(g.limits)
 	node.OnLimits(g.limits.receiveReports)
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -137,10 +137,11 @@
 	e.api = api.New(api.Environment{
 		Self: e.local.VM, Zone: e.local.Zone, Config: e.config, VMs: e.vms,
 		Directory: e.directory, Prober: e.prober, Fleet: e.fleet, Peers: e.peers, Recorder: e.recorder,
-		Dispatcher: dispatch.New(e.directory, e.config, e.recorder, e.suspects, e.retries, e.listeners), Limiter: e.limiter,
+		Dispatcher: dispatch.New(e.directory, e.config, e.recorder, e.suspects, e.retries, e.listeners, e.settings.Callers.AnswerWindow), Limiter: e.limiter,
 		Draining: e.draining.Load, LinkBytes: e.traffic.Load, Ready: e.ready, Log: e.log,
 		AddressTTL: e.settings.Callers.AddressTTL, TicketTTL: e.settings.Callers.TicketTTL,
 		MaxBody: int64(e.settings.Callers.MaxBody), MaxWatches: e.settings.Callers.MaxWatches, Listeners: e.listeners,
+		MaxEvents: e.settings.Callers.MaxEvents, AnswerWindow: e.settings.Callers.AnswerWindow,
 	})
 }
 
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -86,6 +86,11 @@
 	MaxBody int `yaml:"max_body"`
 	// MaxWatches bounds the watches of resources that are open at a time. From 1 to 10000, default 32.
 	MaxWatches int `yaml:"max_watches"`
+	// MaxEvents bounds the events in one answer of the timeline. From 1 to 1000000, default 10000.
+	MaxEvents int `yaml:"max_events"`
+	// AnswerWindow is how many bytes of an answer an agent may send before its caller has read them. From
+	// 32768 to 262144, default 65536.
+	AnswerWindow int `yaml:"answer_window"`
 }
 
 // DrainSettings are the settings for shutting a process down.
@@ -105,6 +110,8 @@
 	defaultTicketTTL    = 30 * time.Second
 	defaultMaxBody      = 4 << 20
 	defaultMaxWatches   = 32
+	defaultMaxEvents    = 10_000
+	defaultAnswerWindow = 64 << 10
 	defaultLinger       = 6 * time.Second
 	defaultMemoryTarget = 28
 	defaultDrainTimeout = 15 * time.Minute
@@ -117,6 +124,8 @@
 	s.Callers.TicketTTL = settings.Or(s.Callers.TicketTTL, defaultTicketTTL)
 	s.Callers.MaxBody = settings.Or(s.Callers.MaxBody, defaultMaxBody)
 	s.Callers.MaxWatches = settings.Or(s.Callers.MaxWatches, defaultMaxWatches)
+	s.Callers.MaxEvents = settings.Or(s.Callers.MaxEvents, defaultMaxEvents)
+	s.Callers.AnswerWindow = settings.Or(s.Callers.AnswerWindow, defaultAnswerWindow)
 	if s.Drain.Linger == nil {
 		linger := defaultLinger
 		s.Drain.Linger = &linger
@@ -145,6 +154,8 @@
 	c.Duration("callers.address_ttl", s.Callers.AddressTTL, 100*time.Millisecond, time.Hour)
 	c.Duration("callers.ticket_ttl", s.Callers.TicketTTL, time.Second, time.Hour)
 	c.Int("callers.max_watches", s.Callers.MaxWatches, 1, 10_000)
+	c.Int("callers.max_events", s.Callers.MaxEvents, 1, 1_000_000)
+	c.Int("callers.answer_window", s.Callers.AnswerWindow, 32<<10, 256<<10)
 	c.Int("callers.max_body", s.Callers.MaxBody, 1024, 4<<20)
 	s.Machine.Check(&c, "machine.")
 	s.Clients.Check(&c, "clients.")
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,9 +39,6 @@
 	// a stream and the headers of an answer fit into it. The lines between two chunks of a body,
 	// and its trailer, must.
 	bufferSize = 2048
-	// receiveBuffer is the size of a connection's receive buffer, in bytes, of which the kernel takes the
-	// double.
-	receiveBuffer = 8 << 10
 	// maxIdlePerServer bounds the idle connections to one backend server; a
 	// gateway rarely has more requests in flight to one.
 	maxIdlePerServer = 8
@@ -66,6 +64,8 @@
 	address  string
 	dialer   net.Dialer
 	liveness livenessChecks
+	// receiveBuffer is the size of the receive buffer of new connections, in bytes.
+	receiveBuffer atomic.Int64
 
 	mu      sync.Mutex
 	idle    []*conn // most recently used last
@@ -76,12 +76,17 @@
 // NewPool returns an empty pool for the backend server at the IP:port.
 func NewPool(address string, dialTimeout time.Duration) *Pool {
 	keepAlive := net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
-	return &Pool{address: address, maxIdle: maxIdlePerServer, dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitBuffer}}
+	p := &Pool{address: address, maxIdle: maxIdlePerServer}
+	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: p.limitBuffer}
+	return p
 }
 
-// limitBuffer bounds what waits to be read on a connection, as answers do whose callers read slowly.
-func limitBuffer(_, _ string, raw syscall.RawConn) error {
-	return socket.SetBuffers(raw, receiveBuffer, 0)
+// SetReceiveBuffer sets the size of the receive buffer of new connections, in bytes, of which the kernel
+// takes the double. 0 leaves it as it is. Answers whose callers read slowly wait there.
+func (p *Pool) SetReceiveBuffer(size int) { p.receiveBuffer.Store(int64(size)) }
+
+func (p *Pool) limitBuffer(_, _ string, raw syscall.RawConn) error {
+	return socket.SetBuffers(raw, int(p.receiveBuffer.Load()), 0)
 }
 
 // take returns an idle connection that still looks usable, or nil.
