Answers without a length: not whole before the request is written

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a whole answer. An order with a large map to a rank counted as carried out in the same way.

Cause: the kernel reports a reset once, to the side that asks first. If that is the writer of the upload, the reader sees an ordinary end, which ends an answer without a length; the server lives, so its liveness proves nothing. Gateways write long bodies in the background, and net/http's Transport does in agents and in the clients of ranks, store and platform; none asked for the result. Ruled out: uploads that fit into the connection (written at once, the reader gets the reset) and the order of both ends alone: with the reset certain at the reader, all cases failed as they should before, too.

Change: package core/answer. Its connection knows whether the request was written, and returns ErrCut in place of an end unless it was; it waits up to 1 s, as the writer may not have returned yet, or the server may read on after its answer. It is sufficient, as a reset that the reader does not see is the result of a write.

--- /dev/null
+++ b/agent/engine/broken_test.go
@@ -0,0 +1,123 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baywall.example/core/answer"
+	"baywall.example/standin/broken"
+)
+
+// serveEngine starts an engine that gives its load, on connections that stay open, and answers other
+// requests as the test says. The client has read the load.
+func serveEngine(t *testing.T, answer broken.Handler) *Client {
+	t.Helper()
+	c := New(broken.Serve(t, func(conn *net.TCPConn, r *http.Request) bool {
+		if r.URL.Path == loadPath {
+			return broken.AnswerEach(broken.Whole("", "{}"))(conn, r)
+		}
+		return answer(conn, r)
+	}))
+	_, err := c.Load(t.Context())
+	is.New(t).NoErr(err)
+	return c
+}
+
+// request sends a request with a body of the size and returns the whole answer.
+func request(t *testing.T, c *Client, idempotent bool, size int) (status int, body string, err error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	resp, err := c.Do(ctx, Request{ID: "r", Method: http.MethodPost, Path: "/", Body: make([]byte, size), Idempotent: idempotent})
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw), err
+}
+
+// resetToWriter is a connection on which the writer gets the error of a reset: the reader waits for
+// that before the first read that could get it.
+type resetToWriter struct {
+	net.Conn
+	received bool
+	reset    chan struct{} // closed when the writer has got it
+}
+
+// Read implements net.Conn.
+func (c *resetToWriter) Read(p []byte) (int, error) {
+	if c.received {
+		<-c.reset
+	}
+	c.received = true
+	return c.Conn.Read(p)
+}
+
+// Write implements net.Conn.
+func (c *resetToWriter) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		close(c.reset)
+		time.Sleep(20 * time.Millisecond) // the transport closes the connection afterwards
+	}
+	return n, err
+}
+
+// If the writer of a long upload got the error of a reset, the part of an answer without a length that
+// had come was passed on as a whole answer.
+func TestPartBeforeAResetIsNotPassedOn(t *testing.T) {
+	for _, part := range []string{"", "part", strings.Repeat("part", 2000)} {
+		for _, toWriter := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d bytes, reset reported to the writer=%t", len(part), toWriter), func(t *testing.T) {
+				is := is.New(t)
+				after := time.Duration(0)
+				if toWriter {
+					after = broken.StallTime
+				}
+				c := serveEngine(t, func(conn *net.TCPConn, _ *http.Request) bool {
+					broken.ResetUpload(conn, after, "HTTP/1.1 200 OK\r\n\r\n"+part)
+					return false
+				})
+				if toWriter {
+					c.singleUse = answer.NewTransport(&http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+						raw, err := new(net.Dialer).DialContext(ctx, network, address)
+						return track(&resetToWriter{Conn: raw, reset: make(chan struct{})}), err
+					}})
+				}
+				for range 20 { // unless the writer gets it, which side does is not certain
+					_, body, err := request(t, c, false, 8<<20)
+					is.True(err != nil)
+					is.True(!errors.Is(err, ErrDial))
+					is.True(len(body) <= len(part))
+				}
+			})
+		}
+	}
+}
+
+func TestUnusualAnswersArePassedOn(t *testing.T) {
+	for _, a := range append(broken.Sound("", "{}"), broken.Answer{Name: "no length", Bytes: "HTTP/1.1 200 OK\r\n\r\n{}"}) {
+		t.Run(a.Name, func(t *testing.T) {
+			is := is.New(t)
+			answer := broken.AnswerEach(a.Bytes) // an engine that closes unannounced may reset the next request
+			if a.Name == "no length" {
+				answer = broken.AnswerOnce(a.Bytes)
+			}
+			c := serveEngine(t, answer)
+			for _, size := range []int{4, 100 << 10, 3 << 20} {
+				_, body, err := request(t, c, size > 4, size)
+				is.NoErr(err)
+				is.Equal(body, "{}")
+			}
+		})
+	}
+}
--- a/agent/engine/conn.go
+++ b/agent/engine/conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"baywall.example/core/answer"
 	"baywall.example/core/clock"
 	"baywall.example/core/socket"
 )
@@ -80,7 +81,11 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if conn, ok := info.Conn.(*trackedConn); ok {
+		checked, ok := info.Conn.(*answer.Conn)
+		if !ok {
+			return
+		}
+		if conn, ok := checked.NetConn().(*trackedConn); ok {
 			e.conns = append(e.conns, conn)
 		}
 	}}
--- a/agent/engine/conn_test.go
+++ b/agent/engine/conn_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"baywall.example/core/answer"
 )
 
 // startEngine starts a server that waits before it reads a request, and closes each
@@ -44,7 +46,7 @@
 // pausedAfterDial makes the client pause between opening a connection and sending the
 // request, as if its process was paused.
 func (c *Client) pausedAfterDial(pause time.Duration) {
-	for _, transport := range []*http.Transport{c.singleUse, c.keepAlive} {
+	for _, transport := range []answer.Transport{c.singleUse, c.keepAlive} {
 		dial := transport.DialContext
 		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -26,6 +26,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"baywall.example/core/answer"
 	"baywall.example/core/bounded"
 	"baywall.example/core/clock"
 	"baywall.example/core/notice"
@@ -85,9 +86,9 @@
 type Client struct {
 	base       string
 	address    string
-	keepAlive  *http.Transport
-	singleUse  *http.Transport
-	monitor    *http.Transport // has one connection, which is kept open
+	keepAlive  answer.Transport
+	singleUse  answer.Transport
+	monitor    answer.Transport // has one connection, which is kept open
 	endCounter endCounter
 	// receiveBuffer is the size of the receive buffer of new connections, in bytes.
 	receiveBuffer atomic.Int64
@@ -116,8 +117,8 @@
 		}
 		return track(conn), nil
 	}
-	transport := func() *http.Transport {
-		return &http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: bounded.MaxHead}
+	transport := func() answer.Transport {
+		return answer.NewTransport(&http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: bounded.MaxHead})
 	}
 	c.keepAlive, c.singleUse, c.monitor = transport(), transport(), transport()
 	c.keepAlive.MaxIdleConnsPerHost = maxIdle
@@ -262,7 +263,7 @@
 	return s, c.exchange(ctx, c.keepAlive, http.MethodPost, "/baywall/experts", o, &s)
 }
 
-func (c *Client) exchange(ctx context.Context, transport *http.Transport, method, path string, in, out any) error {
+func (c *Client) exchange(ctx context.Context, transport answer.Transport, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var body []byte
--- /dev/null
+++ b/core/answer/transport.go
@@ -0,0 +1,55 @@
+package answer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// DialFunc opens a connection, see http.Transport.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Transport is an http.Transport that fails if an answer was cut.
+type Transport struct{ *http.Transport }
+
+// NewTransport returns a Transport that uses the given one. It replaces its DialContext by one whose
+// connections are of type *Conn.
+func NewTransport(base *http.Transport) Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = checkedDial(dial)
+	return Transport{base}
+}
+
+func checkedDial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(raw), nil
+	}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var used atomic.Pointer[Conn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*Conn); ok {
+				conn.BeginRequest()
+				used.Store(conn)
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if conn := used.Load(); conn != nil {
+				conn.EndRequest(info.Err)
+			}
+		},
+	}
+	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+}
--- a/core/platform/platform.go
+++ b/core/platform/platform.go
@@ -20,6 +20,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"baywall.example/core/answer"
 	"baywall.example/core/bounded"
 	"baywall.example/core/configuration"
 	"baywall.example/core/resource"
@@ -98,10 +99,11 @@
 // NewClient returns a client of the platform at the base URL. A long poll waits up to the
 // given time for a newer revision.
 func NewClient(base string, wait time.Duration) *Client {
+	transport := answer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: bounded.MaxHead})
 	return &Client{
 		base:   base,
 		wait:   wait,
-		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: bounded.MaxHead}},
+		http:   &http.Client{Transport: transport},
 		shards: make(map[string]shardState),
 	}
 }
--- /dev/null
+++ b/entry/upstream/broken_test.go
@@ -0,0 +1,171 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baywall.example/standin/broken"
+)
+
+// upload is a body that no connection takes if its server does not read it.
+var upload = make([]byte, 8<<20)
+
+// fields are those of an answer to request("1").
+const fields = idHeader + ": 1\r\n"
+
+// resetConn is a connection on which the chosen side, reader or writer, gets the error of a reset: the
+// other one waits for that.
+type resetConn struct {
+	net.Conn
+	toWriter bool
+	received atomic.Bool
+	reset    chan struct{} // closed by ended when that side has got it
+	ended    func()
+}
+
+func newResetConn(raw net.Conn, toWriter bool) *resetConn {
+	c := &resetConn{Conn: raw, toWriter: toWriter, reset: make(chan struct{})}
+	c.ended = sync.OnceFunc(func() { close(c.reset) })
+	return c
+}
+
+// Read implements net.Conn.
+func (c *resetConn) Read(p []byte) (int, error) {
+	if c.toWriter && c.received.Load() {
+		<-c.reset
+	}
+	n, err := c.Conn.Read(p)
+	c.received.Store(true)
+	if err != nil && !c.toWriter {
+		c.ended()
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *resetConn) Write(p []byte) (n int, err error) {
+	if len(p) > inlineBody && !c.toWriter {
+		n, _ = c.Conn.Write(p[:inlineBody])
+		p = p[n:]
+		<-c.reset
+	}
+	more, err := c.Conn.Write(p)
+	if err != nil && c.toWriter {
+		c.ended()
+	}
+	return n + more, err
+}
+
+// If the writer of a long upload got the error of a reset, the reader took the part of an answer without
+// a length that had come for the whole.
+func TestPartBeforeAResetUnderAnUploadIsNotWhole(t *testing.T) {
+	for name, part := range map[string]string{
+		"no length":        "HTTP/1.1 200 OK\r\n" + fields + "\r\npart",
+		"no length, empty": "HTTP/1.1 200 OK\r\n" + fields + "\r\n",
+		"no length, long":  "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + strings.Repeat("x", 9000),
+		"HTTP/1.0":         "HTTP/1.0 200 OK\r\n" + fields + "\r\npart",
+		"length":           "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 9\r\n\r\npart",
+		"chunks":           "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"head":             "HTTP/1.1 200 OK\r\n" + fields,
+	} {
+		for _, toWriter := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/reset reported to the writer=%t", name, toWriter), func(t *testing.T) {
+				is := is.New(t)
+				address := broken.Serve(t, func(conn *net.TCPConn, _ *http.Request) bool {
+					broken.ResetUpload(conn, broken.StallTime, part)
+					return false
+				})
+				raw, err := net.Dial("tcp4", address)
+				is.NoErr(err)
+				c := newConn(newResetConn(raw, toWriter))
+				c.expires = time.Now().Add(time.Minute)
+				p := NewPool(address, time.Second)
+				p.put(c)
+				r := request("1")
+				r.Body = upload
+				body, reused, err := do(p, r)
+				t.Logf("%d bytes, %v", len(body), err)
+				is.True(errors.Is(err, ErrLost))
+				is.True(err != nil && len(err.Error()) < 1000)
+				is.True(reused || body == "")
+			})
+		}
+	}
+}
+
+// Answers that come while the upload is still being written.
+func TestEarlyAnswers(t *testing.T) {
+	unframed := "HTTP/1.1 200 OK\r\n" + fields + "\r\nanswer"
+	cases := []struct {
+		name   string
+		answer broken.Handler
+		whole  bool
+	}{
+		{"length, nothing read", func(conn *net.TCPConn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, broken.Whole(fields, "answer"))
+			time.Sleep(time.Second)
+			return false
+		}, true},
+		{"chunks, nothing read", func(conn *net.TCPConn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, broken.Chunked(fields, "answer", ""))
+			time.Sleep(time.Second)
+			return false
+		}, true},
+		{"no length, all read", broken.AnswerOnce(unframed), true},
+		{"no length, all read after the end of the answer", func(conn *net.TCPConn, r *http.Request) bool {
+			_, _ = io.WriteString(conn, unframed)
+			_ = conn.CloseWrite()
+			_, _ = io.Copy(io.Discard, r.Body)
+			return false
+		}, true},
+		{"no length, nothing read after the end of the answer", func(conn *net.TCPConn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, unframed)
+			_ = conn.CloseWrite()
+			time.Sleep(2 * time.Second)
+			return false
+		}, false},
+	}
+	for _, c := range cases {
+		for _, size := range []int{4, inlineBody + 1, 100 << 10, len(upload)} {
+			if !c.whole && size < len(upload) {
+				continue // the connection takes the whole request
+			}
+			t.Run(fmt.Sprintf("%s/%d bytes", c.name, size), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				r := request("1")
+				r.Body = upload[:size]
+				body, _, err := do(NewPool(broken.Serve(t, c.answer), time.Second), r)
+				is.Equal(err == nil, c.whole)
+				is.True(err == nil || errors.Is(err, ErrLost))
+				is.Equal(body, "answer")
+			})
+		}
+	}
+}
+
+func TestUnusualAnswersAreAccepted(t *testing.T) {
+	for _, a := range broken.Sound(fields, "answer") {
+		t.Run(a.Name, func(t *testing.T) {
+			is := is.New(t)
+			p := NewPool(broken.Serve(t, broken.AnswerEach(a.Bytes)), time.Second)
+			defer p.Close()
+			for i := range 3 {
+				body, reused, err := do(p, request("1"))
+				is.NoErr(err)
+				is.Equal(body, "answer")
+				is.Equal(reused, i > 0)
+			}
+		})
+	}
+}
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"baywall.example/core/answer"
 	"baywall.example/core/clock"
 	"baywall.example/core/socket"
 )
@@ -51,7 +52,7 @@
 
 // conn is one connection to a backend server.
 type conn struct {
-	net.Conn
+	*answer.Conn
 	reader  *bufio.Reader // reads from the limiter
 	limiter *headLimiter
 	opened  time.Time
@@ -160,10 +161,11 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	limiter := &headLimiter{conn: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limiter, bufferSize), limiter: limiter, opened: clock.Now()}
+	checked := answer.NewConn(raw)
+	limiter := &headLimiter{conn: checked}
+	return &conn{Conn: checked, reader: bufio.NewReaderSize(limiter, bufferSize), limiter: limiter, opened: clock.Now()}
 }
 
 // usable reports whether an idle connection is open and has no unread bytes:
 // such bytes would not belong to any request of this gateway.
-func (c *conn) usable() bool { return c.reader.Buffered() == 0 && socket.Quiet(c.Conn) }
+func (c *conn) usable() bool { return c.reader.Buffered() == 0 && socket.Quiet(c.NetConn()) }
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -69,12 +68,11 @@
 	// Skipped is the number of answers that did not belong to the request and came before.
 	Skipped int
 
-	pool    *Pool
-	conn    *conn
-	resp    *http.Response
-	stop    func() bool
-	written atomic.Bool
-	ended   bool
+	pool  *Pool
+	conn  *conn
+	resp  *http.Response
+	stop  func() bool
+	ended bool
 }
 
 // Do sends the request and returns once the head of the answer has been read. The
@@ -177,10 +175,11 @@
 }
 
 func (a *Answer) send(r *Request) error {
+	a.conn.BeginRequest()
 	head := encodeHead(r)
 	if len(r.Body) <= inlineBody {
 		_, err := a.conn.Write(append(head, r.Body...))
-		a.written.Store(err == nil)
+		a.conn.EndRequest(err)
 		return err
 	}
 	if _, err := a.conn.Write(head); err != nil {
@@ -188,7 +187,7 @@
 	}
 	go func() {
 		_, err := a.conn.Write(r.Body)
-		a.written.Store(err == nil) // a failed write shows when the answer is read
+		a.conn.EndRequest(err) // a failed write shows when the answer is read
 	}()
 	return nil
 }
@@ -234,12 +233,13 @@
 	switch {
 	case err == io.EOF:
 		r.a.ended = true
+		return n, err
+	case err == nil:
+		return n, err
 	case errors.Is(err, bounded.ErrTooLarge):
-		return n, lost(errBodyTooLarge, "read from %s", r.a.pool.address)
-	case err != nil:
-		return n, lost(err, "read from %s", r.a.pool.address)
+		err = errBodyTooLarge
 	}
-	return n, err
+	return n, lost(err, "read from %s", r.a.pool.address)
 }
 
 // Close ends the exchange. The connection returns to the pool if the whole
@@ -263,7 +263,7 @@
 }
 
 func (a *Answer) reusable() bool {
-	if a.resp == nil || !a.ended || !a.written.Load() || a.resp.Close {
+	if a.resp == nil || !a.ended || !a.conn.Written() || a.resp.Close {
 		return false
 	}
 	return a.Framed() && a.conn.reader.Buffered() == 0
--- /dev/null
+++ b/standin/broken/answers.go
@@ -0,0 +1,44 @@
+package broken
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Answer is an answer of a server, byte for byte.
+type Answer struct {
+	Name  string
+	Bytes string
+}
+
+// Whole returns a whole answer with a length. The lines of its fields end with CRLF.
+func Whole(fields, body string) string { return WithStatus("200 OK", fields, body) }
+
+// WithStatus returns an answer with a length and the status line "HTTP/1.1 " + status.
+func WithStatus(status, fields, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, len(body), body)
+}
+
+// Chunked returns a whole answer in one chunk. The lines of its trailer end with CRLF.
+func Chunked(fields, body, trailer string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n", fields, len(body), body, trailer)
+}
+
+// Sound returns unusual answers that are well-formed and whole, with a success for their status.
+func Sound(fields, body string) []Answer {
+	return []Answer{
+		{"no reason phrase", WithStatus("200 ", fields, body)},
+		{"no blank after the status", WithStatus("200", fields, body)},
+		{"long reason phrase", WithStatus("200 "+strings.Repeat("long ", 100), fields, body)},
+		{"status 299", WithStatus("299 Unusual", fields, body)},
+		{"all characters of a token", Whole(fields+"!#$%&'*+-.^_`|~09azAZ: v\r\n", body)},
+		{"long name", Whole(fields+strings.Repeat("x", 1000)+": v\r\n", body)},
+		{"empty values", Whole(fields+"Empty:\r\nBlank: \t \r\n", body)},
+		{"colons and blanks in a value", Whole(fields+"Value: a b: c : d\r\n", body)},
+		{"bytes above 127 in a value", Whole(fields+"Value: \xc3\xa4\r\n", body)},
+		{"line feeds only", strings.ReplaceAll(Whole(fields, body), "\r\n", "\n")},
+		{"interim answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 199 Unusual\r\n\r\n" + Whole(fields, body)},
+		{"chunks", Chunked(fields, body, "")},
+		{"trailer", Chunked(fields+"Trailer: Sum\r\n", body, "Sum: 1\r\nOther: 2\r\n")},
+	}
+}
