Answers without a valid status: lost

What callers saw: a backend server in trouble sent status 000. If the body read as an answer, that was delivered as the answer; agents passed on status 0, and 600 and 999 were delivered everywhere.

Cause: gateways took all statuses under 200 for interim answers and went on reading, in the body, for the final one. The parser of net/http accepts any three characters that make a number from 0 on, signs included, and agents did not look at it.

Change: package core/answer reads heads as their bytes arrive, below the parser, and refuses a status that is not three digits from 100 to 599 (RFC 9110, 15), and 101, as nothing asks to switch protocols. The connection is given up, so that nothing else is read or written on it. The reader gets a byte before the error: an http.Transport repeats requests whose connection fails with none. A head that was received before its request was sent is refused, too: it was not read by the rule, and belongs to no request. All clients use it, as all use its connection.

--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -104,6 +104,32 @@
 	}
 }
 
+// Answers of an engine that are malformed or cut. They were passed on, with the line in question or
+// with another body.
+func TestBrokenAnswersAreNotPassedOn(t *testing.T) {
+	all := broken.Statuses("", "{}")
+	for _, a := range all {
+		t.Run(a.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := serveEngine(t, broken.AnswerOnce(a.Bytes))
+			for _, idempotent := range []bool{false, true} {
+				for _, size := range []int{4, 3 << 20} {
+					_, _, err := request(t, c, idempotent, size)
+					is.True(err != nil)
+					is.True(!errors.Is(err, ErrDial))
+				}
+			}
+			_, err := c.Order(t.Context(), Order{Kind: OrderHold})
+			is.True(errors.Is(err, ErrFailed)) // neither carried out nor refused
+			_, err = c.Experts(t.Context())
+			is.True(errors.Is(err, ErrFailed))
+			_, err = New(broken.Serve(t, broken.AnswerOnce(a.Bytes))).Load(t.Context())
+			is.True(errors.Is(err, ErrFailed))
+		})
+	}
+}
+
 func TestUnusualAnswersArePassedOn(t *testing.T) {
 	for _, a := range append(broken.Sound("", "{}"), broken.Answer{Name: "no length", Bytes: "HTTP/1.1 200 OK\r\n\r\n{}"}) {
 		t.Run(a.Name, func(t *testing.T) {
--- a/agent/server/broken_test.go
+++ b/agent/server/broken_test.go
@@ -68,6 +68,7 @@
 	}
 	cases := map[string]broken.Handler{
 		"reset under an upload": reset,
+		"status":                broken.AnswerOnce(broken.WithStatus("000 Status", "", "part")),
 	}
 	for name, answer := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/core/answer/answer_test.go
+++ b/core/answer/answer_test.go
@@ -1,14 +1,19 @@
 package answer
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"baywall.example/standin/broken"
 )
 
 // fakeConn is a connection whose reader and writer are set by a test.
@@ -27,6 +32,55 @@
 }
 func (c *fakeConn) Close() error { return nil }
 
+// read reads an answer that arrives as the reader gives it, and the interim answers before it.
+func read(in io.Reader) (body string, conn *Conn, err error) {
+	conn = NewConn(&fakeConn{in: in, write: func() error { return nil }})
+	conn.BeginRequest()
+	conn.EndRequest(nil)
+	reader := bufio.NewReader(conn)
+	for {
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return "", conn, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		raw, err := io.ReadAll(resp.Body)
+		return string(raw), conn, err
+	}
+}
+
+// arrivals are ways in which the bytes of an answer may arrive.
+var arrivals = map[string]func(io.Reader) io.Reader{
+	"at once": func(in io.Reader) io.Reader { return in }, "byte by byte": iotest.OneByteReader, "in halves": iotest.HalfReader,
+}
+
+func TestHeads(t *testing.T) {
+	for arrival, arrive := range arrivals {
+		for _, a := range broken.Statuses("", "answer") {
+			t.Run(a.Name+"/"+arrival, func(t *testing.T) {
+				is := is.New(t)
+				_, conn, err := read(arrive(strings.NewReader(a.Bytes)))
+				is.True(err != nil)
+				is.True(errors.Is(conn.Err(), ErrMalformed))
+				_, err = conn.Write([]byte("next"))
+				is.Equal(err, conn.Err()) // nothing more is sent on it
+			})
+		}
+		for _, a := range broken.Sound("", "answer") {
+			t.Run(a.Name+"/"+arrival, func(t *testing.T) {
+				is := is.New(t)
+				body, conn, err := read(arrive(strings.NewReader(a.Bytes)))
+				is.NoErr(err)
+				is.Equal(body, "answer")
+				is.NoErr(conn.Err())
+				is.True(conn.HeadRead())
+			})
+		}
+	}
+}
+
 // The end of a connection is judged once it is known whether the request was written.
 func TestEndOfAnswerWaitsForTheWriter(t *testing.T) {
 	for _, c := range []struct {
@@ -54,3 +108,19 @@
 		})
 	}
 }
+
+// Surplus bytes after an answer are not the answer to the next request.
+func TestAnswersBeforeTheirRequestsAreRefused(t *testing.T) {
+	is := is.New(t)
+	address := broken.Serve(t, broken.AnswerEach(broken.Whole("", "right")+broken.Whole("", "wrong")))
+	client := &http.Client{Transport: NewTransport(&http.Transport{})}
+	for range 200 {
+		resp, err := client.Get("http://" + address)
+		if err != nil {
+			continue
+		}
+		raw, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		is.True(err != nil || string(raw) == "right")
+	}
+}
--- a/core/answer/conn.go
+++ b/core/answer/conn.go
@@ -16,12 +16,14 @@
 // written. A server that has closed the connection accepts no more, which shows after a round trip.
 const writeTimeout = time.Second
 
-// Conn is a client's connection that fails if an answer was cut. At most one goroutine
+// Conn is a client's connection that fails if an answer is malformed or was cut. At most one goroutine
 // may read and one may write at a time.
 type Conn struct {
 	net.Conn
 
-	mu sync.Mutex
+	mu   sync.Mutex
+	head headScanner
+	err  error // why the connection was given up, nil if it was not
 	// requesting says that the request is not written yet, writing that a call of Write is in progress.
 	requesting, writing bool
 	writeErr            error         // of the request
@@ -29,7 +31,7 @@
 }
 
 // NewConn returns a connection on which no request has been sent.
-func NewConn(raw net.Conn) *Conn { return &Conn{Conn: raw} }
+func NewConn(raw net.Conn) *Conn { return &Conn{Conn: raw, head: headScanner{state: headComplete}} }
 
 // NetConn returns the underlying connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
@@ -38,6 +40,7 @@
 func (c *Conn) BeginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.head.reset()
 	c.requesting, c.writeErr = true, nil
 }
 
@@ -69,16 +72,75 @@
 	}
 }
 
-// Read implements io.Reader. In place of io.EOF it returns ErrCut unless the request was
+// ExpectHead begins another head of the same exchange. The buffered bytes are the first ones of that
+// head, and were read before. The error is ErrMalformed.
+func (c *Conn) ExpectHead(buffered []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.reset()
+	return c.scan(buffered)
+}
+
+// HeadRead reports whether the head of the answer was read to its end since the exchange began.
+func (c *Conn) HeadRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.state == headComplete
+}
+
+// Err returns why the connection was given up, nil if it was not.
+func (c *Conn) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// GiveUp closes the connection, and makes all that is done with it later fail with the error.
+func (c *Conn) GiveUp(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.giveUp(err)
+}
+
+func (c *Conn) giveUp(err error) {
+	if c.err == nil {
+		c.err = err
+		_ = c.Conn.Close() // the error says more
+	}
+}
+
+func (c *Conn) scan(p []byte) error {
+	if err := c.head.scan(p); err != nil {
+		c.giveUp(err)
+	}
+	return c.err
+}
+
+// Read implements io.Reader. In place of io.EOF after a head it returns ErrCut unless the request was
 // written.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.Err(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
-	if err == io.EOF {
+	if n > 0 && c.check(p[:n]) != nil {
+		// One byte never completes the head that it belongs to. With none, an http.Transport would
+		// take the connection for one that ended before it carried the request, and send the request
+		// again.
+		return 1, nil
+	}
+	if err == io.EOF && c.HeadRead() {
 		err = c.endOfAnswer()
 	}
 	return n, err
 }
 
+func (c *Conn) check(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scan(p)
+}
+
 // endOfAnswer returns io.EOF if the request was written, and ErrCut otherwise.
 func (c *Conn) endOfAnswer() error {
 	timeout := time.NewTimer(writeTimeout)
@@ -112,7 +174,9 @@
 
 // Write implements io.Writer.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.beginWrite()
+	if err := c.beginWrite(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,8 +185,11 @@
 	return n, err
 }
 
-func (c *Conn) beginWrite() {
+func (c *Conn) beginWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing = true
+	if c.err == nil {
+		c.writing = true
+	}
+	return c.err
 }
--- a/core/answer/transport.go
+++ b/core/answer/transport.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"github.com/rotisserie/eris"
 )
 
 // DialFunc opens a connection, see http.Transport.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Transport is an http.Transport that fails if an answer was cut.
+// Transport is an http.Transport that fails if an answer is malformed or was cut.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a Transport that uses the given one. It replaces its DialContext by one whose
@@ -35,6 +37,9 @@
 	}
 }
 
+// errEarly means that an answer had been received before its request was sent.
+var errEarly = eris.Wrap(ErrMalformed, "received before its request was sent")
+
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[Conn]
@@ -51,5 +56,17 @@
 			}
 		},
 	}
-	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	conn := used.Load()
+	if conn == nil {
+		return resp, err // no connection was opened
+	}
+	if err == nil && !conn.HeadRead() {
+		conn.GiveUp(errEarly)
+		_ = resp.Body.Close() // the error says more
+	}
+	if broken := conn.Err(); broken != nil {
+		return nil, broken
+	}
+	return resp, err
 }
--- a/entry/gateway/broken_test.go
+++ b/entry/gateway/broken_test.go
@@ -128,6 +128,13 @@
 	}
 }
 
+// The body of an answer whose status was 000 was delivered as the answer.
+func TestAnswersWithoutAValidStatusAreNotDelivered(t *testing.T) {
+	for _, a := range broken.Statuses(answerFields, "answer") {
+		t.Run(a.Name, func(t *testing.T) { startBroken(t, broken.AnswerEach(a.Bytes)).expectReplaced(t, nil) })
+	}
+}
+
 func TestUnusualAnswersAreDelivered(t *testing.T) {
 	all := broken.Sound(answerFields, "answer")
 	all = append(all, broken.Answer{Name: "no length", Bytes: "HTTP/1.1 200 OK\r\n" + answerFields + "\r\nanswer"})
--- a/entry/upstream/bounds.go
+++ b/entry/upstream/bounds.go
@@ -88,6 +88,10 @@
 // readHead waits for the head of an answer and reads it. The wait is bounded by the context of the
 // exchange, as a server may take long to answer.
 func (c *conn) readHead(method string) (*http.Response, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // cannot fail
+	if err := c.ExpectHead(buffered); err != nil {
+		return nil, err
+	}
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
@@ -95,6 +99,9 @@
 	c.limiter.reading, c.limiter.bytes, c.limiter.lines = true, 0, 0
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	c.limiter.reading = false
+	if malformed := c.Err(); malformed != nil {
+		return nil, malformed
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, errHeadTooLong
 	}
--- a/entry/upstream/broken_test.go
+++ b/entry/upstream/broken_test.go
@@ -154,6 +154,43 @@
 	}
 }
 
+// expectLost sends a request to a server that answers with the bytes, on a new connection and on one
+// that has carried a request.
+func expectLost(t *testing.T, bytes string) {
+	t.Helper()
+	for _, used := range []bool{false, true} {
+		is := is.New(t)
+		var conns, requests atomic.Int32
+		address := broken.Serve(t, func(conn *net.TCPConn, r *http.Request) bool {
+			if requests.Add(1); used && requests.Load() == 1 {
+				return broken.AnswerEach(broken.Whole(fields, "answer"))(conn, r)
+			}
+			conns.Add(1)
+			return broken.AnswerEach(bytes)(conn, r) // it is the gateway that gives the connection up
+		})
+		p := NewPool(address, time.Second)
+		defer p.Close()
+		if used {
+			_, _, err := do(p, request("1"))
+			is.NoErr(err)
+		}
+		began := time.Now()
+		_, reused, err := do(p, request("1"))
+		t.Logf("reused: %t, %v, %v", reused, time.Since(began), err)
+		is.True(errors.Is(err, ErrLost))
+		is.True(time.Since(began) < earlyAnswer)
+		is.True(err != nil && len(err.Error()) < 1000)
+		is.Equal(p.take(time.Now()), nil) // the connection is not used again
+	}
+}
+
+// An answer whose status was 000 was skipped as an interim one, and its body taken for the answer.
+func TestAnswersWithoutAValidStatusAreLost(t *testing.T) {
+	for _, a := range broken.Statuses(fields, "answer") {
+		t.Run(a.Name, func(t *testing.T) { expectLost(t, a.Bytes) })
+	}
+}
+
 func TestUnusualAnswersAreAccepted(t *testing.T) {
 	for _, a := range broken.Sound(fields, "answer") {
 		t.Run(a.Name, func(t *testing.T) {
@@ -169,3 +206,14 @@
 		})
 	}
 }
+
+// A malformed answer says nothing about which server gave it.
+func TestMalformedAnswersShowNoIdentity(t *testing.T) {
+	for _, a := range broken.Statuses("Server-Id: other\r\n", "answer") {
+		t.Run(a.Name, func(t *testing.T) {
+			p := NewPool(broken.Serve(t, broken.AnswerOnce(a.Bytes)), time.Second)
+			l := p.Liveness(t.Context(), IdentityQuery{Target: "/", ServerID: "own", ExpectHeader: "Expect-Server", IDHeader: "Server-Id"})
+			is.New(t).Equal(l.State, Unknown)
+		})
+	}
+}
--- a/standin/broken/answers.go
+++ b/standin/broken/answers.go
@@ -24,6 +24,16 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n", fields, len(body), body, trailer)
 }
 
+// Statuses returns answers whose status is none. After one of them, what looks like a sound answer
+// follows in its body.
+func Statuses(fields, body string) (all []Answer) {
+	for _, status := range []string{"000", "001", "099", "600", "999", "+20", "-00", "101", "20", "2000", "2x0", ""} {
+		all = append(all, Answer{"status " + status, WithStatus(status+" Status", fields, body)})
+	}
+	all = append(all, Answer{"status 000 around an answer", WithStatus("000 Status", fields, Whole(fields, body))})
+	return append(all, Answer{"status 000 without a length around an answer", "HTTP/1.1 000 Status\r\n" + fields + "\r\n" + Whole(fields, body)})
+}
+
 // Sound returns unusual answers that are well-formed and whole, with a success for their status.
 func Sound(fields, body string) []Answer {
 	return []Answer{
