Answers with a malformed name of a field: lost

What callers saw: a backend server in trouble sent a head in which the name of a field held a blank. It was delivered as a 200, agents passed the line on, and with "Content-Length : 2" or "Transfer-Encoding : chunked" the body was another than announced.

Cause: the parser of net/http accepts a blank within a name, in heads, interim answers and trailers, and keeps the line under the odd name, so that it decides nothing. A line that begins with a blank it joins to the value before, where it may hide a field as well.

Change: package core/answer refuses a name that is no token (RFC 9110, 5.1), an empty one, and a line of a head that begins with a blank, which RFC 9112, 5.2, lets a gateway refuse. The line can't be left out instead, as it may say where the answer ends. Trailers are checked at the end of the body, before that end is passed on.

Unusual names and values (all characters of a token, empty values) are still accepted.

--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -107,7 +107,7 @@
 // Answers of an engine that are malformed or cut. They were passed on, with the line in question or
 // with another body.
 func TestBrokenAnswersAreNotPassedOn(t *testing.T) {
-	all := broken.Statuses("", "{}")
+	all := append(broken.Statuses("", "{}"), broken.Names("", "{}")...)
 	for _, a := range all {
 		t.Run(a.Name, func(t *testing.T) {
 			t.Parallel()
--- a/agent/server/broken_test.go
+++ b/agent/server/broken_test.go
@@ -69,6 +69,8 @@
 	cases := map[string]broken.Handler{
 		"reset under an upload": reset,
 		"status":                broken.AnswerOnce(broken.WithStatus("000 Status", "", "part")),
+		"name":                  broken.AnswerOnce(broken.Whole("Bad Name: v\r\n", "part")),
+		"trailer":               broken.AnswerOnce(broken.Chunked("", "part", "Bad Name: v\r\n")),
 	}
 	for name, answer := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -1,11 +1,16 @@
 // Package answer decides which HTTP/1.1 answers are well-formed and whole. All clients of this
 // project apply it: to backend servers, ranks, the store and the platform.
 //
-// The parser of the standard library accepts heads that leave the meaning of an answer in doubt. By
-// the rule of this package an answer is malformed, and counts as lost, if
+// The parser of the standard library accepts heads that leave the meaning or the end of an answer in
+// doubt. By the rule of this package an answer is malformed, and counts as lost, if
 //
 //   - its status is not three digits from 100 to 599 (RFC 9110, 15), or is 101, as no request asks to
-//     switch protocols.
+//     switch protocols;
+//   - the name of a field is not a token (RFC 9110, 5.1), in the head, in an interim answer or in the
+//     trailer. A line that is left out or mended could have been the Content-Length or
+//     Transfer-Encoding, and so decide where the answer ends;
+//   - a line of a head begins with a blank: it continues the value before it (RFC 9112, 5.2) and may
+//     hide a field.
 //
 // An answer with neither a length nor chunks ends with its connection. It is whole only if its request
 // had been written until then. The reset of a connection is reported once, to the side that asks first:
@@ -50,3 +55,35 @@
 	}
 	return status, nil
 }
+
+// CheckName returns ErrMalformed if a text is not the name of a field.
+func CheckName(name string) error {
+	valid := name != ""
+	for i := 0; valid && i < len(name); i++ {
+		valid = isTokenByte(name[i])
+	}
+	if !valid {
+		return eris.Wrapf(ErrMalformed, "name of a field %.40q", name)
+	}
+	return nil
+}
+
+// checkNames applies CheckName to the names of all fields.
+func checkNames(fields http.Header) error {
+	for name := range fields {
+		if err := CheckName(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// isTokenByte reports whether a token may contain the byte (RFC 9110, 5.6.2).
+func isTokenByte(b byte) bool {
+	switch {
+	case 'a' <= b && b <= 'z', 'A' <= b && b <= 'Z', '0' <= b && b <= '9':
+		return true
+	default:
+		return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+	}
+}
--- a/core/answer/answer_test.go
+++ b/core/answer/answer_test.go
@@ -47,6 +47,9 @@
 			continue
 		}
 		raw, err := io.ReadAll(resp.Body)
+		if err == nil {
+			err = CheckTrailer(resp)
+		}
 		return string(raw), conn, err
 	}
 }
@@ -58,12 +61,12 @@
 
 func TestHeads(t *testing.T) {
 	for arrival, arrive := range arrivals {
-		for _, a := range broken.Statuses("", "answer") {
+		for _, a := range append(broken.Statuses("", "answer"), broken.Names("", "answer")...) {
 			t.Run(a.Name+"/"+arrival, func(t *testing.T) {
 				is := is.New(t)
 				_, conn, err := read(arrive(strings.NewReader(a.Bytes)))
 				is.True(err != nil)
-				is.True(errors.Is(conn.Err(), ErrMalformed))
+				is.True(strings.HasPrefix(a.Name, "trailer") || errors.Is(conn.Err(), ErrMalformed))
 				_, err = conn.Write([]byte("next"))
 				is.Equal(err, conn.Err()) // nothing more is sent on it
 			})
--- a/core/answer/head.go
+++ b/core/answer/head.go
@@ -1,6 +1,10 @@
 package answer
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
 
 // headState is the part of a head that the next byte belongs to.
 type headState int
@@ -8,11 +12,13 @@
 const (
 	inStatusLine headState = iota
 	atLineStart
-	inLine
+	inName
+	inValue
 	headComplete
 )
 
-// maxKept is how much of a status line is kept, in bytes: the status is within it.
+// maxKept is how much of a line is kept, in bytes: the status is within it, and it names a malformed
+// field in errors.
 const maxKept = 64
 
 // headScanner checks the head of an answer as its bytes arrive, with the interim answers before it. The
@@ -20,7 +26,7 @@
 type headScanner struct {
 	state  headState
 	status int    // of the status line that was read last
-	line   []byte // start of the status line
+	line   []byte // start of the status line or the name of a field
 	ends   bool   // the line so far is a carriage return, and a line feed ends the head
 }
 
@@ -46,7 +52,9 @@
 		return s.nextOfStatusLine(b)
 	case atLineStart:
 		return s.nextAtLineStart(b)
-	case inLine:
+	case inName:
+		return s.nextOfName(b)
+	case inValue:
 		if b == '\n' {
 			s.startLine()
 		}
@@ -74,11 +82,27 @@
 	case b == '\n':
 		s.endHead()
 		return nil
-	case b == '\r' && !s.ends:
+	case s.ends:
+		return eris.Wrap(ErrMalformed, "carriage return at the start of a line")
+	case b == '\r':
 		s.ends = true
 		return nil
+	case b == ' ' || b == '\t':
+		return eris.Wrap(ErrMalformed, "blank at the start of a line")
+	}
+	s.state = inName
+	return s.nextOfName(b)
+}
+
+func (s *headScanner) nextOfName(b byte) error {
+	if b == ':' && len(s.line) > 0 {
+		s.state = inValue
+		return nil
+	}
+	s.keep(b)
+	if !isTokenByte(b) {
+		return CheckName(string(s.line))
 	}
-	s.state = inLine
 	return nil
 }
 
--- a/core/answer/transport.go
+++ b/core/answer/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -68,5 +69,33 @@
 	if broken := conn.Err(); broken != nil {
 		return nil, broken
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = checkedBody{resp.Body, conn, resp}
+	return resp, nil
+}
+
+// checkedBody is the body of an answer, which fails at its end if the trailer is malformed.
+type checkedBody struct {
+	io.ReadCloser
+	conn *Conn
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if err := CheckTrailer(b.resp); err != nil {
+		b.conn.GiveUp(err)
+		return n, err
+	}
+	return n, io.EOF
 }
+
+// CheckTrailer returns ErrMalformed if the trailer of an answer is malformed. The body must have been
+// read to its end.
+func CheckTrailer(resp *http.Response) error { return checkNames(resp.Trailer) }
--- a/core/platform/broken_test.go
+++ b/core/platform/broken_test.go
@@ -12,7 +12,7 @@
 // A malformed answer of the platform was taken for the list of VMs.
 func TestBrokenAnswersOfThePlatformAreErrors(t *testing.T) {
 	const body = `{"revision":1,"data":{"vms":[]}}`
-	all := broken.Statuses("", body)
+	all := append(broken.Statuses("", body), broken.Names("", body)...)
 	for _, a := range all {
 		t.Run(a.Name, func(t *testing.T) {
 			_, err := NewClient("http://"+broken.Serve(t, broken.AnswerOnce(a.Bytes)), time.Second).VMs(t.Context(), 0)
--- a/entry/gateway/broken_test.go
+++ b/entry/gateway/broken_test.go
@@ -135,6 +135,13 @@
 	}
 }
 
+// An answer with a blank in the name of a field was delivered, with another body than announced.
+func TestAnswersWithMalformedNamesAreNotDelivered(t *testing.T) {
+	for _, a := range broken.Names(answerFields, "answer") {
+		t.Run(a.Name, func(t *testing.T) { startBroken(t, broken.AnswerEach(a.Bytes)).expectReplaced(t, nil) })
+	}
+}
+
 func TestUnusualAnswersAreDelivered(t *testing.T) {
 	all := broken.Sound(answerFields, "answer")
 	all = append(all, broken.Answer{Name: "no length", Bytes: "HTTP/1.1 200 OK\r\n" + answerFields + "\r\nanswer"})
--- a/entry/upstream/broken_test.go
+++ b/entry/upstream/broken_test.go
@@ -191,6 +191,14 @@
 	}
 }
 
+// An answer with a blank in the name of a field was accepted, though it may have decided where the
+// answer ends.
+func TestAnswersWithMalformedNamesAreLost(t *testing.T) {
+	for _, a := range broken.Names(fields, "answer") {
+		t.Run(a.Name, func(t *testing.T) { expectLost(t, a.Bytes) })
+	}
+}
+
 func TestUnusualAnswersAreAccepted(t *testing.T) {
 	for _, a := range broken.Sound(fields, "answer") {
 		t.Run(a.Name, func(t *testing.T) {
@@ -209,7 +217,10 @@
 
 // A malformed answer says nothing about which server gave it.
 func TestMalformedAnswersShowNoIdentity(t *testing.T) {
-	for _, a := range broken.Statuses("Server-Id: other\r\n", "answer") {
+	for _, a := range append(broken.Statuses("Server-Id: other\r\n", "answer"), broken.Names("Server-Id: other\r\n", "")...) {
+		if strings.HasPrefix(a.Name, "trailer") {
+			continue // the head alone is the answer
+		}
 		t.Run(a.Name, func(t *testing.T) {
 			p := NewPool(broken.Serve(t, broken.AnswerOnce(a.Bytes)), time.Second)
 			l := p.Liveness(t.Context(), IdentityQuery{Target: "/", ServerID: "own", ExpectHeader: "Expect-Server", IDHeader: "Server-Id"})
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"baywall.example/core/answer"
 	"baywall.example/core/bounded"
 	"baywall.example/core/clock"
 )
@@ -230,11 +231,11 @@
 
 func (r bodyReader) Read(p []byte) (int, error) {
 	n, err := r.in.Read(p)
+	if err == io.EOF {
+		err = r.a.end()
+	}
 	switch {
-	case err == io.EOF:
-		r.a.ended = true
-		return n, err
-	case err == nil:
+	case err == nil, err == io.EOF:
 		return n, err
 	case errors.Is(err, bounded.ErrTooLarge):
 		err = errBodyTooLarge
@@ -242,6 +243,15 @@
 	return n, lost(err, "read from %s", r.a.pool.address)
 }
 
+// end records the end of the body and returns io.EOF, or the error of a malformed trailer.
+func (a *Answer) end() error {
+	if err := answer.CheckTrailer(a.resp); err != nil {
+		return err
+	}
+	a.ended = true
+	return io.EOF
+}
+
 // Close ends the exchange. The connection returns to the pool if the whole
 // request was written and the whole answer read; otherwise it is closed, which
 // tells the backend server to stop.
--- a/standin/broken/answers.go
+++ b/standin/broken/answers.go
@@ -34,6 +34,32 @@
 	return append(all, Answer{"status 000 without a length around an answer", "HTTP/1.1 000 Status\r\n" + fields + "\r\n" + Whole(fields, body)})
 }
 
+// malformedLines are lines of a head in which the name of a field holds a byte that no name may have,
+// or is empty.
+var malformedLines = []string{
+	"Bad Name: v", "Bad : v", "Content-Length : 2", "Transfer-Encoding : chunked", "Content Length: 2",
+	" Bad: v", "\tBad: v", " Transfer-Encoding: chunked", " Content-Length: 2",
+	"Bad\tName: v", "Bad\t: v", "Bad\x00Name: v", "Bad\x01: v", "\x00: v", "Bad\x1bName: v", "Bad\x7fName: v", "Bad\rName: v", "\rBad: v",
+	"Bad\x80: v", ": v", "Bad(Name): v",
+}
+
+// Names returns answers in which the name of a field is malformed: in the head, in an interim answer
+// and in the trailer.
+func Names(fields, body string) (all []Answer) {
+	for _, line := range malformedLines {
+		add := func(place, bytes string) {
+			all = append(all, Answer{fmt.Sprintf("%s %q", place, line), bytes})
+		}
+		add("head", Whole("Sound: v\r\n"+fields+line+"\r\n", body))
+		add("head without a length", "HTTP/1.1 200 OK\r\nSound: v\r\n"+fields+line+"\r\n\r\n"+body)
+		add("interim answer", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n"+line+"\r\n\r\n"+Whole(fields, body))
+		if !strings.HasPrefix(line, " ") && !strings.HasPrefix(line, "\t") {
+			add("trailer", Chunked(fields, body, line+"\r\n"))
+		}
+	}
+	return all
+}
+
 // Sound returns unusual answers that are well-formed and whole, with a success for their status.
 func Sound(fields, body string) []Answer {
 	return []Answer{
