Entry VMs: refuse malformed heads that agents pass on

What callers saw: an entry VM passed on the status and the fields that an agent had accepted from its backend server. net/http leaves out a field with a malformed name without a word, and panics at a status under 100, so that the request broke off.

Cause: heads that come over links were not held to the rule for answers.

Change: the entry VM applies package answer to the head before anything is forwarded; the attempt ends as engine-failed with an unknown outcome, and the agent is told that nobody needs the answer.

--- a/entry/dispatch/answer.go
+++ b/entry/dispatch/answer.go
@@ -6,10 +6,12 @@
 
 	"github.com/rotisserie/eris"
 
+	"baywall.example/core/answer"
 	"baywall.example/core/clock"
 	"baywall.example/core/configuration"
 	"baywall.example/core/contract"
 	"baywall.example/core/link"
+	"baywall.example/core/timeline"
 	"baywall.example/core/wire"
 	"baywall.example/entry/retry"
 )
@@ -32,6 +34,9 @@
 		}
 		switch body := reply.GetBody().(type) {
 		case *wire.Reply_Head:
+			if err := checkHead(body.Head); err != nil {
+				return x.malformed(s, err)
+			}
 			if err := x.head(ctx, s, body.Head, stopAlive); err != nil {
 				return result{err: err}
 			}
@@ -52,6 +57,26 @@
 	}
 }
 
+// checkHead returns answer.ErrMalformed if an agent passes on a head that no answer may have.
+func checkHead(h *wire.AnswerHead) error {
+	if err := answer.CheckStatus(int(h.GetStatus())); err != nil {
+		return err
+	}
+	for _, f := range h.GetHeaders() {
+		if err := answer.CheckName(f.GetName()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// malformed returns the result of a malformed answer: its request may have run.
+func (x *exchange) malformed(s *link.Stream, cause error) result {
+	x.record(timeline.KindRefused, cause.Error())
+	cancelAttempt(s)
+	return result{event: retry.EventRefused, refusal: contract.Refusal{Outcome: contract.Unknown, Reason: contract.ReasonEngineFailed}}
+}
+
 // isCurrent reports whether a message belongs to the current attempt.
 func (x *exchange) isCurrent(request string, number uint32) bool {
 	return request == string(x.location.Attempt.Request) && number == x.location.Attempt.Number
