Gateways: read the answers to orders to their end

What was seen: an answer to an order to hold a step counted by its status, also if its body or its trailer was cut or malformed; the connection was closed after each order.

Cause: the body was not read.

The connection is used again after a whole answer.

--- a/entry/gateway/broken_test.go
+++ b/entry/gateway/broken_test.go
@@ -154,3 +154,19 @@
 		})
 	}
 }
+
+// Answers to orders and probes are held to the same rule as answers to requests.
+func TestBrokenAnswersToOrdersAndProbesDoNotCount(t *testing.T) {
+	part := broken.Answer{Name: "part", Bytes: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"}
+	for _, a := range append(append(broken.Statuses("", "{}"), broken.Names("", "{}")...), part) {
+		t.Run(a.Name, func(t *testing.T) {
+			is := is.New(t)
+			w := startBroken(t, broken.AnswerOnce(a.Bytes))
+			server := w.gateway.registry.At(w.broken)
+			is.True(w.gateway.sendOrder(t.Context(), server, Order{Target: "/x", Header: http.Header{}}) != nil)
+			good, err := w.gateway.probeServer(t.Context(), server)
+			is.True(!good)
+			is.True(err != nil)
+		})
+	}
+}
--- a/entry/gateway/hold.go
+++ b/entry/gateway/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -16,6 +17,9 @@
 // holdTimeout bounds one order to a rank, which normally answers in a few milliseconds.
 const holdTimeout = 300 * time.Millisecond
 
+// maxOrderBody is the largest part of the answer to an order that is read, in bytes.
+const maxOrderBody = 64 << 10
+
 // errOrderRefused means that a rank did not accept an order.
 var errOrderRefused = eris.New("gateway: order refused")
 
@@ -64,6 +68,9 @@
 	}
 	defer answer.Close()
 	g.receiveNotice(server, answer, sent, viaOrder)
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxOrderBody)); err != nil {
+		return err
+	}
 	if !g.adapter.OrderTaken(answer.Status) {
 		return eris.Wrapf(errOrderRefused, "status %d", answer.Status)
 	}
