Tests: heads that are cut after each of their bytes

Other operators saw a head that was cut and closed turn into a 200 with an empty or short body. It does not happen here: the parser takes the end of a connection within a head for an error, and package answer leaves that as it is.

--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -108,6 +108,11 @@
 // with another body.
 func TestBrokenAnswersAreNotPassedOn(t *testing.T) {
 	all := append(broken.Statuses("", "{}"), broken.Names("", "{}")...)
+	head := "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 10\r\nX: y\r\n\r\n"
+	for cut := range len(head) + 1 {
+		all = append(all, broken.Answer{Name: fmt.Sprintf("cut after %d bytes", cut), Bytes: head[:cut]})
+	}
+	all = append(all, broken.Answer{Name: "cut chunks", Bytes: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"})
 	for _, a := range all {
 		t.Run(a.Name, func(t *testing.T) {
 			t.Parallel()
--- a/agent/server/broken_test.go
+++ b/agent/server/broken_test.go
@@ -71,6 +71,8 @@
 		"status":                broken.AnswerOnce(broken.WithStatus("000 Status", "", "part")),
 		"name":                  broken.AnswerOnce(broken.Whole("Bad Name: v\r\n", "part")),
 		"trailer":               broken.AnswerOnce(broken.Chunked("", "part", "Bad Name: v\r\n")),
+		"cut head":              broken.AnswerOnce("HTTP/1.1 200 OK\r\nContent-Le"),
+		"cut body":              broken.AnswerOnce("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"),
 	}
 	for name, answer := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/entry/upstream/broken_test.go
+++ b/entry/upstream/broken_test.go
@@ -215,6 +215,49 @@
 	}
 }
 
+// A head that is cut after any of its bytes is no answer, however it is cut.
+func TestCutHeadsAreNoAnswers(t *testing.T) {
+	stop := make(chan struct{})
+	defer close(stop)
+	ends := map[string]func(*net.TCPConn){
+		"closed": func(conn *net.TCPConn) { _ = conn.Close() }, "reset": broken.Reset, "stopped": func(*net.TCPConn) { <-stop },
+	}
+	head := "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 10\r\nX: y\r\n\r\n"
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var whole atomic.Int32
+			var exchanges sync.WaitGroup
+			for cut := 1; cut < len(head); cut++ {
+				var requests atomic.Int32
+				address := broken.Serve(t, func(conn *net.TCPConn, r *http.Request) bool {
+					if r.ContentLength <= inlineBody && requests.Add(1) == 1 {
+						return broken.AnswerEach(broken.Whole(fields, "answer"))(conn, r)
+					}
+					_, _ = io.WriteString(conn, head[:cut])
+					end(conn)
+					return false
+				})
+				exchanges.Go(func() {
+					p := NewPool(address, time.Second)
+					defer p.Close()
+					_, _, first := do(p, request("1"))
+					_, reused, second := do(p, request("1"))
+					r := request("1")
+					r.Body = upload
+					_, _, third := do(p, r)
+					if first != nil || !reused && second == nil || !errors.Is(second, ErrLost) || !errors.Is(third, ErrLost) {
+						whole.Add(1)
+						t.Logf("cut after %q: %v; reused: %t, %v; long upload: %v", head[:cut], first, reused, second, third)
+					}
+				})
+			}
+			exchanges.Wait()
+			is.Equal(whole.Load(), int32(0))
+		})
+	}
+}
+
 // A malformed answer says nothing about which server gave it.
 func TestMalformedAnswersShowNoIdentity(t *testing.T) {
 	for _, a := range append(broken.Statuses("Server-Id: other\r\n", "answer"), broken.Names("Server-Id: other\r\n", "")...) {
