Tests: one stand-in of a connection that is reset

The connection on which a chosen side gets the error of a reset stood in the tests of entry/upstream and agent/engine. It is in standin/broken now, and the engine's test makes the reset certain at the reader, too. That connections carried a request before, and are not used again, is read from the pool.

--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -33,43 +33,16 @@
 }
 
 // request sends a request with a body of the size and returns the whole answer.
-func request(t *testing.T, c *Client, idempotent bool, size int) (status int, body string, err error) {
+func request(t *testing.T, c *Client, idempotent bool, size int) (body string, err error) {
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
 	resp, err := c.Do(ctx, Request{ID: "r", Method: http.MethodPost, Path: "/", Body: make([]byte, size), Idempotent: idempotent})
 	if err != nil {
-		return 0, "", err
+		return "", err
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(raw), err
-}
-
-// resetToWriter is a connection on which the writer gets the error of a reset: the reader waits for
-// that before the first read that could get it.
-type resetToWriter struct {
-	net.Conn
-	received bool
-	reset    chan struct{} // closed when the writer has got it
-}
-
-// Read implements net.Conn.
-func (c *resetToWriter) Read(p []byte) (int, error) {
-	if c.received {
-		<-c.reset
-	}
-	c.received = true
-	return c.Conn.Read(p)
-}
-
-// Write implements net.Conn.
-func (c *resetToWriter) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		close(c.reset)
-		time.Sleep(20 * time.Millisecond) // the transport closes the connection afterwards
-	}
-	return n, err
+	return string(raw), err
 }
 
 // If the writer of a long upload got the error of a reset, the part of an answer without a length that
@@ -79,26 +52,18 @@
 		for _, toWriter := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%d bytes, reset reported to the writer=%t", len(part), toWriter), func(t *testing.T) {
 				is := is.New(t)
-				after := time.Duration(0)
-				if toWriter {
-					after = broken.StallTime
-				}
 				c := serveEngine(t, func(conn *net.TCPConn, _ *http.Request) bool {
-					broken.ResetUpload(conn, after, "HTTP/1.1 200 OK\r\n\r\n"+part)
+					broken.ResetUpload(conn, broken.StallTime, "HTTP/1.1 200 OK\r\n\r\n"+part)
 					return false
 				})
-				if toWriter {
-					c.singleUse = answer.NewTransport(&http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-						raw, err := new(net.Dialer).DialContext(ctx, network, address)
-						return track(&resetToWriter{Conn: raw, reset: make(chan struct{})}), err
-					}})
-				}
-				for range 20 { // unless the writer gets it, which side does is not certain
-					_, body, err := request(t, c, false, 8<<20)
-					is.True(err != nil)
-					is.True(!errors.Is(err, ErrDial))
-					is.True(len(body) <= len(part))
-				}
+				c.singleUse = answer.NewTransport(&http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+					raw, err := new(net.Dialer).DialContext(ctx, network, address)
+					return track(broken.ReportReset(raw, toWriter)), err
+				}})
+				body, err := request(t, c, false, 8<<20)
+				is.True(err != nil)
+				is.True(!errors.Is(err, ErrDial))
+				is.True(len(body) <= len(part))
 			})
 		}
 	}
@@ -120,7 +85,7 @@
 			c := serveEngine(t, broken.AnswerOnce(a.Bytes))
 			for _, idempotent := range []bool{false, true} {
 				for _, size := range []int{4, 3 << 20} {
-					_, _, err := request(t, c, idempotent, size)
+					_, err := request(t, c, idempotent, size)
 					is.True(err != nil)
 					is.True(!errors.Is(err, ErrDial))
 				}
@@ -145,7 +110,7 @@
 			}
 			c := serveEngine(t, answer)
 			for _, size := range []int{4, 100 << 10, 3 << 20} {
-				_, body, err := request(t, c, size > 4, size)
+				body, err := request(t, c, size > 4, size)
 				is.NoErr(err)
 				is.Equal(body, "{}")
 			}
--- a/entry/upstream/broken_test.go
+++ b/entry/upstream/broken_test.go
@@ -23,49 +23,6 @@
 // fields are those of an answer to request("1").
 const fields = idHeader + ": 1\r\n"
 
-// resetConn is a connection on which the chosen side, reader or writer, gets the error of a reset: the
-// other one waits for that.
-type resetConn struct {
-	net.Conn
-	toWriter bool
-	received atomic.Bool
-	reset    chan struct{} // closed by ended when that side has got it
-	ended    func()
-}
-
-func newResetConn(raw net.Conn, toWriter bool) *resetConn {
-	c := &resetConn{Conn: raw, toWriter: toWriter, reset: make(chan struct{})}
-	c.ended = sync.OnceFunc(func() { close(c.reset) })
-	return c
-}
-
-// Read implements net.Conn.
-func (c *resetConn) Read(p []byte) (int, error) {
-	if c.toWriter && c.received.Load() {
-		<-c.reset
-	}
-	n, err := c.Conn.Read(p)
-	c.received.Store(true)
-	if err != nil && !c.toWriter {
-		c.ended()
-	}
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *resetConn) Write(p []byte) (n int, err error) {
-	if len(p) > inlineBody && !c.toWriter {
-		n, _ = c.Conn.Write(p[:inlineBody])
-		p = p[n:]
-		<-c.reset
-	}
-	more, err := c.Conn.Write(p)
-	if err != nil && c.toWriter {
-		c.ended()
-	}
-	return n + more, err
-}
-
 // If the writer of a long upload got the error of a reset, the reader took the part of an answer without
 // a length that had come for the whole.
 func TestPartBeforeAResetUnderAnUploadIsNotWhole(t *testing.T) {
@@ -87,7 +44,7 @@
 				})
 				raw, err := net.Dial("tcp4", address)
 				is.NoErr(err)
-				c := newConn(newResetConn(raw, toWriter))
+				c := newConn(broken.ReportReset(raw, toWriter))
 				c.expires = time.Now().Add(time.Minute)
 				p := NewPool(address, time.Second)
 				p.put(c)
@@ -155,32 +112,32 @@
 }
 
 // expectLost sends a request to a server that answers with the bytes, on a new connection and on one
-// that has carried a request.
+// that has carried a request. It is the sender that has to give the connection up.
 func expectLost(t *testing.T, bytes string) {
 	t.Helper()
 	for _, used := range []bool{false, true} {
 		is := is.New(t)
-		var conns, requests atomic.Int32
+		var requests atomic.Int32
 		address := broken.Serve(t, func(conn *net.TCPConn, r *http.Request) bool {
-			if requests.Add(1); used && requests.Load() == 1 {
+			if requests.Add(1) == 1 && used {
 				return broken.AnswerEach(broken.Whole(fields, "answer"))(conn, r)
 			}
-			conns.Add(1)
-			return broken.AnswerEach(bytes)(conn, r) // it is the gateway that gives the connection up
+			return broken.AnswerEach(bytes)(conn, r)
 		})
 		p := NewPool(address, time.Second)
 		defer p.Close()
 		if used {
 			_, _, err := do(p, request("1"))
 			is.NoErr(err)
+			is.Equal(len(p.idle), 1)
 		}
 		began := time.Now()
-		_, reused, err := do(p, request("1"))
-		t.Logf("reused: %t, %v, %v", reused, time.Since(began), err)
+		_, _, err := do(p, request("1"))
+		t.Log(err)
 		is.True(errors.Is(err, ErrLost))
 		is.True(time.Since(began) < earlyAnswer)
 		is.True(err != nil && len(err.Error()) < 1000)
-		is.Equal(p.take(time.Now()), nil) // the connection is not used again
+		is.Equal(len(p.idle), 0) // the connection is not used again
 	}
 }
 
@@ -242,13 +199,14 @@
 					p := NewPool(address, time.Second)
 					defer p.Close()
 					_, _, first := do(p, request("1"))
-					_, reused, second := do(p, request("1"))
+					idle := len(p.idle)
+					_, _, second := do(p, request("1"))
 					r := request("1")
 					r.Body = upload
 					_, _, third := do(p, r)
-					if first != nil || !reused && second == nil || !errors.Is(second, ErrLost) || !errors.Is(third, ErrLost) {
+					if first != nil || idle != 1 || !errors.Is(second, ErrLost) || !errors.Is(third, ErrLost) {
 						whole.Add(1)
-						t.Logf("cut after %q: %v; reused: %t, %v; long upload: %v", head[:cut], first, reused, second, third)
+						t.Logf("cut after %q: %v; on the same connection: %v; long upload: %v", head[:cut], first, second, third)
 					}
 				})
 			}
