--- a/core/answer/answer_test.go
+++ b/core/answer/answer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -78,7 +79,7 @@
 				is.NoErr(err)
 				is.Equal(body, "answer")
 				is.NoErr(conn.Err())
-				is.True(conn.HeadRead())
+				is.True(conn.headRead())
 			})
 		}
 	}
@@ -127,3 +128,25 @@
 		is.True(err != nil || string(raw) == "right")
 	}
 }
+
+// An http.Transport repeats a GET by itself if a connection that has carried a request fails with no
+// byte read.
+func TestRequestsWithMalformedAnswersAreSentOnce(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	address := broken.Serve(t, func(conn *net.TCPConn, r *http.Request) bool {
+		if requests.Add(1) == 1 {
+			return broken.AnswerEach(broken.Whole("", "answer"))(conn, r)
+		}
+		return broken.AnswerEach(broken.WithStatus("000 Status", "", "answer"))(conn, r)
+	})
+	client := &http.Client{Transport: NewTransport(&http.Transport{})}
+	resp, err := client.Get("http://" + address)
+	is.NoErr(err)
+	_, err = io.ReadAll(resp.Body)
+	is.NoErr(err)
+	resp.Body.Close()
+	_, err = client.Get("http://" + address)
+	is.True(errors.Is(err, ErrMalformed))
+	is.Equal(requests.Load(), int32(2))
+}
--- a/core/answer/conn.go
+++ b/core/answer/conn.go
@@ -76,13 +76,24 @@
 // head, and were read before. The error is ErrMalformed.
 func (c *Conn) ExpectHead(buffered []byte) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.head.reset()
-	return c.scan(buffered)
+	c.mu.Unlock()
+	return c.checkHead(buffered)
+}
+
+// checkHead checks the next bytes of a head, and gives the connection up if they are malformed.
+func (c *Conn) checkHead(p []byte) error {
+	c.mu.Lock()
+	err := c.head.scan(p)
+	c.mu.Unlock()
+	if err != nil {
+		c.giveUp(err)
+	}
+	return err
 }
 
-// HeadRead reports whether the head of the answer was read to its end since the exchange began.
-func (c *Conn) HeadRead() bool {
+// headRead reports whether the head of the answer was read to its end since the exchange began.
+func (c *Conn) headRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.head.state == headComplete
@@ -95,27 +106,16 @@
 	return c.err
 }
 
-// GiveUp closes the connection, and makes all that is done with it later fail with the error.
-func (c *Conn) GiveUp(err error) {
+// giveUp closes the connection, and makes all that is done with it later fail with the error.
+func (c *Conn) giveUp(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.giveUp(err)
-}
-
-func (c *Conn) giveUp(err error) {
 	if c.err == nil {
 		c.err = err
 		_ = c.Conn.Close() // the error says more
 	}
 }
 
-func (c *Conn) scan(p []byte) error {
-	if err := c.head.scan(p); err != nil {
-		c.giveUp(err)
-	}
-	return c.err
-}
-
 // Read implements io.Reader. In place of io.EOF after a head it returns ErrCut unless the request was
 // written.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -123,24 +123,18 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.check(p[:n]) != nil {
+	if n > 0 && c.checkHead(p[:n]) != nil {
 		// One byte never completes the head that it belongs to. With none, an http.Transport would
 		// take the connection for one that ended before it carried the request, and send the request
 		// again.
 		return 1, nil
 	}
-	if err == io.EOF && c.HeadRead() {
+	if err == io.EOF && c.headRead() {
 		err = c.endOfAnswer()
 	}
 	return n, err
 }
 
-func (c *Conn) check(p []byte) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.scan(p)
-}
-
 // endOfAnswer returns io.EOF if the request was written, and ErrCut otherwise.
 func (c *Conn) endOfAnswer() error {
 	timeout := time.NewTimer(writeTimeout)
--- a/core/answer/transport.go
+++ b/core/answer/transport.go
@@ -62,8 +62,8 @@
 	if conn == nil {
 		return resp, err // no connection was opened
 	}
-	if err == nil && !conn.HeadRead() {
-		conn.GiveUp(errEarly)
+	if err == nil && !conn.headRead() {
+		conn.giveUp(errEarly)
 		_ = resp.Body.Close() // the error says more
 	}
 	if broken := conn.Err(); broken != nil {
@@ -90,7 +90,7 @@
 		return n, err
 	}
 	if err := CheckTrailer(b.resp); err != nil {
-		b.conn.GiveUp(err)
+		b.conn.giveUp(err)
 		return n, err
 	}
 	return n, io.EOF
