Tests: broken answers to the query that proves an engine's life

An agent takes the answer to its query for the load as proof that the engine outlived an answer without a length. That reader had no test of its own.

No product code changes.

--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,3 +118,32 @@
 		})
 	}
 }
+
+// A broken answer to the query for the load proved that an engine had outlived its answer without a
+// length.
+func TestBrokenAnswersProveNoLife(t *testing.T) {
+	all := append(broken.Statuses("", "{}"), broken.Names("", "{}")...)
+	all = append(all,
+		broken.Answer{Name: "cut head", Bytes: "HTTP/1.1 200 OK\r\nContent-Le"},
+		broken.Answer{Name: "cut body", Bytes: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}"})
+	for _, a := range append(all, broken.Answer{Name: "sound", Bytes: broken.Whole("", "{}")}) {
+		t.Run(a.Name, func(t *testing.T) {
+			is := is.New(t)
+			var loads atomic.Int32
+			c := New(broken.Serve(t, func(conn *net.TCPConn, r *http.Request) bool {
+				switch {
+				case r.URL.Path != loadPath:
+					return broken.AnswerOnce("HTTP/1.1 200 OK\r\n\r\nanswer")(conn, r)
+				case loads.Add(1) == 1:
+					return broken.AnswerEach(broken.Whole("", "{}"))(conn, r)
+				}
+				return broken.AnswerOnce(a.Bytes)(conn, r)
+			}))
+			_, err := c.Load(t.Context())
+			is.NoErr(err)
+			_, err = request(t, c, false, 4)
+			is.Equal(err == nil, a.Name == "sound")
+			is.Equal(loads.Load(), int32(2)) // on the connection that was open before
+		})
+	}
+}
